--- /dev/null
+++ b/cmd/zinniafall/main.go
@@ -0,0 +1,4 @@
+// Command zinniafall is the operators' command.
+package main
+
+func main() {}
--- /dev/null
+++ b/cmd/zinniafalld/main.go
@@ -0,0 +1,4 @@
+// Command zinniafalld is the node that runs beside one target.
+package main
+
+func main() {}
--- /dev/null
+++ b/standin/target/target.go
@@ -0,0 +1,2 @@
+// Package target is a stand-in for a target.
+package target
