Carry requests between nodes over QUIC, read settings, stand in for targets

Cause: a call needs a way from its entry to its owner before anything else. Change: mutual TLS from keys derived from the fleet secret, one connection for two nodes with requests on streams and control on a dropping ring, checked settings with every problem and its JSON path, and a stand-in target. Conclusion: the entry and the owner can be written against it.

--- /dev/null
+++ b/node/peer/call.go
@@ -0,0 +1,153 @@
+package peer
+
+import (
+	"context"
+	"encoding/binary"
+	"errors"
+	"io"
+	"net"
+	"sync"
+
+	"github.com/quic-go/quic-go"
+	"github.com/samber/oops"
+
+	"zinniafall/policy/model"
+)
+
+// ErrNotSent means that no byte of the request left this node.
+var ErrNotSent = errors.New("the request was not sent")
+
+// ErrLost means that the request left and that no answer came: it may have run.
+var ErrLost = errors.New("the connection was lost before the answer")
+
+func (t *Transport) dial(ctx context.Context, node model.NodeAddr) (*quic.Conn, error) {
+	addr, err := net.ResolveUDPAddr("udp", string(node))
+	if err != nil {
+		return nil, oops.In("peer").Wrap(err)
+	}
+	return t.quic.Dial(ctx, addr, t.opts.Identity.ClientConfig(), quicConfig())
+}
+
+// Exchange is a request that was sent and whose answer is awaited or read.
+type Exchange struct {
+	link   *link
+	stream *quic.Stream
+	stop   func() bool
+	once   sync.Once
+}
+
+// Open sends the request's frame. An error that is ErrNotSent proves that the
+// other node got nothing. The context's end cancels the whole exchange.
+func (t *Transport) Open(ctx context.Context, to model.NodeAddr, request *Request) (*Exchange, error) {
+	l, stream, err := t.openStream(ctx, to)
+	if err != nil {
+		return nil, errors.Join(ErrNotSent, err)
+	}
+	l.active.Add(1)
+	stop := context.AfterFunc(ctx, func() {
+		stream.CancelRead(codeCanceled)
+		stream.CancelWrite(codeCanceled)
+	})
+	x := &Exchange{link: l, stream: stream, stop: stop}
+	if err := writeFrame(stream, request); err != nil {
+		x.Close()
+		return nil, errors.Join(ErrLost, err)
+	}
+	if request.Inline || request.Kind == KindProbe || request.Kind == KindConfiguration {
+		_ = stream.Close()
+	}
+	return x, nil
+}
+
+func (t *Transport) openStream(ctx context.Context, to model.NodeAddr) (*link, *quic.Stream, error) {
+	l, err := t.link(to)
+	if err != nil {
+		return nil, nil, err
+	}
+	select {
+	case <-l.ready:
+	case <-ctx.Done():
+		return nil, nil, ctx.Err()
+	}
+	if l.err != nil {
+		return nil, nil, l.err
+	}
+	stream, err := l.conn.OpenStreamSync(ctx)
+	return l, stream, err
+}
+
+// SendBody sends a body that was not inline. An error of the reader resets
+// the stream, so that a partial body never looks whole.
+func (x *Exchange) SendBody(body io.Reader) error {
+	if _, err := io.Copy(x.stream, body); err != nil {
+		x.stream.CancelWrite(codeFailed)
+		return err
+	}
+	return x.stream.Close()
+}
+
+// Receive reads the next answer frame. An error is ErrLost.
+func (x *Exchange) Receive() (*Answer, error) {
+	answer := new(Answer)
+	if err := readFrame(x.stream, answer); err != nil {
+		return nil, errors.Join(ErrLost, err)
+	}
+	return answer, nil
+}
+
+// Read reads the body of the final answer. It returns io.EOF only when the
+// other node ended the body; a reset gives another error.
+func (x *Exchange) Read(p []byte) (int, error) { return x.stream.Read(p) }
+
+// Close ends the exchange and cancels what is still under way.
+func (x *Exchange) Close() {
+	x.once.Do(func() {
+		x.stop()
+		x.stream.CancelRead(codeCanceled)
+		x.stream.CancelWrite(codeCanceled)
+		x.link.active.Add(-1)
+	})
+}
+
+// Stream is a request that another node sent.
+type Stream struct {
+	// Request is the frame that opened the stream.
+	Request Request
+
+	stream *quic.Stream
+	failed bool
+}
+
+// Read reads the part of the body that is not inline.
+func (s *Stream) Read(p []byte) (int, error) { return s.stream.Read(p) }
+
+// Answer sends an answer frame.
+func (s *Stream) Answer(answer *Answer) error { return writeFrame(s.stream, answer) }
+
+// Write sends a part of the answer's body.
+func (s *Stream) Write(p []byte) (int, error) { return s.stream.Write(p) }
+
+// Fail resets the stream, so that the other node sees that the answer is not
+// whole.
+func (s *Stream) Fail() {
+	s.failed = true
+	s.stream.CancelWrite(codeFailed)
+}
+
+// end closes what ServeRequest left open.
+func (s *Stream) end() {
+	s.stream.CancelRead(codeClosedStream)
+	if !s.failed {
+		_ = s.stream.Close()
+	}
+}
+
+// codeClosedStream ends the reading of a request that was answered.
+const codeClosedStream quic.StreamErrorCode = 0
+
+func writeRaw(w io.Writer, payload []byte) error {
+	frame := make([]byte, lengthBytes, lengthBytes+len(payload))
+	binary.BigEndian.PutUint32(frame, uint32(len(payload)))
+	_, err := w.Write(append(frame, payload...))
+	return err
+}
--- /dev/null
+++ b/node/peer/message.go
@@ -0,0 +1,188 @@
+package peer
+
+import (
+	"encoding/binary"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/samber/oops"
+
+	"zinniafall/policy/model"
+	"zinniafall/policy/problem"
+)
+
+// Kind tells what a stream asks of the node at its other end.
+type Kind uint8
+
+// The kinds of request between nodes.
+const (
+	// KindCall asks the owner to run a call at its target.
+	KindCall Kind = 1
+	// KindKeyed asks the issuer of a request key to carry the call.
+	KindKeyed Kind = 2
+	// KindProbe asks the owner for its report.
+	KindProbe Kind = 3
+	// KindConfiguration asks for the configuration bundle.
+	KindConfiguration Kind = 4
+)
+
+const (
+	// maxHeadBytes bounds the head of a request or answer, inline body included.
+	maxHeadBytes = 256 << 10
+	// maxHeadFields bounds the header fields of a call.
+	maxHeadFields = 256
+	// lengthBytes is the size of the length that precedes a frame.
+	lengthBytes = 4
+)
+
+// Field is one header field.
+type Field struct {
+	Name  string `cbor:"1,keyasint"`
+	Value string `cbor:"2,keyasint"`
+}
+
+// Request opens a stream. What follows it on the stream is the part of the
+// body that is not inline, ended by the end of the stream.
+type Request struct {
+	Kind Kind `cbor:"1,keyasint"`
+	// Revision is the configuration that the sender applies.
+	Revision   model.Revision `cbor:"2,keyasint"`
+	Service    model.Service  `cbor:"3,keyasint,omitempty"`
+	Account    model.Account  `cbor:"4,keyasint,omitempty"`
+	Method     string         `cbor:"5,keyasint,omitempty"`
+	URI        string         `cbor:"6,keyasint,omitempty"`
+	Host       string         `cbor:"7,keyasint,omitempty"`
+	Header     []Field        `cbor:"8,keyasint,omitempty"`
+	Idempotent bool           `cbor:"9,keyasint,omitempty"`
+	// Timeout is what remains of the call's deadline when it was sent.
+	Timeout time.Duration `cbor:"10,keyasint,omitempty"`
+	// Allowance bounds the attempts of calls that the target makes in turn.
+	Allowance int `cbor:"11,keyasint,omitempty"`
+	// Depth counts the nested calls above this one.
+	Depth int `cbor:"12,keyasint,omitempty"`
+	// Isolated is set for a request suspected of crashing its target.
+	Isolated bool `cbor:"13,keyasint,omitempty"`
+	// Key is the request key that the caller sent.
+	Key string `cbor:"14,keyasint,omitempty"`
+	// Body is the whole body when Inline is set.
+	Body   []byte `cbor:"15,keyasint,omitempty"`
+	Inline bool   `cbor:"16,keyasint,omitempty"`
+	// Length of a body that is not inline; -1 when unknown.
+	Length int64 `cbor:"17,keyasint,omitempty"`
+	// Fingerprint identifies equal requests for quarantine.
+	Fingerprint [16]byte `cbor:"18,keyasint,omitempty"`
+}
+
+// Answer opens the way back. An interim answer, Admitted, tells the sender to
+// send a body that is not inline; the final answer's body follows it.
+type Answer struct {
+	Admitted bool           `cbor:"1,keyasint,omitempty"`
+	Run      model.Run      `cbor:"2,keyasint,omitempty"`
+	Problem  *problem.Error `cbor:"3,keyasint,omitempty"`
+	Status   int            `cbor:"4,keyasint,omitempty"`
+	Header   []Field        `cbor:"5,keyasint,omitempty"`
+	// Length of the body; -1 when unknown.
+	Length int64         `cbor:"6,keyasint,omitempty"`
+	Report *model.Report `cbor:"7,keyasint,omitempty"`
+	// Crashed is set when the target died while it ran the call.
+	Crashed bool `cbor:"8,keyasint,omitempty"`
+}
+
+var (
+	encodeMode = mustEncMode()
+	decodeMode = mustDecMode()
+)
+
+func mustEncMode() cbor.EncMode {
+	mode, err := cbor.EncOptions{}.EncMode()
+	if err != nil {
+		panic(err)
+	}
+	return mode
+}
+
+func mustDecMode() cbor.DecMode {
+	mode, err := cbor.DecOptions{
+		MaxArrayElements: maxHeadFields,
+		MaxMapPairs:      maxHeadFields,
+		MaxNestedLevels:  6,
+		DupMapKey:        cbor.DupMapKeyEnforcedAPF,
+	}.DecMode()
+	if err != nil {
+		panic(err)
+	}
+	return mode
+}
+
+// writeFrame writes one length-prefixed message in a single write.
+func writeFrame(w io.Writer, message any) error {
+	raw, err := encodeMode.Marshal(message)
+	if err != nil {
+		return oops.In("peer").Wrap(err)
+	}
+	if len(raw) > maxHeadBytes {
+		return oops.In("peer").Hint("Lower limits.header_bytes in the settings.").
+			Errorf("a message of %d bytes is over the limit of %d", len(raw), maxHeadBytes)
+	}
+	frame := make([]byte, lengthBytes, lengthBytes+len(raw))
+	binary.BigEndian.PutUint32(frame, uint32(len(raw)))
+	_, err = w.Write(append(frame, raw...))
+	return err
+}
+
+// readFrame reads one length-prefixed message.
+func readFrame(r io.Reader, message any) error {
+	raw, err := readRaw(r)
+	if err != nil {
+		return err
+	}
+	return decodeMode.Unmarshal(raw, message)
+}
+
+func readRaw(r io.Reader) ([]byte, error) {
+	var length [lengthBytes]byte
+	if _, err := io.ReadFull(r, length[:]); err != nil {
+		return nil, err
+	}
+	size := binary.BigEndian.Uint32(length[:])
+	if size > maxHeadBytes {
+		return nil, oops.In("peer").Hint("Check that all nodes run the same release.").
+			Errorf("a message of %d bytes is over the limit of %d", size, maxHeadBytes)
+	}
+	raw := make([]byte, size)
+	_, err := io.ReadFull(r, raw)
+	return raw, err
+}
+
+// FieldsOf lists the fields of an HTTP header, leaving out those that belong
+// to one connection only.
+func FieldsOf(header http.Header) []Field {
+	fields := make([]Field, 0, len(header))
+	for name, values := range header {
+		if perConnection(name) {
+			continue
+		}
+		for _, value := range values {
+			fields = append(fields, Field{Name: name, Value: value})
+		}
+	}
+	return fields
+}
+
+// AddTo adds the fields to an HTTP header.
+func AddTo(header http.Header, fields []Field) {
+	for _, f := range fields {
+		header[f.Name] = append(header[f.Name], f.Value)
+	}
+}
+
+// perConnection reports whether RFC 9110 confines the field to one connection.
+func perConnection(name string) bool {
+	switch name {
+	case "Connection", "Keep-Alive", "Proxy-Connection", "Te", "Trailer", "Transfer-Encoding", "Upgrade":
+		return true
+	}
+	return false
+}
--- /dev/null
+++ b/standin/target/announce.go
@@ -0,0 +1,68 @@
+package target
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/dghubble/sling"
+)
+
+// announcement is the body with which a target makes itself known to its node.
+type announcement struct {
+	Service     string `json:"service"`
+	Address     string `json:"address"`
+	Instance    string `json:"instance"`
+	Slots       int    `json:"slots"`
+	Connections int    `json:"connections"`
+	Cold        bool   `json:"cold"`
+	HealthPath  string `json:"health_path"`
+	LoadPath    string `json:"load_path"`
+	LeaseMs     int    `json:"lease_ms"`
+}
+
+// announceLease is the time for which an announcement holds.
+const announceLease = 3 * time.Second
+
+// Announce makes the target known to the node at the base URL, once.
+func (t *Target) Announce(client *http.Client, nodeURL string) error {
+	t.mu.Lock()
+	cold := t.cold
+	t.mu.Unlock()
+	body := announcement{
+		Service: t.opts.Service, Address: t.Addr(), Instance: t.Instance(),
+		Slots: t.opts.Slots, Connections: t.opts.Connections, Cold: cold,
+		HealthPath: HealthPath, LoadPath: LoadPath, LeaseMs: int(announceLease / time.Millisecond),
+	}
+	return send(client, sling.New().Base(nodeURL).Put("/v1/target").BodyJSON(body))
+}
+
+// Drain tells the node that the target is leaving.
+func (t *Target) Drain(client *http.Client, nodeURL string) error {
+	return send(client, sling.New().Base(nodeURL).Post("/v1/target/drain"))
+}
+
+// KeepAnnounced renews the announcement until the stop channel closes.
+func (t *Target) KeepAnnounced(client *http.Client, nodeURL string, stop <-chan struct{}) {
+	ticker := time.NewTicker(announceLease / 3)
+	defer ticker.Stop()
+	for {
+		_ = t.Announce(client, nodeURL)
+		select {
+		case <-stop:
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+func send(client *http.Client, s *sling.Sling) error {
+	request, err := s.Request()
+	if err != nil {
+		return err
+	}
+	response, err := client.Do(request)
+	if err != nil {
+		return err
+	}
+	return response.Body.Close()
+}
