--- /dev/null
+++ b/node/entry/answer.go
@@ -0,0 +1,94 @@
+package entry
+
+import (
+	"encoding/json"
+	"io"
+	"math"
+	"net/http"
+	"strconv"
+	"sync"
+
+	"zinniafall/node/execute"
+	"zinniafall/node/peer"
+	"zinniafall/policy/problem"
+)
+
+// copyBuffer is the size in bytes of the buffers that pass answers on.
+const copyBuffer = 32 << 10
+
+var copyBuffers = sync.Pool{New: func() any { return new([copyBuffer]byte) }}
+
+// writeReply passes an answer on. An answer that breaks off aborts the
+// connection or stream, so that the caller cannot take it for whole.
+func writeReply(w http.ResponseWriter, reply *execute.Reply) {
+	if reply.Answer.Problem != nil {
+		writeProblem(w, reply.Answer.Problem)
+		return
+	}
+	header := w.Header()
+	peer.AddTo(header, reply.Answer.Header)
+	header.Set(HeaderRun, string(reply.Answer.Run))
+	if reply.Answer.Length >= 0 {
+		header.Set("Content-Length", strconv.FormatInt(reply.Answer.Length, 10))
+	}
+	w.WriteHeader(reply.Answer.Status)
+	if reply.Body == nil {
+		return
+	}
+	if err := copyBody(w, reply.Body, reply.Answer.Length < 0); err != nil {
+		panic(http.ErrAbortHandler)
+	}
+}
+
+// copyBody copies to the end. Answers of unknown length are flushed as they
+// come, since the target may send them piece by piece.
+func copyBody(w http.ResponseWriter, body io.Reader, flush bool) error {
+	buffer := copyBuffers.Get().(*[copyBuffer]byte)
+	defer copyBuffers.Put(buffer)
+	for {
+		n, err := body.Read(buffer[:])
+		if n > 0 {
+			if _, werr := w.Write(buffer[:n]); werr != nil {
+				return werr
+			}
+			if flush {
+				_ = http.NewResponseController(w).Flush()
+			}
+		}
+		if err == io.EOF {
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+	}
+}
+
+// problemBody is the JSON form of a problem (RFC 9457).
+type problemBody struct {
+	Type         string       `json:"type"`
+	Title        string       `json:"title"`
+	Status       int          `json:"status"`
+	Detail       string       `json:"detail"`
+	Kind         problem.Kind `json:"kind"`
+	Run          string       `json:"run"`
+	Remedy       string       `json:"remedy"`
+	RetryAfterMs int64        `json:"retry_after_ms,omitempty"`
+}
+
+// writeProblem answers a call that the system itself answers.
+func writeProblem(w http.ResponseWriter, p *problem.Error) {
+	countProblem(p)
+	header := w.Header()
+	header.Set("Content-Type", "application/problem+json")
+	header.Set(HeaderRun, string(p.Run))
+	if p.RetryAfter > 0 {
+		header.Set("Retry-After", strconv.Itoa(int(math.Ceil(p.RetryAfter.Seconds()))))
+	}
+	w.WriteHeader(p.Status())
+	_ = json.NewEncoder(w).Encode(problemBody{
+		Type: "urn:zinniafall:problem:" + string(p.Kind), Title: string(p.Kind), Status: p.Status(),
+		Detail: p.Detail, Kind: p.Kind, Run: string(p.Run), Remedy: p.Remedy(),
+		RetryAfterMs: p.RetryAfter.Milliseconds(),
+	})
+}
--- /dev/null
+++ b/node/entry/call.go
@@ -0,0 +1,260 @@
+package entry
+
+import (
+	"context"
+	"io"
+	"time"
+
+	"zinniafall/node/execute"
+	"zinniafall/node/peer"
+	"zinniafall/node/trace"
+	"zinniafall/policy/model"
+	"zinniafall/policy/placement"
+	"zinniafall/policy/problem"
+	"zinniafall/policy/retry"
+)
+
+// maxResults bounds the attempts of one call that can be under way or unread.
+const maxResults = 16
+
+// call is one call on its way through its attempts.
+type call struct {
+	entry      *Entry
+	request    *peer.Request
+	body       *body
+	connection uint64
+	deadline   time.Time
+	budget     *serviceBudget
+	attempts   *retry.Attempts
+	exclude    []model.NodeAddr
+	results    chan result
+	inFlight   int
+	cancels    []attemptCancel
+	hedge      <-chan time.Time
+}
+
+// attemptCancel ends one attempt.
+type attemptCancel struct {
+	node   model.NodeAddr
+	cancel context.CancelFunc
+}
+
+// place runs an unkeyed call, or a keyed one that its issuer starts.
+func (e *Entry) place(ctx context.Context, request *peer.Request, b *body, connection uint64) *execute.Reply {
+	now := time.Now()
+	c := &call{
+		entry: e, request: request, body: b, connection: connection,
+		deadline: now.Add(request.Timeout),
+		results:  make(chan result, maxResults),
+	}
+	e.mu.Lock()
+	c.budget = e.budget(request.Service)
+	c.attempts = c.budget.Begin(now, retry.Call{
+		Idempotent: request.Idempotent, Deadline: c.deadline,
+		Allowance: request.Allowance, Hop: request.Depth,
+	})
+	c.armHedge(now)
+	e.mu.Unlock()
+	ctx, cancel := context.WithDeadline(ctx, c.deadline.Add(answerGrace))
+	reply := c.run(ctx)
+	if reply.Body == nil {
+		cancel()
+		return reply
+	}
+	reply.Body = &canceledAtEnd{ReadCloser: reply.Body, cancel: cancel}
+	return reply
+}
+
+// run starts attempts until one has an answer or no further one is due.
+func (c *call) run(ctx context.Context) *execute.Reply {
+	if refusal := c.start(ctx); refusal != nil {
+		return execute.Refuse(refusal)
+	}
+	for {
+		select {
+		case r := <-c.results:
+			if reply := c.ended(ctx, r); reply != nil {
+				c.discardOthers(r.node)
+				return reply
+			}
+		case <-c.hedge:
+			c.hedge = nil
+			c.startHedge(ctx)
+		}
+	}
+}
+
+// start chooses an owner and sends the call to it.
+func (c *call) start(ctx context.Context) *problem.Error {
+	now := time.Now()
+	node, refusal := c.choose(ctx, now)
+	if refusal != nil {
+		return refusal
+	}
+	request := *c.request
+	request.Timeout = time.Until(c.deadline)
+	request.Allowance = c.attempts.Allowance()
+	ctx, cancel := context.WithCancel(ctx)
+	c.inFlight++
+	c.cancels = append(c.cancels, attemptCancel{node: node, cancel: cancel})
+	go func() {
+		reply := c.entry.attempt(ctx, node, &request, c.body)
+		c.results <- result{node: node, reply: reply, started: now, cancel: cancel}
+	}()
+	return nil
+}
+
+func (c *call) choose(ctx context.Context, now time.Time) (model.NodeAddr, *problem.Error) {
+	_, span := c.entry.opts.Tracer.Start(ctx, trace.HopChoice)
+	defer span.End()
+	e := c.entry
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	query := placement.Query{Service: c.request.Service, Connection: c.connection, Exclude: c.exclude}
+	node, refusal := e.placer.Choose(now, query)
+	if refusal != nil {
+		span.Fail(string(refusal.Kind))
+		return "", refusal
+	}
+	e.placer.Sent(now, c.request.Service, node)
+	c.exclude = append(c.exclude, node)
+	return node, nil
+}
+
+// ended takes in the end of an attempt. It returns the reply for the caller,
+// or nil when another attempt is under way.
+func (c *call) ended(ctx context.Context, r result) *execute.Reply {
+	c.inFlight--
+	now := time.Now()
+	failure := r.reply.Answer.Problem
+	c.record(now, r, failure)
+	if failure == nil {
+		if r.reply.Body != nil {
+			r.reply.Body = &canceledAtEnd{ReadCloser: r.reply.Body, cancel: r.cancel}
+		}
+		return r.reply
+	}
+	r.cancel()
+	return c.next(ctx, now, r, failure)
+}
+
+// record tells placement and the budget how the attempt ended.
+func (c *call) record(now time.Time, r result, failure *problem.Error) {
+	e := c.entry
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.placer.Finished(now, c.request.Service, r.node, outcome(r))
+	if failure == nil {
+		c.budget.Succeeded(now)
+		c.budget.observe(now.Sub(r.started))
+	}
+}
+
+// next decides what follows a failed attempt.
+func (c *call) next(ctx context.Context, now time.Time, r result, failure *problem.Error) *execute.Reply {
+	e := c.entry
+	e.mu.Lock()
+	step := c.attempts.Next(now, retry.Failure{Run: failure.Run, Kind: failure.Kind, RetryAfter: failure.RetryAfter})
+	e.mu.Unlock()
+	again := step.Verdict == retry.Again && c.body.repeatable() && ctx.Err() == nil
+	if again && c.start(ctx) == nil {
+		return nil
+	}
+	if step.Verdict == retry.Pending || c.inFlight > 0 {
+		return nil
+	}
+	final := *failure
+	final.Run = c.runSoFar(step, failure)
+	if step.RetryAfter > 0 {
+		final.RetryAfter = step.RetryAfter
+	}
+	reply := execute.Refuse(&final)
+	reply.Answer.Report = r.reply.Answer.Report
+	return reply
+}
+
+// runSoFar covers all attempts: once one may have run, the call may have run.
+func (c *call) runSoFar(step retry.Step, failure *problem.Error) model.Run {
+	if step.Verdict == retry.GiveUp {
+		return step.Run
+	}
+	return worse(c.attempts.Run(), failure.Run)
+}
+
+func worse(a, b model.Run) model.Run {
+	if a == model.RunNo {
+		return b
+	}
+	return a
+}
+
+// armHedge sets the time of a second attempt for a slow idempotent call.
+func (c *call) armHedge(now time.Time) {
+	if c.body.rest != nil {
+		return
+	}
+	wait, ok := c.attempts.HedgeAfter(now, c.budget.slow())
+	if ok {
+		c.hedge = time.After(wait)
+	}
+}
+
+func (c *call) startHedge(ctx context.Context) {
+	if c.inFlight == 0 {
+		return
+	}
+	e := c.entry
+	e.mu.Lock()
+	granted := c.attempts.Hedge(time.Now())
+	e.mu.Unlock()
+	if !granted {
+		return
+	}
+	if refusal := c.start(ctx); refusal != nil {
+		e.mu.Lock()
+		c.attempts.Next(time.Now(), retry.Failure{Run: model.RunNo, Kind: refusal.Kind})
+		e.mu.Unlock()
+	}
+}
+
+// discardOthers ends the attempts that lost against the chosen answer.
+func (c *call) discardOthers(winner model.NodeAddr) {
+	for _, a := range c.cancels {
+		if a.node != winner {
+			a.cancel()
+		}
+	}
+	if c.inFlight == 0 {
+		return
+	}
+	go func(left int) {
+		for range left {
+			r := <-c.results
+			c.record(time.Now(), result{node: r.node, reply: abandoned(r.reply), started: r.started}, canceledProblem)
+			r.reply.Close()
+			r.cancel()
+		}
+	}(c.inFlight)
+}
+
+// canceledProblem ends an attempt that lost against another.
+var canceledProblem = problem.New(problem.Canceled, model.RunUnknown, "another attempt was faster")
+
+func abandoned(reply *execute.Reply) *execute.Reply {
+	other := execute.Refuse(canceledProblem)
+	other.Answer.Report = reply.Answer.Report
+	return other
+}
+
+// canceledAtEnd releases the attempt's context when the body is closed.
+type canceledAtEnd struct {
+	io.ReadCloser
+	cancel context.CancelFunc
+}
+
+// Close closes the body.
+func (b *canceledAtEnd) Close() error {
+	err := b.ReadCloser.Close()
+	b.cancel()
+	return err
+}
--- /dev/null
+++ b/node/entry/metrics.go
@@ -0,0 +1,15 @@
+package entry
+
+import (
+	"fmt"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"zinniafall/policy/problem"
+)
+
+// countProblem counts an answer that the system itself gave.
+func countProblem(p *problem.Error) {
+	name := fmt.Sprintf(`zinniafall_entry_problems_total{kind=%q,run=%q}`, p.Kind, p.Run)
+	metrics.GetOrCreateCounter(name).Inc()
+}
