Add request keys, retry budgets and quarantine

Declares the decisions on whether a call may run again: keys issued by nodes with claims at their issuer, bindings of callers' keys, retry and hedge budgets with a travelling allowance, and quarantine of requests that crash targets.

--- /dev/null
+++ b/policy/callkey/options.go
@@ -0,0 +1,55 @@
+package callkey
+
+import (
+	"time"
+
+	"zinniafall/policy/model"
+)
+
+// Options configure an Issuer. A zero value means the default.
+type Options struct {
+	// Process is the identity of the issuing process. Required.
+	Process model.ProcessID
+	// Node is the peer address under which other nodes reach the issuer.
+	// Required.
+	Node model.NodeAddr
+	// Secrets authenticate the keys. The first one signs; all verify, so that
+	// two are accepted during a rotation. Required.
+	Secrets []Secret
+	// TTL is the time for which a key may be used after it was issued.
+	// Default 10 minutes.
+	TTL time.Duration
+	// MaxClaims bounds the claims in memory. Default 16,384.
+	MaxClaims int
+	// MaxAnswerBytes bounds one retained answer. Default 64 KiB.
+	MaxAnswerBytes int
+	// MaxTotalBytes bounds all retained answers. Default 8 MiB.
+	MaxTotalBytes int
+}
+
+const (
+	defaultTTL            = 10 * time.Minute
+	defaultMaxClaims      = 16384
+	defaultMaxAnswerBytes = 64 << 10
+	defaultMaxTotalBytes  = 8 << 20
+	// maxBatch is the largest number of keys that one Issue hands out.
+	maxBatch = 256
+	// buckets is the number of expiry buckets that one TTL is divided into.
+	buckets = 16
+)
+
+func (o Options) withDefaults() Options {
+	if o.TTL <= 0 {
+		o.TTL = defaultTTL
+	}
+	if o.MaxClaims <= 0 {
+		o.MaxClaims = defaultMaxClaims
+	}
+	if o.MaxAnswerBytes <= 0 {
+		o.MaxAnswerBytes = defaultMaxAnswerBytes
+	}
+	if o.MaxTotalBytes <= 0 {
+		o.MaxTotalBytes = defaultMaxTotalBytes
+	}
+	return o
+}
--- /dev/null
+++ b/policy/quarantine/entries.go
@@ -0,0 +1,74 @@
+package quarantine
+
+import (
+	"slices"
+	"time"
+)
+
+// Entry shows one request to operators.
+type Entry struct {
+	Fingerprint Fingerprint
+	Standing    Standing
+	// Crashes that count against the request.
+	Crashes []CrashID
+	// Expires is when the request is no longer refused, or forgotten if it is
+	// a suspect.
+	Expires time.Time
+}
+
+// Entries lists the requests that are not clear, the quarantined ones first,
+// then by fingerprint.
+func (l *List) Entries(now time.Time) []Entry {
+	var entries []Entry
+	for _, f := range append(l.quarantined.Keys(), l.suspects.Keys()...) {
+		if e, ok := l.entry(now, f); ok {
+			entries = append(entries, e)
+		}
+	}
+	slices.SortFunc(entries, func(a, b Entry) int {
+		if a.Standing != b.Standing {
+			return int(b.Standing) - int(a.Standing)
+		}
+		return slices.Compare(a.Fingerprint[:], b.Fingerprint[:])
+	})
+	return entries
+}
+
+func (l *List) entry(now time.Time, f Fingerprint) (Entry, bool) {
+	e := Entry{Fingerprint: f, Standing: l.Check(now, f)}
+	if e.Standing == Clear {
+		return e, false
+	}
+	r := l.find(f)
+	for _, s := range r.strikes {
+		if !s.cleared && now.Sub(s.at) < l.opts.Memory {
+			e.Crashes = append(e.Crashes, s.crash)
+		}
+	}
+	_, last := l.count(now, r)
+	e.Expires = last.Add(l.opts.Memory)
+	if e.Standing == Quarantined {
+		e.Expires = last.Add(l.opts.Term)
+	}
+	return e, true
+}
+
+// Notices returns what a node that joins, or that was cut off, needs to reach
+// the same state.
+func (l *List) Notices(now time.Time) []Notice {
+	var notices []Notice
+	for _, f := range append(l.quarantined.Keys(), l.suspects.Keys()...) {
+		for _, s := range l.find(f).strikes {
+			notices = append(notices, s.notice(now, f))
+		}
+	}
+	return notices
+}
+
+func (s strike) notice(now time.Time, f Fingerprint) Notice {
+	age := max(now.Sub(s.at), 0)
+	if s.cleared {
+		return Notice{Cleared: f, Forgiven: []CrashID{s.crash}, Age: age}
+	}
+	return Notice{Crash: s.crash, Struck: []Fingerprint{f}, Age: age}
+}
--- /dev/null
+++ b/policy/quarantine/fingerprint.go
@@ -0,0 +1,86 @@
+package quarantine
+
+import (
+	"crypto/sha256"
+	"encoding/binary"
+	"encoding/hex"
+	"errors"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+
+	"zinniafall/policy/model"
+)
+
+// fingerprintSize is the length of a Fingerprint and of a CrashID in bytes.
+const fingerprintSize = 16
+
+// Fingerprint identifies equal requests.
+type Fingerprint [fingerprintSize]byte
+
+// CrashID identifies one crash of one target.
+type CrashID [fingerprintSize]byte
+
+// ErrFingerprint reports text that is not a fingerprint.
+var ErrFingerprint = errors.New("a fingerprint is 32 hexadecimal digits; copy it from `zinniafall quarantine list`")
+
+// Of returns the fingerprint of a request. Body is the body, or a digest or
+// prefix of it, taken in the same way on every node.
+func Of(account model.Account, service model.Service, method, path string, body []byte) Fingerprint {
+	h := sha256.New()
+	for _, part := range []string{string(account), string(service), method, path} {
+		h.Write(binary.AppendUvarint(nil, uint64(len(part))))
+		h.Write([]byte(part))
+	}
+	h.Write(body)
+	return Fingerprint(h.Sum(nil)[:fingerprintSize])
+}
+
+// String returns the fingerprint as 32 hexadecimal digits.
+func (f Fingerprint) String() string { return hex.EncodeToString(f[:]) }
+
+// ParseFingerprint reads the form that String returns.
+func ParseFingerprint(text string) (Fingerprint, error) {
+	var f Fingerprint
+	raw, err := hex.DecodeString(text)
+	if err != nil || len(raw) != fingerprintSize {
+		return f, ErrFingerprint
+	}
+	copy(f[:], raw)
+	return f, nil
+}
+
+// CrashOf identifies the crash that ended an epoch of an owner's target. The
+// owner counts a new epoch each time its target's process is replaced. A node
+// that loses an owner together with its target uses the epoch of the owner's
+// last report, so that all reports of one crash have one id.
+func CrashOf(owner model.ProcessID, epoch uint64) CrashID {
+	sum := sha256.Sum256(binary.BigEndian.AppendUint64(owner[:], epoch))
+	return CrashID(sum[:fingerprintSize])
+}
+
+// Rank orders owners for a request by rendezvous hashing, best first. All
+// nodes with the same members agree on it, and a member that leaves moves
+// only its own requests. A suspect goes to the first owner. A non-idempotent
+// request may be kept to the first two, so that concurrent copies of it reach
+// no third target.
+func Rank(f Fingerprint, owners []model.ProcessID) []model.ProcessID {
+	ranked := slices.Clone(owners)
+	weights := make(map[model.ProcessID]uint64, len(owners))
+	var buffer [2 * fingerprintSize]byte
+	copy(buffer[:], f[:])
+	for _, o := range owners {
+		copy(buffer[fingerprintSize:], o[:])
+		weights[o] = xxhash.Sum64(buffer[:])
+	}
+	slices.SortFunc(ranked, func(a, b model.ProcessID) int {
+		switch wa, wb := weights[a], weights[b]; {
+		case wa > wb:
+			return -1
+		case wa < wb:
+			return 1
+		}
+		return slices.Compare(a[:], b[:])
+	})
+	return ranked
+}
--- /dev/null
+++ b/policy/quarantine/gate.go
@@ -0,0 +1,25 @@
+package quarantine
+
+// Gate keeps suspects apart at one target. The owner asks it before it gives
+// a suspect to its target. A Gate is not safe for concurrent use.
+type Gate struct {
+	inside Fingerprint
+	taken  bool
+}
+
+// Enter reports whether the suspect may run now, and lets it in. A suspect
+// that may not is refused as not run, or waits in the owner's queue.
+func (g *Gate) Enter(f Fingerprint) bool {
+	if g.taken {
+		return false
+	}
+	g.inside, g.taken = f, true
+	return true
+}
+
+// Leave records that the suspect is no longer in flight.
+func (g *Gate) Leave(f Fingerprint) {
+	if g.taken && g.inside == f {
+		g.taken = false
+	}
+}
--- /dev/null
+++ b/policy/quarantine/notice.go
@@ -0,0 +1,122 @@
+package quarantine
+
+import (
+	"errors"
+	"slices"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+)
+
+// Notice tells other nodes of a crash or of a clearing. Applying it twice, or
+// in another order than others, leads to the same state.
+type Notice struct {
+	// Crash that Struck were in flight at.
+	Crash CrashID `cbor:"1,keyasint"`
+	// Struck are the requests that get a strike.
+	Struck []Fingerprint `cbor:"2,keyasint,omitempty"`
+	// Age of the crash or clearing when the notice was made. A node that
+	// forwards a notice after a wait adds the wait.
+	Age time.Duration `cbor:"3,keyasint,omitempty"`
+	// Cleared is the request whose strikes of the crashes in Forgiven are
+	// cleared.
+	Cleared Fingerprint `cbor:"4,keyasint,omitempty"`
+	// Forgiven are the crashes whose strikes no longer count.
+	Forgiven []CrashID `cbor:"5,keyasint,omitempty"`
+}
+
+const (
+	// maxStruck bounds the requests in one notice; no target has more
+	// connections.
+	maxStruck = 512
+	// maxNotice bounds an encoded notice, in bytes.
+	maxNotice = 16 << 10
+)
+
+// ErrNotice reports bytes that are not a notice.
+var ErrNotice = errors.New("not a quarantine notice; check that all nodes run the same version")
+
+var decoding = mustDecMode()
+
+func mustDecMode() cbor.DecMode {
+	mode, err := cbor.DecOptions{
+		MaxNestedLevels:  4,
+		MaxArrayElements: maxStruck,
+		MaxMapPairs:      16,
+		DupMapKey:        cbor.DupMapKeyEnforcedAPF,
+		IndefLength:      cbor.IndefLengthForbidden,
+		TagsMd:           cbor.TagsForbidden,
+	}.DecMode()
+	if err != nil {
+		panic(err)
+	}
+	return mode
+}
+
+// Encode returns the notice as bytes.
+func (n Notice) Encode() ([]byte, error) { return cbor.Marshal(n) }
+
+// DecodeNotice reads the form that Encode returns. It refuses what exceeds
+// the limits.
+func DecodeNotice(raw []byte) (Notice, error) {
+	var n Notice
+	if len(raw) > maxNotice || decoding.Unmarshal(raw, &n) != nil {
+		return Notice{}, ErrNotice
+	}
+	if n.Age < 0 || len(n.Forgiven) > maxStrikes {
+		return Notice{}, ErrNotice
+	}
+	return n, nil
+}
+
+// Crashed records that a target crashed while the given requests were in
+// flight there, and returns the notice for all other nodes. A report of the
+// same crash by another node adds to it.
+func (l *List) Crashed(now time.Time, crash CrashID, inFlight []Fingerprint) Notice {
+	struck := slices.Clone(inFlight)
+	slices.SortFunc(struck, func(a, b Fingerprint) int { return slices.Compare(a[:], b[:]) })
+	n := Notice{Crash: crash, Struck: slices.Compact(struck)}
+	if len(n.Struck) > maxStruck {
+		n.Struck = n.Struck[:maxStruck]
+	}
+	l.Apply(now, n)
+	return n
+}
+
+// Apply takes in a notice of another node. It reports whether the notice
+// changed anything, so that only news is forwarded.
+func (l *List) Apply(now time.Time, n Notice) bool {
+	at := now.Add(-n.Age)
+	if now.Sub(at) >= l.opts.Memory {
+		return false
+	}
+	changed := false
+	for _, f := range n.Struck {
+		changed = l.strike(now, f, strike{crash: n.Crash, at: at}) || changed
+	}
+	for _, c := range n.Forgiven {
+		changed = l.strike(now, n.Cleared, strike{crash: c, at: at, cleared: true}) || changed
+	}
+	return changed
+}
+
+// Completed records that a request completed well. If it was a suspect, it is
+// cleared, and the notice tells the other nodes.
+func (l *List) Completed(now time.Time, f Fingerprint) (Notice, bool) {
+	if l.Check(now, f) == Clear {
+		return Notice{}, false
+	}
+	return l.Lift(now, f), true
+}
+
+// Lift clears a request by an operator's decision. A later crash counts anew.
+func (l *List) Lift(now time.Time, f Fingerprint) Notice {
+	n := Notice{Cleared: f}
+	if r := l.find(f); r != nil {
+		for _, s := range r.strikes {
+			n.Forgiven = append(n.Forgiven, s.crash)
+		}
+	}
+	l.Apply(now, n)
+	return n
+}
--- /dev/null
+++ b/policy/retry/hedge.go
@@ -0,0 +1,38 @@
+package retry
+
+import (
+	"time"
+
+	"zinniafall/policy/chart"
+)
+
+// statePlaced is the state of a call whose only attempt is in flight.
+const statePlaced chart.State = "placed"
+
+// HedgeAfter returns how long to wait for an answer before a hedge, given the
+// 95th percentile of the service's recent latency. It is false when the call
+// gets no hedge.
+func (a *Attempts) HedgeAfter(now time.Time, p95 time.Duration) (time.Duration, bool) {
+	if !a.mayHedge() || p95 <= 0 {
+		return 0, false
+	}
+	return p95, a.hasTime(now, p95+a.budget.opts.MinRemaining)
+}
+
+// Hedge decides, once the wait is over, whether a second attempt starts
+// beside the first. The node cancels the slower one when the other answers.
+func (a *Attempts) Hedge(now time.Time) bool {
+	if !a.mayHedge() || !a.hasTime(now, a.budget.opts.MinRemaining) || !a.budget.hedges.take(now) {
+		return false
+	}
+	a.allowance--
+	a.tries++
+	return a.machine.Send("hedge") == nil
+}
+
+// mayHedge reports whether the call may have a second attempt in flight. A
+// keyed call may not: its issuer would only let the second one wait.
+func (a *Attempts) mayHedge() bool {
+	return a.call.Idempotent && !a.call.Keyed && a.allowance > 0 &&
+		a.tries < a.budget.opts.MaxTries && a.machine.Is(statePlaced)
+}
