--- /dev/null
+++ b/node/platform/client_test.go
@@ -0,0 +1,150 @@
+package platform
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"zinniafall/standin/store"
+)
+
+// run gives the test a client of a stand-in in virtual time.
+func run(t *testing.T, test func(ctx context.Context, s *store.Store, c *Client)) {
+	synctest.Test(t, func(t *testing.T) {
+		s := store.New()
+		defer s.Close()
+		test(t.Context(), s, New(Options{URL: s.URL(), Transport: s.Transport(), Seed: 1}))
+	})
+}
+
+func TestKeyValues(t *testing.T) {
+	run(t, func(ctx context.Context, s *store.Store, c *Client) {
+		absent, err := c.Get(ctx, "a/b c")
+		qt.Assert(t, err, qt.IsNil)
+		qt.Assert(t, absent.Found, qt.IsFalse)
+		for _, want := range []bool{true, false} {
+			created, err := c.Create(ctx, "a/b c", []byte("one"))
+			qt.Assert(t, err, qt.IsNil)
+			qt.Assert(t, created, qt.Equals, want)
+		}
+		one, err := c.Get(ctx, "a/b c")
+		qt.Assert(t, err, qt.IsNil)
+		qt.Assert(t, string(one.Value), qt.Equals, "one")
+		for _, want := range []bool{true, false} {
+			swapped, err := c.CompareAndSwap(ctx, "a/b c", []byte("two"), one.Index)
+			qt.Assert(t, err, qt.IsNil)
+			qt.Assert(t, swapped, qt.Equals, want)
+		}
+		_, err = c.Create(ctx, "large", make([]byte, MaxValue+1))
+		var refused *Error
+		qt.Assert(t, errors.As(err, &refused), qt.IsTrue)
+		qt.Assert(t, refused.Kind, qt.Equals, Refused)
+		qt.Assert(t, c.Delete(ctx, "a/b c"), qt.IsNil)
+		gone, err := c.Get(ctx, "a/b c")
+		qt.Assert(t, err, qt.IsNil)
+		qt.Assert(t, gone.Found, qt.IsFalse)
+	})
+}
+
+func TestWatch(t *testing.T) {
+	run(t, func(ctx context.Context, s *store.Store, c *Client) {
+		first, err := c.Get(ctx, "k")
+		qt.Assert(t, err, qt.IsNil)
+		began := time.Now()
+		same, err := c.Watch(ctx, "k", first.Index)
+		qt.Assert(t, err, qt.IsNil)
+		qt.Assert(t, same.Index, qt.Equals, first.Index)
+		qt.Assert(t, time.Since(began), qt.Equals, defaultWatchTime)
+		go func() { _, _ = c.Create(ctx, "k", []byte("v")) }()
+		changed, err := c.Watch(ctx, "k", same.Index)
+		qt.Assert(t, err, qt.IsNil)
+		qt.Assert(t, string(changed.Value), qt.Equals, "v")
+		qt.Assert(t, s.Counts().Watches, qt.Equals, 2)
+	})
+}
+
+func TestLostAnswerIsUnknownAndNotRepeated(t *testing.T) {
+	run(t, func(ctx context.Context, s *store.Store, c *Client) {
+		s.LoseAnswers(1)
+		_, err := c.Create(ctx, "k", []byte("v"))
+		qt.Assert(t, IsOutcomeUnknown(err), qt.IsTrue)
+		qt.Assert(t, s.Counts().Writes, qt.Equals, 1)
+		read, err := c.Get(ctx, "k")
+		qt.Assert(t, err, qt.IsNil)
+		qt.Assert(t, string(read.Value), qt.Equals, "v")
+	})
+}
+
+func TestReadsAreRetriedWithinTheLimit(t *testing.T) {
+	run(t, func(ctx context.Context, s *store.Store, c *Client) {
+		s.Down(true)
+		time.AfterFunc(60*time.Millisecond, func() { s.Down(false) })
+		_, err := c.Get(ctx, "k")
+		qt.Assert(t, err, qt.IsNil)
+		s.Down(true)
+		before := s.Counts().Reads
+		began := time.Now()
+		for range 40 {
+			_, err := c.Get(ctx, "k")
+			qt.Assert(t, IsUnavailable(err), qt.IsTrue)
+		}
+		retries := float64(s.Counts().Reads - before - 40)
+		limit := defaultRetryRate*time.Since(began).Seconds() + retryBurst
+		qt.Assert(t, retries <= limit, qt.IsTrue, qt.Commentf("%v retries, limit %v", retries, limit))
+	})
+}
+
+func TestSlowStoreTimesOut(t *testing.T) {
+	run(t, func(ctx context.Context, s *store.Store, c *Client) {
+		s.Slow(time.Minute)
+		_, err := c.Get(ctx, "k")
+		qt.Assert(t, IsUnavailable(err), qt.IsTrue)
+		_, err = c.CompareAndSwap(ctx, "k", nil, 1)
+		qt.Assert(t, IsOutcomeUnknown(err), qt.IsTrue)
+	})
+}
+
+// A write to an address where nothing listens had no effect, and is said to
+// have had none.
+func TestRefusedConnectionIsUnavailable(t *testing.T) {
+	s, err := store.Start("127.0.0.1:0")
+	qt.Assert(t, err, qt.IsNil)
+	address := s.URL()
+	s.Close()
+	c := New(Options{URL: address, Attempts: 1})
+	_, err = c.Create(t.Context(), "k", nil)
+	qt.Assert(t, IsUnavailable(err), qt.IsTrue)
+}
+
+// A paused holder believes in its lease after it has lapsed: the store does
+// not, and what the holder writes by compare-and-swap is refused.
+func TestLapsedLeaseOfPausedHolder(t *testing.T) {
+	run(t, func(ctx context.Context, s *store.Store, c *Client) {
+		paused, err := c.Grant(ctx, 10*time.Second)
+		qt.Assert(t, err, qt.IsNil)
+		held, err := c.Acquire(ctx, "k", []byte("paused"), paused)
+		qt.Assert(t, err, qt.IsNil)
+		qt.Assert(t, held, qt.IsTrue)
+		before, _ := c.Get(ctx, "k")
+		time.Sleep(11 * time.Second)
+		next, err := c.Grant(ctx, 10*time.Second)
+		qt.Assert(t, err, qt.IsNil)
+		held, err = c.Acquire(ctx, "k", []byte("next"), next)
+		qt.Assert(t, err, qt.IsNil)
+		qt.Assert(t, held, qt.IsTrue)
+		renewed, err := c.Renew(ctx, paused)
+		qt.Assert(t, err, qt.IsNil)
+		qt.Assert(t, renewed, qt.IsFalse)
+		held, err = c.Acquire(ctx, "k", []byte("paused"), paused)
+		qt.Assert(t, err, qt.IsNil)
+		qt.Assert(t, held, qt.IsFalse)
+		swapped, err := c.CompareAndSwap(ctx, "k", []byte("paused"), before.Index)
+		qt.Assert(t, err, qt.IsNil)
+		qt.Assert(t, swapped, qt.IsFalse)
+		qt.Assert(t, c.End(ctx, next), qt.IsNil)
+	})
+}
