--- a/node/entry/call.go
+++ b/node/entry/call.go
@@ -130,12 +130,12 @@
 	c.record(now, r, failure)
 	if failure == nil {
 		if r.reply.Body != nil {
-			r.reply.Body = &canceledAtEnd{ReadCloser: r.reply.Body, cancel: r.cancel}
+			r.reply.Body = &canceledAtEnd{ReadCloser: r.reply.Body, cancel: r.cancel, ended: c.bodyEnded}
 		}
 		return r.reply
 	}
 	r.cancel()
-	return c.next(ctx, now, r, failure)
+	return c.next(ctx, r, failure)
 }
 
 // record tells placement and the budget how the attempt ended.
@@ -145,47 +145,49 @@
 	defer e.mu.Unlock()
 	e.placer.Finished(now, c.request.Service, r.node, outcome(r))
 	if failure == nil {
-		c.budget.Succeeded(now)
+		_ = c.attempts.Answered(now)
 		c.budget.observe(now.Sub(r.started))
 	}
 }
 
 // next decides what follows a failed attempt.
-func (c *call) next(ctx context.Context, now time.Time, r result, failure *problem.Error) *execute.Reply {
-	e := c.entry
-	e.mu.Lock()
-	step := c.attempts.Next(now, retry.Failure{Run: failure.Run, Kind: failure.Kind, RetryAfter: failure.RetryAfter})
-	e.mu.Unlock()
-	again := step.Verdict == retry.Again && c.body.repeatable() && ctx.Err() == nil
-	if again && c.start(ctx) == nil {
-		return nil
-	}
-	if step.Verdict == retry.Pending || c.inFlight > 0 {
-		return nil
-	}
-	final := *failure
-	final.Run = c.runSoFar(step, failure)
-	if step.RetryAfter > 0 {
-		final.RetryAfter = step.RetryAfter
+func (c *call) next(ctx context.Context, r result, failure *problem.Error) *execute.Reply {
+	for {
+		step := c.step(ctx, failure)
+		switch step.Verdict {
+		case retry.Pending:
+			return nil
+		case retry.GiveUp:
+			return c.giveUp(r, step, failure)
+		}
+		refusal := c.start(ctx)
+		if refusal == nil {
+			return nil
+		}
+		failure = refusal
 	}
-	reply := execute.Refuse(&final)
-	reply.Answer.Report = r.reply.Answer.Report
-	return reply
 }
 
-// runSoFar covers all attempts: once one may have run, the call may have run.
-func (c *call) runSoFar(step retry.Step, failure *problem.Error) model.Run {
-	if step.Verdict == retry.GiveUp {
-		return step.Run
+// step asks for the decision. A call whose body is spent, or whose caller
+// left, is not sent again.
+func (c *call) step(ctx context.Context, failure *problem.Error) retry.Step {
+	f := retry.Failure{Run: failure.Run, Kind: failure.Kind, RetryAfter: failure.RetryAfter}
+	if !c.body.repeatable() || ctx.Err() != nil {
+		f.Kind = problem.Canceled
 	}
-	return worse(c.attempts.Run(), failure.Run)
+	c.entry.mu.Lock()
+	defer c.entry.mu.Unlock()
+	return c.attempts.Next(time.Now(), f)
 }
 
-func worse(a, b model.Run) model.Run {
-	if a == model.RunNo {
-		return b
-	}
-	return a
+// giveUp is the final answer: it covers all attempts of the call.
+func (c *call) giveUp(r result, step retry.Step, failure *problem.Error) *execute.Reply {
+	final := *failure
+	final.Run = step.Run
+	final.RetryAfter = step.RetryAfter
+	reply := execute.Refuse(&final)
+	reply.Answer.Report = r.reply.Answer.Report
+	return reply
 }
 
 // armHedge sets the time of a second attempt for a slow idempotent call.
@@ -211,9 +213,7 @@
 		return
 	}
 	if refusal := c.start(ctx); refusal != nil {
-		e.mu.Lock()
-		c.attempts.Next(time.Now(), retry.Failure{Run: model.RunNo, Kind: refusal.Kind})
-		e.mu.Unlock()
+		c.step(ctx, refusal)
 	}
 }
 
@@ -246,15 +246,36 @@
 	return other
 }
 
+// bodyEnded records whether the answer arrived whole.
+func (c *call) bodyEnded(whole bool) {
+	c.entry.mu.Lock()
+	defer c.entry.mu.Unlock()
+	_ = c.attempts.Ended(whole)
+}
+
 // canceledAtEnd releases the attempt's context when the body is closed.
 type canceledAtEnd struct {
 	io.ReadCloser
 	cancel context.CancelFunc
+	// ended, which may be nil, is told whether the body was read to its end.
+	ended func(whole bool)
+	whole bool
+}
+
+// Read notes the end of the body.
+func (b *canceledAtEnd) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	b.whole = b.whole || err == io.EOF
+	return n, err
 }
 
 // Close closes the body.
 func (b *canceledAtEnd) Close() error {
 	err := b.ReadCloser.Close()
+	if b.ended != nil {
+		b.ended(b.whole)
+		b.ended = nil
+	}
 	b.cancel()
 	return err
 }
--- a/node/entry/ingress.go
+++ b/node/entry/ingress.go
@@ -17,6 +17,7 @@
 	"zinniafall/policy/model"
 	"zinniafall/policy/problem"
 	"zinniafall/policy/quarantine"
+	"zinniafall/policy/retry"
 	"zinniafall/policy/settings"
 )
 
@@ -34,8 +35,6 @@
 const (
 	// maxTimeout bounds what a caller may ask for.
 	maxTimeout = 10 * time.Minute
-	// bodyGrace is added to the deadline for reading a caller's body.
-	bodyGrace = time.Second
 	// fingerprintBody is the part of a body that identifies equal requests.
 	fingerprintBody = 4 << 10
 )
@@ -90,7 +89,7 @@
 	if !ok {
 		return calltoken.Token{}, problem.New(problem.Unauthenticated, model.RunNo, "the account key is missing or unknown")
 	}
-	return calltoken.Token{Account: account, Allowance: noAllowance}, nil
+	return calltoken.Token{Account: account, Allowance: retry.NoAllowance}, nil
 }
 
 func (e *Entry) limit(snapshot *settings.Snapshot, account model.Account) *problem.Error {
@@ -104,7 +103,6 @@
 	if refusal != nil {
 		return execute.Refuse(refusal)
 	}
-	_ = http.NewResponseController(nil)
 	b, refusal := takeBody(r, request, e.opts.Limits.BodyBytes)
 	if refusal != nil {
 		return execute.Refuse(refusal)
