Assemble the node and a demonstration of a whole deployment

Cause: packages become a product only when a call passes through all of them. Change: the server joins ingress, owner, overlay and target interface; a graceful stop waits for what runs; the demo offers an open loop of calls and compares what callers were told with what targets saw.

--- a/cmd/zinniafalld/main.go
+++ b/cmd/zinniafalld/main.go
@@ -1,4 +1,94 @@
 // Command zinniafalld is the node that runs beside one target.
 package main
 
-func main() {}
+import (
+	"context"
+	"errors"
+	"flag"
+	"fmt"
+	"os"
+	"os/signal"
+	"strconv"
+	"syscall"
+
+	"github.com/alecthomas/kingpin/v2"
+	"k8s.io/klog/v2"
+
+	"zinniafall/node/server"
+	"zinniafall/node/static"
+)
+
+// The exit codes of the command.
+const (
+	exitFailed   = 1
+	exitSettings = 2
+)
+
+func main() {
+	app := kingpin.New("zinniafalld", "The zinniafall node: carries calls from callers to targets.")
+	run := app.Command("run", "Run the node until it is told to stop.")
+	runFile := run.Flag("settings", "The settings file (JSON).").Required().String()
+	check := app.Command("check", "Check a settings file and print every problem.")
+	checkFile := check.Flag("settings", "The settings file (JSON).").Required().String()
+	switch kingpin.MustParse(app.Parse(os.Args[1:])) {
+	case run.FullCommand():
+		os.Exit(runNode(*runFile))
+	case check.FullCommand():
+		os.Exit(checkSettings(*checkFile))
+	}
+}
+
+// load reads the settings and prints what is wrong with them.
+func load(path string) (*static.Settings, int) {
+	settings, err := static.Load(path)
+	if err == nil {
+		return settings, 0
+	}
+	fmt.Fprintln(os.Stderr, err)
+	var problems *static.ProblemsError
+	if errors.As(err, &problems) {
+		return nil, exitSettings
+	}
+	return nil, exitFailed
+}
+
+func checkSettings(path string) int {
+	_, code := load(path)
+	if code == 0 {
+		fmt.Println("The settings are sound.")
+	}
+	return code
+}
+
+func runNode(path string) int {
+	settings, code := load(path)
+	if code != 0 {
+		return code
+	}
+	setLogLevel(settings.Log.Level)
+	defer klog.Flush()
+	signals := make(chan os.Signal, 2)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	node, err := server.Start(settings)
+	if err != nil {
+		klog.Errorf("node: The node could not start: %v.", err)
+		return exitFailed
+	}
+	<-signals
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go func() {
+		<-signals
+		klog.Warning("node: A second signal ends the stop at once.")
+		cancel()
+	}()
+	node.Stop(ctx)
+	return 0
+}
+
+// setLogLevel sets klog's verbosity and keeps its output on standard error.
+func setLogLevel(level int) {
+	flags := flag.NewFlagSet("klog", flag.ContinueOnError)
+	klog.InitFlags(flags)
+	_ = flags.Set("v", strconv.Itoa(level))
+}
--- /dev/null
+++ b/demo/demo.go
@@ -0,0 +1,70 @@
+package demo
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"time"
+)
+
+// Options configure a run.
+type Options struct {
+	Deployment Deployment
+	Duration   time.Duration
+	// Policy of placement; empty is the nodes' default.
+	Policy string
+	// Progress receives the run's steps.
+	Progress io.Writer
+}
+
+// readyTimeout bounds the start of the deployment.
+const readyTimeout = 20 * time.Second
+
+// Run plays a deployment. The context's end stops it early and cleanly.
+func Run(ctx context.Context, opts Options) (*Result, error) {
+	p, err := planOf(opts.Deployment)
+	if err != nil {
+		return nil, err
+	}
+	_, _ = fmt.Fprintf(opts.Progress, "starting %s\n", opts.Deployment)
+	f, err := startFleet(p, opts.Policy)
+	if err != nil {
+		return nil, err
+	}
+	defer f.close()
+	if err := f.prepare(ctx); err != nil {
+		return nil, err
+	}
+	return f.play(ctx, opts)
+}
+
+// prepare applies the configuration and waits until the fleet takes calls.
+func (f *fleet) prepare(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, readyTimeout)
+	defer cancel()
+	if err := f.configure(ctx); err != nil {
+		return err
+	}
+	return f.awaitReady(ctx)
+}
+
+func (f *fleet) play(ctx context.Context, opts Options) (*Result, error) {
+	started := time.Now()
+	ctx, cancel := context.WithDeadline(ctx, started.Add(opts.Duration))
+	defer cancel()
+	_, _ = fmt.Fprintf(opts.Progress, "%6.1fs  calls begin\n", 0.0)
+	l := newLoad(f)
+	s := &script{fleet: f, out: opts.Progress}
+	played := make(chan struct{})
+	go func() {
+		defer close(played)
+		s.run(ctx, started, opts.Duration)
+	}()
+	l.run(ctx)
+	<-played
+	elapsed := time.Since(f.started)
+	r := &Result{Deployment: opts.Deployment, Policy: opts.Policy, Seconds: time.Since(started).Seconds()}
+	r.fill(l)
+	r.judge(f, l, s, elapsed)
+	return r, nil
+}
--- a/node/peer/peer.go
+++ b/node/peer/peer.go
@@ -202,6 +202,8 @@
 	switch {
 	case keep:
 		t.goDuty(l.retire)
+	case present != nil && present.open() && !present.sameProcess(l):
+		present.close()
 	case present != nil:
 		t.goDuty(present.retire)
 	}
--- /dev/null
+++ b/node/server/control.go
@@ -0,0 +1,39 @@
+package server
+
+import (
+	"time"
+
+	"zinniafall/policy/membership"
+)
+
+const (
+	// controlPause is the longest time between two looks of the control duty.
+	controlPause = 100 * time.Millisecond
+	// expirePause is the time between looks for expired request keys.
+	expirePause = time.Second
+)
+
+// controlDuty keeps the owner's view of this node's standing up to date and
+// floods the beacons of a watcher.
+func (s *Server) controlDuty() {
+	timer := time.NewTicker(controlPause)
+	defer timer.Stop()
+	expired := time.Now()
+	for {
+		select {
+		case <-s.ctx.Done():
+			return
+		case <-timer.C:
+		case <-s.judge.wake:
+		}
+		now := time.Now()
+		s.owner.SetFresh(s.judge.fresh(now))
+		if payload, ok := s.judge.due(now); ok {
+			s.overlay.Flood(membership.TopicBeacon, payload, true)
+		}
+		if now.Sub(expired) >= expirePause {
+			expired = now
+			s.entry.Expire()
+		}
+	}
+}
--- /dev/null
+++ b/node/server/judge.go
@@ -0,0 +1,101 @@
+package server
+
+import (
+	"sync"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"zinniafall/policy/freshness"
+	"zinniafall/policy/membership"
+	"zinniafall/policy/model"
+)
+
+// judge shares the decision whether this node's view is recent enough.
+type judge struct {
+	// wake tells the control duty that the standing may have changed.
+	wake chan struct{}
+
+	mu    sync.Mutex
+	judge *freshness.Judge
+}
+
+func newJudge(opts freshness.Options) *judge {
+	return &judge{judge: freshness.New(opts), wake: make(chan struct{}, 1)}
+}
+
+// poke makes the control duty look again.
+func (j *judge) poke() {
+	select {
+	case j.wake <- struct{}{}:
+	default:
+	}
+}
+
+// fresh reports whether this node may give its target new work.
+func (j *judge) fresh(now time.Time) bool {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	return j.judge.Standing(now).Fresh
+}
+
+// beacon takes in a watcher's beacon.
+func (j *judge) beacon(message membership.Delivered) {
+	var b freshness.Beacon
+	if err := cbor.Unmarshal(message.Payload, &b); err != nil {
+		malformedFloods.Inc()
+		return
+	}
+	j.mu.Lock()
+	j.judge.Heard(time.Now(), b, message.Age)
+	j.mu.Unlock()
+	j.poke()
+}
+
+// due returns the beacon to flood now, if this node is a watcher and one is
+// due.
+func (j *judge) due(now time.Time) ([]byte, bool) {
+	j.mu.Lock()
+	b, ok := j.judge.Beacon(now)
+	j.mu.Unlock()
+	if !ok {
+		return nil, false
+	}
+	payload, err := cbor.Marshal(b)
+	return payload, err == nil
+}
+
+func (j *judge) confirmed(now time.Time, age time.Duration, revision model.Revision) {
+	j.mu.Lock()
+	j.judge.Confirmed(now, age, revision)
+	j.mu.Unlock()
+	j.poke()
+}
+
+func (j *judge) failed(now time.Time) {
+	j.mu.Lock()
+	j.judge.Failed(now)
+	j.mu.Unlock()
+	j.poke()
+}
+
+func (j *judge) applied(now time.Time, revision model.Revision, domains []model.Domain) {
+	j.mu.Lock()
+	j.judge.SetDomains(now, domains)
+	j.judge.Applied(now, revision)
+	j.mu.Unlock()
+	j.poke()
+}
+
+func (j *judge) mayCommit(now time.Time) bool {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	return j.judge.MayCommit(now)
+}
+
+// nextChange returns when the standing can change without an event.
+func (j *judge) nextChange(now time.Time) time.Time {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	return j.judge.NextChange(now)
+}
--- /dev/null
+++ b/node/server/peers.go
@@ -0,0 +1,68 @@
+package server
+
+import (
+	"context"
+	"io"
+
+	"zinniafall/node/execute"
+	"zinniafall/node/peer"
+	"zinniafall/policy/model"
+	"zinniafall/policy/problem"
+)
+
+// ServeRequest answers what another node asks.
+func (s *Server) ServeRequest(ctx context.Context, from model.NodeAddr, stream *peer.Stream) {
+	s.served.Add(1)
+	defer s.served.Add(-1)
+	switch stream.Request.Kind {
+	case peer.KindCall:
+		s.serveOwned(ctx, from, stream)
+	case peer.KindKeyed:
+		s.sendReply(stream, s.entry.ServeKeyed(ctx, &stream.Request))
+	case peer.KindProbe:
+		report := s.owner.Report()
+		_ = stream.Answer(&peer.Answer{Run: model.RunNo, Report: &report})
+	case peer.KindConfiguration:
+		s.serveConfiguration(stream)
+	default:
+		s.sendReply(stream, execute.Refuse(problem.New(problem.BadRequest, model.RunNo, "the request's kind is not known")))
+	}
+}
+
+func (s *Server) serveOwned(ctx context.Context, from model.NodeAddr, stream *peer.Stream) {
+	job := execute.Job{From: from, Request: &stream.Request, Body: stream}
+	job.Admitted = func() error { return stream.Answer(&peer.Answer{Admitted: true}) }
+	s.sendReply(stream, s.executor.Execute(ctx, job))
+}
+
+// sendReply passes an answer on. An answer that breaks off resets the stream.
+func (s *Server) sendReply(stream *peer.Stream, reply *execute.Reply) {
+	defer reply.Close()
+	if err := stream.Answer(reply.Answer); err != nil {
+		stream.Fail()
+		return
+	}
+	if reply.Body == nil {
+		return
+	}
+	if _, err := io.Copy(stream, reply.Body); err != nil {
+		stream.Fail()
+	}
+}
+
+// Control takes a control message of another node.
+func (s *Server) Control(from model.NodeAddr, payload []byte) { s.overlay.Deliver(from, payload) }
+
+// Unreachable is told of a node that could not be connected.
+func (s *Server) Unreachable(node model.NodeAddr) { s.overlay.Unreachable(node) }
+
+// controlTransport carries the overlay's packets.
+type controlTransport struct{ transport *peer.Transport }
+
+// Send queues a packet.
+func (c controlTransport) Send(to model.NodeAddr, payload []byte) bool {
+	return c.transport.Send(to, payload)
+}
+
+// Keep has nothing to do: a connection stays open while packets cross it.
+func (c controlTransport) Keep([]model.NodeAddr) {}
--- /dev/null
+++ b/node/server/suspects.go
@@ -0,0 +1,70 @@
+package server
+
+import (
+	"sync"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"zinniafall/policy/model"
+	"zinniafall/policy/quarantine"
+)
+
+// suspects shares what is known of requests that crash targets.
+type suspects struct {
+	process model.ProcessID
+	flood   func(quarantine.Notice)
+
+	mu   sync.Mutex
+	list *quarantine.List
+}
+
+func newSuspects(process model.ProcessID, flood func(quarantine.Notice)) *suspects {
+	return &suspects{process: process, flood: flood, list: quarantine.New(quarantine.Options{})}
+}
+
+// Check returns the standing of a request.
+func (s *suspects) Check(f quarantine.Fingerprint) quarantine.Standing {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.list.Check(time.Now(), f)
+}
+
+// crashed tells all nodes which requests were in flight when the target died.
+func (s *suspects) crashed(epoch uint64, inFlight []quarantine.Fingerprint) {
+	klog.Warningf("target: The target died with %d calls in flight.", len(inFlight))
+	s.mu.Lock()
+	notice := s.list.Crashed(time.Now(), quarantine.CrashOf(s.process, epoch), inFlight)
+	s.mu.Unlock()
+	s.flood(notice)
+}
+
+// completed clears a suspect that ended well.
+func (s *suspects) completed(f quarantine.Fingerprint) {
+	s.mu.Lock()
+	notice, cleared := s.list.Completed(time.Now(), f)
+	s.mu.Unlock()
+	if cleared {
+		s.flood(notice)
+	}
+}
+
+// apply takes in another node's notice.
+func (s *suspects) apply(notice quarantine.Notice) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.list.Apply(time.Now(), notice)
+}
+
+func (s *suspects) entries() []quarantine.Entry {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.list.Entries(time.Now())
+}
+
+func (s *suspects) lift(f quarantine.Fingerprint) {
+	s.mu.Lock()
+	notice := s.list.Lift(time.Now(), f)
+	s.mu.Unlock()
+	s.flood(notice)
+}
--- a/standin/target/target.go
+++ b/standin/target/target.go
@@ -14,6 +14,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"strconv"
 	"sync"
 	"time"
 )
@@ -21,6 +22,10 @@
 // CallHeader names a call, so that its runs can be counted.
 const CallHeader = "Demo-Call"
 
+// ElapsedHeader tells in an answer how long the call was at the target, in
+// microseconds.
+const ElapsedHeader = "Demo-Elapsed-Us"
+
 // The paths that do not count as calls.
 const (
 	HealthPath = "/health"
@@ -222,6 +227,7 @@
 
 // serveCall runs a call and answers with what it was asked.
 func (t *Target) serveCall(w http.ResponseWriter, r *http.Request) {
+	started := time.Now()
 	body, err := io.ReadAll(r.Body)
 	if err != nil {
 		return
@@ -237,6 +243,7 @@
 		return
 	}
 	w.Header().Set("Content-Type", "text/plain")
+	w.Header().Set(ElapsedHeader, strconv.FormatInt(time.Since(started).Microseconds(), 10))
 	_, _ = fmt.Fprintf(w, "%s %s %s %s", t.opts.Service, r.URL.Path, r.Header.Get(CallHeader), body)
 }
 
