--- a/policy/membership/member.go
+++ b/policy/membership/member.go
@@ -61,6 +61,8 @@
 	Slots uint16 `cbor:"10,keyasint,omitempty"`
 	// Target is the state of the target.
 	Target model.TargetState `cbor:"11,keyasint,omitempty"`
+	// Left is true when the member itself announced that it is gone.
+	Left bool `cbor:"12,keyasint,omitempty"`
 }
 
 // compare orders two records of one node: the higher incarnation wins, then
@@ -90,5 +92,23 @@
 	return b
 }
 
+// maxField bounds each text of a record, in bytes.
+const maxField = 128
+
+// valid reports whether the record may be kept.
+func (m *Member) valid() bool {
+	longest := max(len(m.Node), len(m.Operators), len(m.Domain), len(m.Region), len(m.Service))
+	return m.Node != "" && m.Status <= Gone && longest <= maxField
+}
+
+// wireSize estimates the encoded length in bytes from above.
+func (m *Member) wireSize() int {
+	const fixed = 72
+	return fixed + len(m.Node) + len(m.Operators) + len(m.Domain) + len(m.Region) + len(m.Service)
+}
+
+// foundDead reports whether observers called the member gone.
+func (m *Member) foundDead() bool { return m.Status == Gone && !m.Left }
+
 // key hashes the address of a node.
 func key(node model.NodeAddr) uint64 { return xxhash.Sum64String(string(node)) }
--- /dev/null
+++ b/policy/membership/options.go
@@ -0,0 +1,74 @@
+package membership
+
+import (
+	"math/rand/v2"
+	"time"
+)
+
+// Limits of the protocol.
+const (
+	// MaxPacket is the longest payload that a View makes or takes, in bytes.
+	MaxPacket = 1100
+	// MaxFlood is the longest message that Flood takes, in bytes.
+	MaxFlood = 800
+	// MaxMembers bounds the records of a view, gone members included.
+	MaxMembers = 8192
+	// ringCount is the number of rings; a node has two neighbors on each.
+	ringCount = 3
+	// packetOverhead is charged for the headers of one packet, in bytes.
+	packetOverhead = 60
+	// maxDeliveries bounds the floods that wait for TakeFloods.
+	maxDeliveries = 1024
+	// maxQueuedFloods bounds the floods that wait for tokens.
+	maxQueuedFloods = 256
+)
+
+// Options are the settings of a View; a zero value means the default.
+type Options struct {
+	// Seed of the random choices.
+	Seed uint64
+	// BytesPerSecond paces what the node sends, packet overhead included.
+	BytesPerSecond int // default 10,000
+	// Heartbeat is the time between two heartbeats to one neighbor.
+	Heartbeat time.Duration // default 1 s
+	// SuspectAfter is the silence after which an observer votes against a
+	// neighbor.
+	SuspectAfter time.Duration // default 3.5 s
+	// LostAfter is the silence after which an observer whom no other observer
+	// answers drops a neighbor from its own view.
+	LostAfter time.Duration // default 15 s
+	// SyncInterval is the time between two digest exchanges.
+	SyncInterval time.Duration // default 10 s
+	// ProbeInterval is the time between two probes of a gone member.
+	ProbeInterval time.Duration // default 20 s
+	// TombstoneLife is how long the record of a gone member is kept.
+	TombstoneLife time.Duration // default 2 h
+	// PauseAfter is the gap between two calls of the View that counts as a
+	// pause of the process. Tick must be called several times as often.
+	PauseAfter time.Duration // default 1 s
+}
+
+func orDefault[T comparable](value, byDefault T) T {
+	var zero T
+	if value == zero {
+		return byDefault
+	}
+	return value
+}
+
+func (o Options) withDefaults() Options {
+	o.BytesPerSecond = orDefault(o.BytesPerSecond, 10_000)
+	o.Heartbeat = orDefault(o.Heartbeat, time.Second)
+	o.SuspectAfter = orDefault(o.SuspectAfter, 3500*time.Millisecond)
+	o.LostAfter = orDefault(o.LostAfter, 15*time.Second)
+	o.SyncInterval = orDefault(o.SyncInterval, 10*time.Second)
+	o.ProbeInterval = orDefault(o.ProbeInterval, 20*time.Second)
+	o.TombstoneLife = orDefault(o.TombstoneLife, 2*time.Hour)
+	o.PauseAfter = orDefault(o.PauseAfter, time.Second)
+	return o
+}
+
+// jitter returns a time between 3/4 and 5/4 of the interval.
+func jitter(random *rand.Rand, interval time.Duration) time.Duration {
+	return interval*3/4 + time.Duration(random.Int64N(int64(interval/2)+1))
+}
