--- /dev/null
+++ b/policy/admission/learn.go
@@ -0,0 +1,182 @@
+package admission
+
+import (
+	"time"
+
+	"zinniafall/policy/model"
+)
+
+// learn takes in what the end of a call says of the target.
+func (o *Owner) learn(now time.Time, r running, outcome Outcome) {
+	current := r.epoch == o.limit.epoch
+	switch outcome.Result {
+	case Completed:
+		o.outcomes.add(r.flow.Account(), false)
+		o.circuit.completed()
+		o.learnService(outcome.ServiceTime)
+		if current {
+			o.learnCompletion(now, r, outcome.ServiceTime)
+		}
+	case Failed:
+		o.learnFailure(now, r)
+	case Shed:
+		o.learnShed(now, r)
+	case Crashed:
+		o.learnCrash(now, r)
+	case Abandoned:
+		if current {
+			o.latency.learnCut(outcome.ServiceTime)
+		}
+	}
+	o.watch(now)
+}
+
+// serviceGain is the share of a new sample in the mean service time.
+const serviceGain = 0.125
+
+func (o *Owner) learnService(latency time.Duration) {
+	if o.service == 0 {
+		o.service = latency
+		return
+	}
+	o.service += part(latency-o.service, serviceGain)
+}
+
+func (o *Owner) learnCompletion(now time.Time, r running, latency time.Duration) {
+	switch o.State() {
+	case model.TargetWarm:
+		o.latency.learnWarm(latency)
+		if !o.limit.full() {
+			o.limit.good(r.occupancy)
+			o.widenWarm()
+		}
+	case model.TargetCold:
+		o.latency.learnCold(latency)
+		o.limit.good(r.occupancy)
+		o.widenCold()
+	}
+}
+
+func (o *Owner) widenWarm() {
+	if o.limit.proven() {
+		o.limit.widen()
+	}
+}
+
+// widenCold takes the next step of a cold start once the present limit has
+// proven itself at good latency.
+func (o *Owner) widenCold() {
+	if o.limit.limit == trickle && o.latency.level.count >= rebaseSamples && o.latency.slow() {
+		o.latency.adopt()
+	}
+	if !o.limit.proven() {
+		return
+	}
+	if o.latency.slow() {
+		o.limit.proof = 0
+		return
+	}
+	o.latency.compareWithBest()
+	o.limit.widen()
+	if o.limit.full() {
+		o.ramped()
+	}
+}
+
+func (o *Owner) ramped() {
+	o.send(eventRamped)
+	o.limit.caution = 0
+	o.circuit.reset()
+	o.latency.settle()
+}
+
+// watch returns the target to the trickle when its latency says that it is
+// cold.
+func (o *Owner) watch(now time.Time) {
+	if !o.latency.known || o.latency.score+o.pending(now) < o.latency.threshold() {
+		return
+	}
+	switch o.State() {
+	case model.TargetWarm:
+		o.becomeCold(now, eventTurnedCold)
+	case model.TargetCold:
+		o.repeatLevel()
+	}
+}
+
+// repeatLevel answers a cold target that got slow: it goes back to the trickle
+// or, when it is there, starts its proof again.
+func (o *Owner) repeatLevel() {
+	if o.limit.limit == trickle {
+		o.limit.proof = 0
+		o.latency.score = 0
+		return
+	}
+	o.limit.setback()
+	o.latency.nextLevel()
+}
+
+// pending returns the evidence of the calls in flight that started in the
+// present epoch.
+func (o *Owner) pending(now time.Time) float64 {
+	slack := part(o.latency.referenceTime(), slackRatio)
+	sum := 0.0
+	for i := range o.running {
+		r := &o.running[i]
+		age := now.Sub(r.started)
+		if r.epoch == o.limit.epoch && age > slack {
+			sum += o.latency.excess(age)
+		}
+	}
+	return sum
+}
+
+func (o *Owner) learnFailure(now time.Time, r running) {
+	o.outcomes.add(r.flow.Account(), true)
+	if o.State() == model.TargetCold {
+		o.limit.proof = 0
+	}
+	o.tripIfBad(now)
+}
+
+// learnShed narrows the limit: the target has too much for now. One that
+// sheds the trickle too is failing.
+func (o *Owner) learnShed(now time.Time, r running) {
+	if o.limit.limit > trickle {
+		o.limit.shed(r.epoch)
+		o.latency.nextLevel()
+		return
+	}
+	o.outcomes.add(r.flow.Account(), true)
+	o.tripIfBad(now)
+}
+
+// learnCrash returns the target to the trickle; a second crash without a
+// completion in between opens the circuit.
+func (o *Owner) learnCrash(now time.Time, r running) {
+	if !o.trying() {
+		return
+	}
+	if o.circuit.crashed() {
+		o.becomeFailing(now)
+		return
+	}
+	if o.State() == model.TargetWarm {
+		o.becomeCold(now, eventTurnedCold)
+		return
+	}
+	o.limit.open(trickle)
+	o.latency.nextLevel()
+}
+
+func (o *Owner) tripIfBad(now time.Time) {
+	if o.trying() && o.outcomes.bad(o.circuit.patience()) {
+		o.becomeFailing(now)
+	}
+}
+
+// trying reports whether the target is cold or warm.
+func (o *Owner) trying() bool {
+	s := o.State()
+	return s == model.TargetCold || s == model.TargetWarm
+}
--- /dev/null
+++ b/policy/admission/limit.go
@@ -0,0 +1,80 @@
+package admission
+
+// The proof that a limit needs before it widens by one.
+const (
+	// trickle is the limit of a target that has proven nothing.
+	trickle = 1
+	// minProof is the least number of completions at one limit.
+	minProof = 16
+	// proofPerSlot is the number of completions for each slot of the limit.
+	proofPerSlot = 4
+	// lowOccupancyProof is what a completion counts when the limit was not
+	// nearly used up at its start.
+	lowOccupancyProof = 0.25
+	// maxCaution bounds the factor by which setbacks raise the proof.
+	maxCaution = 8
+	// backoffPercent is what remains of the limit after the target shed load.
+	backoffPercent = 70
+	percent        = 100
+)
+
+// limiter holds the number of calls that may be in flight. It widens by one
+// on proven completions and never on time alone. Each change starts an epoch;
+// only calls that started in the present epoch count.
+type limiter struct {
+	slots   int
+	limit   int
+	epoch   uint64
+	proof   float64
+	caution float64 // factor on the proof, from 1 to maxCaution
+}
+
+func (l *limiter) setSlots(slots int) {
+	l.slots = slots
+	if l.limit > slots {
+		l.set(slots)
+	}
+}
+
+func (l *limiter) set(limit int) {
+	l.limit = limit
+	l.epoch++
+	l.proof = 0
+}
+
+func (l *limiter) open(limit int) { l.set(max(1, min(limit, l.slots))) }
+
+func (l *limiter) close() { l.set(0) }
+
+func (l *limiter) full() bool { return l.limit >= l.slots }
+
+// setback returns to the trickle and asks for more proof than before.
+func (l *limiter) setback() {
+	l.caution = min(2*max(l.caution, 1), maxCaution)
+	l.open(trickle)
+}
+
+// shed narrows the limit after the target turned work away, once for all the
+// calls that were in flight together.
+func (l *limiter) shed(epoch uint64) {
+	if epoch == l.epoch && l.limit > trickle {
+		l.open(l.limit * backoffPercent / percent)
+	}
+}
+
+// good counts a good completion.
+func (l *limiter) good(occupancy int) {
+	if occupancy*4 >= l.limit*3 {
+		l.proof++
+		return
+	}
+	l.proof += lowOccupancyProof
+}
+
+// proven reports whether the limit may widen.
+func (l *limiter) proven() bool {
+	needed := float64(max(minProof, proofPerSlot*l.limit))
+	return l.proof >= needed*max(l.caution, 1)
+}
+
+func (l *limiter) widen() { l.open(l.limit + 1) }
--- a/policy/admission/owner.go
+++ b/policy/admission/owner.go
@@ -1,71 +1,163 @@
-// Package admission decides which calls an owner gives to its target.
 package admission
 
 import (
 	"time"
 
+	"zinniafall/policy/chart"
+	"zinniafall/policy/fairqueue"
 	"zinniafall/policy/model"
+	"zinniafall/policy/problem"
+	"zinniafall/policy/ratelimit"
 	"zinniafall/policy/settings"
 )
 
 // Owner decides on the calls to one target. It is not safe for concurrent use.
 type Owner struct {
 	options  Options
+	chart    *chart.Machine
 	accounts func(model.Account) settings.Account
+	queue    *fairqueue.Queue[queued]
+	running  []running
+	isolated int // isolated calls in flight
+	limit    limiter
+	latency  detector
+	outcomes outcomes
+	service  time.Duration // recent mean of the completed calls
+	circuit  circuit
+
+	instance string
+	saidCold bool // whether the last announcement said cold
+	leaseEnd time.Time
+	gates    gates
+
+	measure     *ratelimit.Measure
+	measureRate float64
+	sequence    uint64
 }
 
-// New returns an owner whose target has not announced itself.
-func New(options Options) *Owner {
-	return &Owner{options: options.withDefaults()}
+// gates are the reasons outside the target for which nothing new starts.
+type gates struct {
+	domainOut bool
+	stopping  bool
+	stale     bool
 }
 
-// Announce records a first announcement or a renewal.
-func (o *Owner) Announce(now time.Time, a Announcement) []Release { return nil }
-
-// Drain records that the target leaves: nothing new starts.
-func (o *Owner) Drain(now time.Time) []Release { return nil }
-
-// Gone records that the target withdrew or died.
-func (o *Owner) Gone(now time.Time) []Release { return nil }
-
-// SetDomainOut records whether the failure domain is out of service.
-func (o *Owner) SetDomainOut(now time.Time, out bool) []Release { return nil }
-
-// SetStopping records that the node stops: nothing new starts.
-func (o *Owner) SetStopping(now time.Time) []Release { return nil }
+// running is a call that was given to the target.
+type running struct {
+	ticket    Ticket
+	flow      *fairqueue.Flow[queued]
+	charged   time.Duration
+	started   time.Time
+	occupancy int    // calls in flight at the start, itself included
+	epoch     uint64 // of the limit at the start
+	isolated  bool
+}
 
-// SetFresh records whether the node's view is recent enough to decide on.
-func (o *Owner) SetFresh(now time.Time, fresh bool) []Release { return nil }
+// New returns an owner whose target has not announced itself.
+func New(options Options) *Owner {
+	options = options.withDefaults()
+	return &Owner{
+		options:  options,
+		chart:    targetChart.New(options.Forbidden),
+		accounts: func(model.Account) settings.Account { return settings.Account{} },
+		queue:    fairqueue.New[queued](fairqueue.Options{Length: options.QueueLength}),
+		circuit:  newCircuit(options),
+
+		measureRate: options.MeasureRate,
+		measure:     ratelimit.NewMeasure(options.MeasureRate),
+	}
+}
 
-// SetAccounts sets the lookup of weights and concurrency limits.
+// SetAccounts sets the lookup of weights and concurrency limits. Without one,
+// all accounts weigh the same and have no limit.
 func (o *Owner) SetAccounts(lookup func(model.Account) settings.Account) { o.accounts = lookup }
 
-// SetMeasureRate sets the budget of measuring requests a second.
-func (o *Owner) SetMeasureRate(perSecond float64) {}
-
-// Offer asks to run a call.
-func (o *Owner) Offer(now time.Time, c Call) Decision { return Decision{Verdict: Start} }
-
-// Finish records the end of a call that was in flight.
-func (o *Owner) Finish(now time.Time, t Ticket, outcome Outcome) []Release { return nil }
-
-// Abandon records that the caller left.
-func (o *Owner) Abandon(now time.Time, t Ticket) []Release { return nil }
+// Offer asks to run a call. The answer is immediate; when it is Wait, exactly
+// one Release of a later method ends the wait, unless Abandon comes first.
+func (o *Owner) Offer(now time.Time, c Call) Decision {
+	o.advance(now)
+	if p := o.closed(now); p != nil {
+		return refuse(p)
+	}
+	if c.expired(now) {
+		return refuse(expiredProblem())
+	}
+	account := o.accounts(c.Account)
+	f := o.queue.Flow(now, c.Account, account.Weight)
+	item := queued{Call: c, concurrency: account.Concurrency, expires: o.expiry(now, c)}
+	if o.hopeless(now, f, c) {
+		f.ForgetSome()
+		return refuse(expiredProblem())
+	}
+	if o.startable(f, item) {
+		o.start(now, f, c)
+		return Decision{Verdict: Start}
+	}
+	return o.enqueue(now, f, item)
+}
 
-// Tick does the work that is due.
-func (o *Owner) Tick(now time.Time) []Release { return nil }
+// start gives the call to the target.
+func (o *Owner) start(now time.Time, f *fairqueue.Flow[queued], c Call) {
+	if c.Isolated {
+		o.isolated++
+	}
+	o.running = append(o.running, running{
+		ticket:    c.Ticket,
+		flow:      f,
+		charged:   o.queue.Start(f),
+		started:   now,
+		occupancy: len(o.running) + 1,
+		epoch:     o.limit.epoch,
+		isolated:  c.Isolated,
+	})
+}
 
-// NextTick returns the time of the next Tick that has work to do.
-func (o *Owner) NextTick(now time.Time) time.Time { return now.Add(time.Second) }
+// Finish records the end of a call that was in flight. A ticket that is not in
+// flight is ignored, so that a repeated or late event does no harm.
+func (o *Owner) Finish(now time.Time, t Ticket, outcome Outcome) []Release {
+	o.advance(now)
+	r, ok := o.remove(t)
+	if ok {
+		o.queue.Finish(r.flow, r.charged, now.Sub(r.started))
+		o.learn(now, r, outcome)
+	}
+	return o.settle(now)
+}
 
-// Report states the target's load.
-func (o *Owner) Report(now time.Time) model.Report { return model.Report{State: o.State()} }
+func (o *Owner) remove(t Ticket) (running, bool) {
+	for i := range o.running {
+		if o.running[i].ticket != t {
+			continue
+		}
+		r := o.running[i]
+		last := len(o.running) - 1
+		o.running[i] = o.running[last]
+		o.running[last] = running{}
+		o.running = o.running[:last]
+		if r.isolated {
+			o.isolated--
+		}
+		return r, true
+	}
+	return running{}, false
+}
 
-// AllowMeasure spends one measuring request from the budget.
-func (o *Owner) AllowMeasure(now time.Time) bool { return false }
+// Abandon records that the caller left. A queued call is dropped and gets no
+// Release; a call in flight stays counted until Finish, because the target may
+// still work on it.
+func (o *Owner) Abandon(now time.Time, t Ticket) []Release {
+	o.advance(now)
+	o.queue.Drop(func(q queued) bool { return q.Ticket == t }, func(queued) {})
+	return o.settle(now)
+}
 
-// InFlight returns the tickets of the calls at the target.
-func (o *Owner) InFlight() []Ticket { return nil }
+// InFlight returns the tickets of the calls at the target, in no order.
+func (o *Owner) InFlight() []Ticket {
+	tickets := make([]Ticket, 0, len(o.running))
+	for i := range o.running {
+		tickets = append(tickets, o.running[i].ticket)
+	}
+	return tickets
+}
 
-// State returns the target's state.
-func (o *Owner) State() model.TargetState { return model.TargetAbsent }
+func refuse(p *problem.Error) Decision { return Decision{Verdict: Refuse, Refusal: p} }
