--- a/policy/admission/latency.go
+++ b/policy/admission/latency.go
@@ -11,8 +11,16 @@
 	trustedSamples = 32
 	// baselineGain is the least share of a new sample in the baseline.
 	baselineGain = 1.0 / 256
-	// slackRatio is the latency, as a ratio to the reference, up to which a
-	// completion is no evidence of a cold target.
+	// trustedHistory is the number of completions after which an account has
+	// a baseline of its own.
+	trustedHistory = 16
+	// historyGain is the least share of a new sample in an account's baseline.
+	historyGain = 1.0 / 64
+	// newcomerWeight is the weight of the evidence of an account that has no
+	// baseline of its own: its calls may just be expensive ones.
+	newcomerWeight = 0.25
+	// slackRatio is the ratio of a latency to the expected one up to which it
+	// is no evidence of a cold target.
 	slackRatio = 3.0
 	// maxRatio bounds the evidence of one completion.
 	maxRatio = 16.0
@@ -28,6 +36,11 @@
 	rebaseSamples = 64
 )
 
+var (
+	logSlack = math.Log(slackRatio)
+	logMax   = math.Log(maxRatio)
+)
+
 // moments is a running mean and variance.
 type moments struct {
 	count    int
@@ -44,32 +57,33 @@
 	m.variance = (1 - gain) * (m.variance + gain*delta*delta)
 }
 
-func (m *moments) trusted() bool { return m.count >= trustedSamples }
-
 // detector tells a target that turned cold from noise. It is a one-sided
-// CUSUM test on the logarithm of the latency against a reference: each
-// completion adds the logarithm of its ratio to the reference less a slack,
+// CUSUM test on the logarithm of the ratio of each latency to the one that is
+// expected for the account: each completion adds its logarithm less a slack,
 // and the sum never falls below 0. A noisy neighbour that triples the latency
 // adds nothing; a collapse reaches the threshold in about ten completions.
 // Calls in flight count with the time that they have taken so far, because a
 // target that collapses completes nothing.
 type detector struct {
-	baseline moments // of the warm target
-	level    moments // at the present limit
+	baseline moments // log latency of the warm target, of all accounts
+	spread   moments // log ratio to the expected latency, warm
+	level    moments // log ratio at the present limit, cold
 	previous moments // at the limit before
 	score    float64
-	// reference is the latency to compare with, in log seconds.
-	reference float64
-	known     bool // whether there is a reference
+	// offset is the log ratio to the baseline that is normal now; without a
+	// baseline it is the normal log latency.
+	offset float64
+	known  bool // whether there is something to compare with
+	// generation of the baseline; the histories of earlier ones are void.
+	generation int
 }
 
-// restart forgets the evidence, and compares with the warm target's baseline
+// restart forgets the evidence and compares with the warm target's baseline,
 // if there is one.
 func (d *detector) restart() {
-	d.level = moments{}
-	d.score = 0
-	d.known = d.baseline.trusted()
-	d.reference = d.baseline.mean
+	d.nextLevel()
+	d.offset = 0
+	d.known = d.trusted()
 }
 
 // nextLevel starts the samples of another limit.
@@ -79,92 +93,130 @@
 	d.score = 0
 }
 
+func (d *detector) trusted() bool { return d.baseline.count >= trustedSamples }
+
+// ratio returns the logarithm of the latency's ratio to the expected one, and
+// the weight that it has as evidence.
+func (d *detector) ratio(h *latencyHistory, latency time.Duration) (x, weight float64) {
+	x = logSeconds(latency) - d.offset
+	switch {
+	case h.generation == d.generation && h.count >= trustedHistory:
+		return x - h.mean, 1
+	case d.trusted():
+		return x - d.baseline.mean, newcomerWeight
+	default:
+		return x, 1
+	}
+}
+
 // learnWarm takes a completion of a warm target in.
-func (d *detector) learnWarm(latency time.Duration) {
-	x := logSeconds(latency)
-	d.baseline.add(x, baselineGain)
-	if !d.baseline.trusted() {
+func (d *detector) learnWarm(h *latencyHistory, latency time.Duration) {
+	x, weight := d.ratio(h, latency)
+	if d.known {
+		d.add(x, weight)
+		d.spread.add(min(x, logMax), baselineGain)
+	}
+	d.remember(h, logSeconds(latency))
+	d.baseline.add(logSeconds(latency), baselineGain)
+	d.known = d.trusted()
+}
+
+// remember takes a log latency into an account's baseline. One sample moves
+// it no further than the slack would, so that a collapse does not become the
+// baseline before it is noticed.
+func (d *detector) remember(h *latencyHistory, x float64) {
+	if h.generation != d.generation || h.count == 0 {
+		*h = latencyHistory{generation: d.generation, count: 1, mean: x}
 		return
 	}
-	d.known = true
-	d.reference = d.baseline.mean
-	d.add(x)
+	h.count++
+	gain := max(historyGain, 1/float64(h.count))
+	h.mean += gain * min(x-h.mean, logSlack)
 }
 
 // learnCold takes a completion of a cold target in.
-func (d *detector) learnCold(latency time.Duration) {
-	x := logSeconds(latency)
+func (d *detector) learnCold(h *latencyHistory, latency time.Duration) {
+	x, weight := d.ratio(h, latency)
 	d.level.add(x, 0)
 	if d.known {
-		d.add(x)
+		d.add(x, weight)
 	}
 }
 
 // learnCut takes in a call that the caller gave up: it took at least so long.
-func (d *detector) learnCut(latency time.Duration) {
+func (d *detector) learnCut(h *latencyHistory, latency time.Duration) {
 	if d.known {
-		d.score += d.excess(latency)
+		d.score += d.excess(h, latency)
 	}
 }
 
-func (d *detector) add(x float64) {
-	d.score = max(0, d.score+min(x-d.reference, math.Log(maxRatio))-math.Log(slackRatio))
+func (d *detector) add(x, weight float64) {
+	d.score = max(0, d.score+weight*(min(x, logMax)-logSlack))
 }
 
 // excess returns the evidence of a call that has taken so long and goes on.
-func (d *detector) excess(age time.Duration) float64 {
+func (d *detector) excess(h *latencyHistory, age time.Duration) float64 {
 	if age <= 0 {
 		return 0
 	}
-	return max(0, min(logSeconds(age)-d.reference, math.Log(maxRatio))-math.Log(slackRatio))
+	x, weight := d.ratio(h, age)
+	return max(0, weight*(min(x, logMax)-logSlack))
 }
 
 func (d *detector) threshold() float64 {
 	variance := assumedVariance
-	if d.baseline.trusted() {
-		variance = d.baseline.variance
+	if d.spread.count >= trustedSamples {
+		variance = d.spread.variance
 	}
 	return max(minThreshold, thresholdPerVariance*variance)
 }
 
 // slow reports whether the mean at the present limit is above the slack.
-func (d *detector) slow() bool {
-	return d.known && d.level.mean-d.reference > math.Log(slackRatio)
-}
+func (d *detector) slow() bool { return d.known && d.level.mean > logSlack }
 
-// adopt makes the mean at the present limit the reference.
+// adopt makes the mean at the present limit the normal one.
 func (d *detector) adopt() {
 	d.known = true
-	d.reference = d.level.mean
+	d.offset += d.level.mean
+	d.level.mean = 0
 	d.score = 0
 }
 
-// referenceTime returns the reference as a duration; 0 when there is none.
-func (d *detector) referenceTime() time.Duration {
-	if !d.known {
-		return 0
-	}
-	return time.Duration(math.Exp(d.reference) * float64(time.Second))
-}
-
-func logSeconds(d time.Duration) float64 {
-	return math.Log(max(d, time.Microsecond).Seconds())
-}
-
 // compareWithBest keeps the lowest mean that a limit of this cold start had
-// as the reference, unless the warm target's baseline is known.
+// as the normal one, unless the warm target's baseline is known.
 func (d *detector) compareWithBest() {
-	if !d.known || (!d.baseline.trusted() && d.level.mean < d.reference) {
+	if !d.known || (!d.trusted() && d.level.mean < 0) {
 		d.adopt()
 	}
 	d.nextLevel()
 }
 
-// settle starts the baseline of a target that has become warm, if it has none,
-// from the samples at the last limit of its cold start.
+// settle makes what was normal at the end of a cold start the baseline.
 func (d *detector) settle() {
-	if !d.baseline.trusted() {
+	if !d.trusted() {
 		d.baseline = d.previous
+		d.baseline.count = trustedSamples
+	}
+	if d.offset != 0 {
+		d.baseline.mean += d.offset
+		d.generation++
 	}
+	d.offset = 0
 	d.nextLevel()
 }
+
+// referenceTime returns the latency that is normal now; 0 if it is not known.
+func (d *detector) referenceTime() time.Duration {
+	if !d.known {
+		return 0
+	}
+	mean := d.offset
+	if d.trusted() {
+		mean += d.baseline.mean
+	}
+	return time.Duration(math.Exp(mean) * float64(time.Second))
+}
+
+func logSeconds(d time.Duration) float64 {
+	return math.Log(max(d, time.Microsecond).Seconds())
+}
--- a/policy/admission/learn.go
+++ b/policy/admission/learn.go
@@ -25,7 +25,7 @@
 		o.learnCrash(now, r)
 	case Abandoned:
 		if current {
-			o.latency.learnCut(outcome.ServiceTime)
+			o.latency.learnCut(&r.flow.State.latency, outcome.ServiceTime)
 		}
 	}
 	o.watch(now)
@@ -45,13 +45,13 @@
 func (o *Owner) learnCompletion(now time.Time, r running, latency time.Duration) {
 	switch o.State() {
 	case model.TargetWarm:
-		o.latency.learnWarm(latency)
+		o.latency.learnWarm(&r.flow.State.latency, latency)
 		if !o.limit.full() {
 			o.limit.good(r.occupancy)
 			o.widenWarm()
 		}
 	case model.TargetCold:
-		o.latency.learnCold(latency)
+		o.latency.learnCold(&r.flow.State.latency, latency)
 		o.limit.good(r.occupancy)
 		o.widenCold()
 	}
@@ -119,13 +119,11 @@
 // pending returns the evidence of the calls in flight that started in the
 // present epoch.
 func (o *Owner) pending(now time.Time) float64 {
-	slack := part(o.latency.referenceTime(), slackRatio)
 	sum := 0.0
 	for i := range o.running {
 		r := &o.running[i]
-		age := now.Sub(r.started)
-		if r.epoch == o.limit.epoch && age > slack {
-			sum += o.latency.excess(age)
+		if r.epoch == o.limit.epoch {
+			sum += o.latency.excess(&r.flow.State.latency, now.Sub(r.started))
 		}
 	}
 	return sum
--- a/policy/admission/options.go
+++ b/policy/admission/options.go
@@ -8,14 +8,13 @@
 
 // The defaults of Options.
 const (
-	DefaultQueueLength    = 64
-	DefaultMaxWait        = 100 * time.Millisecond
-	DefaultConnections    = 260
-	DefaultLease          = 10 * time.Second
-	DefaultMeasureRate    = 2.0
-	DefaultReservePercent = 17
-	DefaultProbation      = 500 * time.Millisecond
-	DefaultMaxProbation   = 8 * time.Second
+	DefaultQueueLength  = 64
+	DefaultMaxWait      = 100 * time.Millisecond
+	DefaultConnections  = 260
+	DefaultLease        = 10 * time.Second
+	DefaultMeasureRate  = 2.0
+	DefaultProbation    = 500 * time.Millisecond
+	DefaultMaxProbation = 8 * time.Second
 )
 
 // Options tunes an Owner. A zero field takes its default.
@@ -37,10 +36,6 @@
 	// MaxProbation (8 s).
 	Probation    time.Duration
 	MaxProbation time.Duration
-	// ReservePercent is the part of the limit, in percent and rounded down to
-	// slots, that an account beyond its share leaves free while other
-	// accounts are active (17); below 0 reserves nothing.
-	ReservePercent int
 	// Forbidden, which may be nil, is told of events that the target chart
 	// does not allow.
 	Forbidden func(*chart.ForbiddenError)
@@ -54,10 +49,6 @@
 	o.Connections = orDefault(o.Connections, DefaultConnections)
 	o.Lease = orDefault(o.Lease, DefaultLease)
 	o.MeasureRate = orDefault(o.MeasureRate, DefaultMeasureRate)
-	if o.ReservePercent == 0 {
-		o.ReservePercent = DefaultReservePercent
-	}
-	o.ReservePercent = max(o.ReservePercent, 0)
 	o.Probation = orDefault(o.Probation, DefaultProbation)
 	o.MaxProbation = orDefault(o.MaxProbation, DefaultMaxProbation)
 	return o
--- a/policy/admission/owner.go
+++ b/policy/admission/owner.go
@@ -16,15 +16,19 @@
 	options  Options
 	chart    *chart.Machine
 	accounts func(model.Account) settings.Account
-	queue    *fairqueue.Queue[queued]
+	queue    *fairqueue.Queue[queued, history]
 	running  []running
 	isolated int // isolated calls in flight
 	limit    limiter
+	reserve  reserve
 	latency  detector
 	outcomes outcomes
 	service  time.Duration // recent mean of the completed calls
 	circuit  circuit
 
+	// now is the time of the event that is being handled.
+	now time.Time
+
 	instance string
 	saidCold bool // whether the last announcement said cold
 	leaseEnd time.Time
@@ -45,7 +49,7 @@
 // running is a call that was given to the target.
 type running struct {
 	ticket    Ticket
-	flow      *fairqueue.Flow[queued]
+	flow      *flow
 	charged   time.Duration
 	started   time.Time
 	occupancy int    // calls in flight at the start, itself included
@@ -60,7 +64,7 @@
 		options:  options,
 		chart:    targetChart.New(options.Forbidden),
 		accounts: func(model.Account) settings.Account { return settings.Account{} },
-		queue:    fairqueue.New[queued](fairqueue.Options{Length: options.QueueLength}),
+		queue:    fairqueue.New[queued, history](fairqueue.Options{Length: options.QueueLength}),
 		circuit:  newCircuit(options),
 
 		measureRate: options.MeasureRate,
@@ -75,6 +79,7 @@
 // Offer asks to run a call. The answer is immediate; when it is Wait, exactly
 // one Release of a later method ends the wait, unless Abandon comes first.
 func (o *Owner) Offer(now time.Time, c Call) Decision {
+	o.now = now
 	o.advance(now)
 	if p := o.closed(now); p != nil {
 		return refuse(p)
@@ -84,12 +89,14 @@
 	}
 	account := o.accounts(c.Account)
 	f := o.queue.Flow(now, c.Account, account.Weight)
-	item := queued{Call: c, concurrency: account.Concurrency, expires: o.expiry(now, c)}
+	item := queued{Call: c, concurrency: account.Concurrency, offered: now, expires: o.expiry(now, c)}
 	if o.hopeless(now, f, c) {
 		f.ForgetSome()
 		return refuse(expiredProblem())
 	}
 	if o.startable(f, item) {
+		item.withinShare = o.withinShare(now, f)
+		o.observeWait(now, item, f.Estimate())
 		o.start(now, f, c)
 		return Decision{Verdict: Start}
 	}
@@ -97,10 +104,11 @@
 }
 
 // start gives the call to the target.
-func (o *Owner) start(now time.Time, f *fairqueue.Flow[queued], c Call) {
+func (o *Owner) start(now time.Time, f *flow, c Call) {
 	if c.Isolated {
 		o.isolated++
 	}
+	f.State.usage.advance(now, f.InFlight())
 	o.running = append(o.running, running{
 		ticket:    c.Ticket,
 		flow:      f,
@@ -118,6 +126,7 @@
 	o.advance(now)
 	r, ok := o.remove(t)
 	if ok {
+		r.flow.State.usage.advance(now, r.flow.InFlight())
 		o.queue.Finish(r.flow, r.charged, now.Sub(r.started))
 		o.learn(now, r, outcome)
 	}
--- a/policy/admission/queue.go
+++ b/policy/admission/queue.go
@@ -16,11 +16,17 @@
 	standingTarget = 2 * time.Millisecond
 )
 
+// flow is the state of an account at the owner.
+type flow = fairqueue.Flow[queued, history]
+
 // queued is a call that waits for a slot.
 type queued struct {
 	Call
 	concurrency int
+	offered     time.Time
 	expires     time.Time
+	// withinShare is true for a call that the reserve is there for.
+	withinShare bool
 }
 
 func (c Call) expired(now time.Time) bool {
@@ -39,7 +45,7 @@
 // hopeless reports whether the call would not finish in time even if it
 // started now. With nothing in flight the call runs all the same: otherwise an
 // estimate that is too high could turn everything away and never be corrected.
-func (o *Owner) hopeless(now time.Time, f *fairqueue.Flow[queued], c Call) bool {
+func (o *Owner) hopeless(now time.Time, f *flow, c Call) bool {
 	if c.Deadline.IsZero() || len(o.running) == 0 {
 		return false
 	}
@@ -47,7 +53,7 @@
 }
 
 // startable reports whether the call may take a slot now.
-func (o *Owner) startable(f *fairqueue.Flow[queued], q queued) bool {
+func (o *Owner) startable(f *flow, q queued) bool {
 	free := o.limit.limit - len(o.running)
 	if free <= 0 {
 		return false
@@ -58,26 +64,33 @@
 	if q.concurrency > 0 && f.InFlight() >= q.concurrency {
 		return false
 	}
-	return free > o.reserved(f)
+	return free > o.reserved(o.now, f)
 }
 
 // reserved returns the number of slots that must stay free when the account
-// starts a call: none while it has less than its share of the slots or no
-// other account had a call lately, else the trunk reservation.
-func (o *Owner) reserved(f *fairqueue.Flow[queued]) int {
-	weights := o.queue.Weights()
-	if weights <= f.Weight() {
-		return 0
-	}
-	share := float64(o.limit.limit) * f.Weight() / weights
-	if float64(f.InFlight()) < max(share, 1) {
+// starts a call: none while it is within its share.
+func (o *Owner) reserved(now time.Time, f *flow) int {
+	share := o.share(f)
+	if float64(f.InFlight()+1) <= max(share, 1) || o.withinShare(now, f) {
 		return 0
 	}
-	return o.limit.limit * o.options.ReservePercent / percent
+	return o.reserve.size()
+}
+
+// share returns the account's part of the slots among the accounts that had a
+// call lately.
+func (o *Owner) share(f *flow) float64 {
+	return float64(o.limit.limit) * f.Weight() / o.queue.Weights()
+}
+
+// withinShare reports whether the account asks for no more than its share: it
+// has held no more slots lately, and has no standing queue.
+func (o *Owner) withinShare(now time.Time, f *flow) bool {
+	return f.Standing(now) < o.options.MaxWait && f.State.usage.at(now, f.InFlight()) <= max(o.share(f), 1)
 }
 
 // enqueue lets the call wait if it can be served in time.
-func (o *Owner) enqueue(now time.Time, f *fairqueue.Flow[queued], q queued) Decision {
+func (o *Owner) enqueue(now time.Time, f *flow, q queued) Decision {
 	wait := o.predictedWait(f, q)
 	if wait > o.allowedWait(now, f) {
 		return refuse(o.tooBusy(f, q, wait))
@@ -85,6 +98,7 @@
 	if !q.Deadline.IsZero() && now.Add(wait+part(f.Estimate(), hopelessShare)).After(q.Deadline) {
 		return refuse(o.tooBusy(f, q, wait))
 	}
+	q.withinShare = o.withinShare(now, f)
 	if !o.queue.Push(now, f, q) {
 		return refuse(o.tooBusy(f, q, wait))
 	}
@@ -93,7 +107,7 @@
 
 // predictedWait returns the time until a call queued now would start, at the
 // part of the slots that its account gets while the others keep waiting.
-func (o *Owner) predictedWait(f *fairqueue.Flow[queued], q queued) time.Duration {
+func (o *Owner) predictedWait(f *flow, q queued) time.Duration {
 	slots := float64(o.limit.limit) * o.queue.Share(f)
 	if q.concurrency > 0 {
 		slots = min(slots, float64(q.concurrency))
@@ -108,14 +122,14 @@
 // expect. An account whose queue was not empty for MaxWait has a standing
 // queue, which adds delay and no throughput; it may keep only about one
 // service time of it.
-func (o *Owner) allowedWait(now time.Time, f *fairqueue.Flow[queued]) time.Duration {
+func (o *Owner) allowedWait(now time.Time, f *flow) time.Duration {
 	if f.Standing(now) < o.options.MaxWait {
 		return o.options.MaxWait
 	}
 	return min(max(standingTarget, f.Estimate()), o.options.MaxWait)
 }
 
-func (o *Owner) tooBusy(f *fairqueue.Flow[queued], q queued, wait time.Duration) *problem.Error {
+func (o *Owner) tooBusy(f *flow, q queued, wait time.Duration) *problem.Error {
 	if q.concurrency > 0 && f.InFlight() >= q.concurrency {
 		return problem.New(problem.AccountLimit, model.RunNo, "the account has as many calls in flight at the target as it may have").After(wait)
 	}
@@ -129,6 +143,7 @@
 // settle does what an event made possible: it ends the wait of calls that
 // must not run, and starts queued calls in the free slots.
 func (o *Owner) settle(now time.Time) []Release {
+	o.now = now
 	o.queue.Sweep(now)
 	if o.queue.Len() == 0 {
 		return nil
@@ -152,7 +167,10 @@
 	var out []Release
 	o.queue.Drop(
 		func(q queued) bool { return !now.Before(q.expires) },
-		func(q queued) { out = append(out, Release{Ticket: q.Ticket, Refusal: o.waitedTooLong(now, q)}) },
+		func(q queued) {
+			o.observeWait(now, q, o.queue.MeanCost())
+			out = append(out, Release{Ticket: q.Ticket, Refusal: o.waitedTooLong(now, q)})
+		},
 	)
 	return out
 }
@@ -175,12 +193,19 @@
 			out = append(out, Release{Ticket: q.Ticket, Refusal: expiredProblem()})
 			continue
 		}
+		o.observeWait(now, q, f.Estimate())
 		o.start(now, f, q.Call)
 		out = append(out, Release{Ticket: q.Ticket})
 	}
 	return out
 }
 
+func (o *Owner) observeWait(now time.Time, q queued, service time.Duration) {
+	if q.withinShare {
+		o.reserve.observe(now.Sub(q.offered), service, o.limit.limit)
+	}
+}
+
 // part returns a multiple of a duration.
 func part(d time.Duration, factor float64) time.Duration {
 	return time.Duration(float64(d) * factor)
--- a/policy/fairqueue/queue.go
+++ b/policy/fairqueue/queue.go
@@ -44,16 +44,17 @@
 	InitialCost time.Duration
 }
 
-// Queue holds the waiting calls of one target, of type T. It is not safe for
+// Queue holds the waiting calls of one target, of type T, and the caller's own
+// state of each account, of type S. It is not safe for
 // concurrent use.
-type Queue[T any] struct {
+type Queue[T, S any] struct {
 	options Options
-	flows   map[model.Account]*Flow[T]
+	flows   map[model.Account]*Flow[T, S]
 	// backlogged holds the flows with queued calls, in the order in which
 	// they became so.
-	backlogged []*Flow[T]
+	backlogged []*Flow[T, S]
 	// oldest and newest end the list of idle flows.
-	oldest, newest *Flow[T]
+	oldest, newest *Flow[T, S]
 	virtual        float64
 	highest        float64 // highest tag since the queue was last idle
 	meanCost       float64 // seconds
@@ -64,7 +65,7 @@
 }
 
 // New returns an empty queue.
-func New[T any](options Options) *Queue[T] {
+func New[T, S any](options Options) *Queue[T, S] {
 	if options.Length <= 0 {
 		options.Length = DefaultLength
 	}
@@ -77,35 +78,35 @@
 	if options.InitialCost <= 0 {
 		options.InitialCost = DefaultInitialCost
 	}
-	return &Queue[T]{
+	return &Queue[T, S]{
 		options:  options,
-		flows:    make(map[model.Account]*Flow[T]),
+		flows:    make(map[model.Account]*Flow[T, S]),
 		meanCost: options.InitialCost.Seconds(),
 	}
 }
 
 // Len returns the number of calls that wait.
-func (q *Queue[T]) Len() int { return q.queued }
+func (q *Queue[T, S]) Len() int { return q.queued }
 
 // Flows returns the number of flows that are remembered.
-func (q *Queue[T]) Flows() int { return len(q.flows) }
+func (q *Queue[T, S]) Flows() int { return len(q.flows) }
 
 // Weights returns the sum of the weights of the accounts that had a call
 // lately.
-func (q *Queue[T]) Weights() float64 { return q.weights }
+func (q *Queue[T, S]) Weights() float64 { return q.weights }
 
 // MeanCost returns the mean cost of the recent calls of all accounts.
-func (q *Queue[T]) MeanCost() time.Duration {
+func (q *Queue[T, S]) MeanCost() time.Duration {
 	return time.Duration(q.meanCost * float64(time.Second))
 }
 
 // Flow returns the flow of an account and marks it as used. A weight below 1
 // counts as 1.
-func (q *Queue[T]) Flow(now time.Time, account model.Account, weight int) *Flow[T] {
+func (q *Queue[T, S]) Flow(now time.Time, account model.Account, weight int) *Flow[T, S] {
 	f, ok := q.flows[account]
 	if !ok {
 		q.forget(now)
-		f = &Flow[T]{account: account, tag: q.virtual, estimate: q.meanCost, emptyAt: now}
+		f = &Flow[T, S]{account: account, tag: q.virtual, estimate: q.meanCost, emptyAt: now}
 		q.flows[account] = f
 		q.park(f)
 	}
@@ -118,7 +119,7 @@
 	return f
 }
 
-func (q *Queue[T]) reweigh(f *Flow[T], weight float64) {
+func (q *Queue[T, S]) reweigh(f *Flow[T, S], weight float64) {
 	if f.weight == weight {
 		return
 	}
@@ -131,7 +132,7 @@
 
 // Push queues a call of the flow and reports whether the flow's part of the
 // queue had room for it.
-func (q *Queue[T]) Push(now time.Time, f *Flow[T], item T) bool {
+func (q *Queue[T, S]) Push(now time.Time, f *Flow[T, S], item T) bool {
 	if len(f.items) >= q.room(f) {
 		return false
 	}
@@ -150,7 +151,7 @@
 }
 
 // room returns the number of calls that the flow may hold in the queue now.
-func (q *Queue[T]) room(f *Flow[T]) int {
+func (q *Queue[T, S]) room(f *Flow[T, S]) int {
 	free := q.options.Length - q.queued
 	if free <= 0 {
 		return 0
@@ -160,7 +161,7 @@
 
 // Share returns the flow's part of the slots while the accounts that wait now
 // keep waiting, between 0 and 1.
-func (q *Queue[T]) Share(f *Flow[T]) float64 {
+func (q *Queue[T, S]) Share(f *Flow[T, S]) float64 {
 	others := q.backlogWeights
 	if len(f.items) > 0 {
 		others -= f.weight
@@ -170,8 +171,8 @@
 
 // Next removes the first call that is eligible from the flow with the lowest
 // virtual time and returns it. The caller starts it with Start, or drops it.
-func (q *Queue[T]) Next(eligible func(*Flow[T], T) bool) (*Flow[T], T, bool) {
-	var best *Flow[T]
+func (q *Queue[T, S]) Next(eligible func(*Flow[T, S], T) bool) (*Flow[T, S], T, bool) {
+	var best *Flow[T, S]
 	var index int
 	for _, f := range q.backlogged {
 		if best != nil && f.tag >= best.tag {
@@ -188,7 +189,7 @@
 	return best, q.take(best, index), true
 }
 
-func (f *Flow[T]) firstEligible(eligible func(*Flow[T], T) bool) int {
+func (f *Flow[T, S]) firstEligible(eligible func(*Flow[T, S], T) bool) int {
 	for i, item := range f.items {
 		if eligible(f, item) {
 			return i
@@ -199,7 +200,7 @@
 
 // Drop removes the queued calls that match and hands each to the function
 // removed, in the order of the queue.
-func (q *Queue[T]) Drop(match func(T) bool, removed func(T)) {
+func (q *Queue[T, S]) Drop(match func(T) bool, removed func(T)) {
 	for b := 0; b < len(q.backlogged); {
 		f := q.backlogged[b]
 		for i := 0; i < len(f.items); {
@@ -216,7 +217,7 @@
 }
 
 // Each calls the function for every queued call.
-func (q *Queue[T]) Each(visit func(T)) {
+func (q *Queue[T, S]) Each(visit func(T)) {
 	for _, f := range q.backlogged {
 		for _, item := range f.items {
 			visit(item)
@@ -224,7 +225,7 @@
 	}
 }
 
-func (q *Queue[T]) take(f *Flow[T], i int) T {
+func (q *Queue[T, S]) take(f *Flow[T, S], i int) T {
 	item := f.removeAt(i)
 	q.queued--
 	if len(f.items) == 0 {
@@ -236,7 +237,7 @@
 	return item
 }
 
-func (q *Queue[T]) leaveBacklog(f *Flow[T]) {
+func (q *Queue[T, S]) leaveBacklog(f *Flow[T, S]) {
 	for i, b := range q.backlogged {
 		if b == f {
 			q.backlogged = append(q.backlogged[:i], q.backlogged[i+1:]...)
--- a/policy/fairqueue/service.go
+++ b/policy/fairqueue/service.go
@@ -4,7 +4,7 @@
 
 // Start records that a call of the flow takes a slot and charges its
 // estimated cost, which it returns; Finish needs it back.
-func (q *Queue[T]) Start(f *Flow[T]) (charged time.Duration) {
+func (q *Queue[T, S]) Start(f *Flow[T, S]) (charged time.Duration) {
 	if !f.active() {
 		f.tag = max(f.tag, q.virtual)
 	}
@@ -19,7 +19,7 @@
 
 // Finish records that a call gave its slot back after the cost, and corrects
 // what Start charged.
-func (q *Queue[T]) Finish(f *Flow[T], charged, cost time.Duration) {
+func (q *Queue[T, S]) Finish(f *Flow[T, S], charged, cost time.Duration) {
 	f.charge((cost - charged).Seconds())
 	q.highest = max(q.highest, f.tag)
 	f.estimate += estimateGain * (cost.Seconds() - f.estimate)
@@ -35,7 +35,7 @@
 }
 
 // park appends the flow to the list of idle flows.
-func (q *Queue[T]) park(f *Flow[T]) {
+func (q *Queue[T, S]) park(f *Flow[T, S]) {
 	if f.idle {
 		return
 	}
@@ -49,7 +49,7 @@
 	q.newest = f
 }
 
-func (q *Queue[T]) unpark(f *Flow[T]) {
+func (q *Queue[T, S]) unpark(f *Flow[T, S]) {
 	if !f.idle {
 		return
 	}
@@ -72,7 +72,7 @@
 
 // forget drops idle flows that are old and owe nothing, and the oldest idle
 // one when there is no room for another flow.
-func (q *Queue[T]) forget(now time.Time) {
+func (q *Queue[T, S]) forget(now time.Time) {
 	for range forgetStep {
 		f := q.oldest
 		if f == nil || now.Sub(f.lastUsed) < q.options.IdleAfter {
@@ -91,9 +91,9 @@
 }
 
 // Sweep forgets idle flows, a few at each call.
-func (q *Queue[T]) Sweep(now time.Time) { q.forget(now) }
+func (q *Queue[T, S]) Sweep(now time.Time) { q.forget(now) }
 
-func (q *Queue[T]) remove(f *Flow[T]) {
+func (q *Queue[T, S]) remove(f *Flow[T, S]) {
 	q.unpark(f)
 	q.weights -= f.weight
 	delete(q.flows, f.account)
