--- a/policy/admission/options.go
+++ b/policy/admission/options.go
@@ -1,6 +1,10 @@
 package admission
 
-import "time"
+import (
+	"time"
+
+	"zinniafall/policy/chart"
+)
 
 // The defaults of Options.
 const (
@@ -32,6 +36,9 @@
 	// MaxProbation (8 s).
 	Probation    time.Duration
 	MaxProbation time.Duration
+	// Forbidden, which may be nil, is told of events that the target chart
+	// does not allow.
+	Forbidden func(*chart.ForbiddenError)
 	// Seed of the random spread of probation times.
 	Seed uint64
 }
