Keep a request that crashes targets to two of them

Cause: a crash was known to other entries only when the flooded notice had reached them, and a suspected request could be placed on any target. Change: the notice of a crash rides on the answer, so that the entry knows it before its caller can send again; a suspected request goes to the one owner that rendezvous hashing ranks first and runs there isolated. Tests of the whole path added: cut-off answers over HTTP/1.1 and HTTP/2, calls without and with a request key, domain out at the owner, graceful stop, calls nested 24 deep. Conclusion: the bound holds when the notice arrives before the resend.

--- a/node/entry/attempt.go
+++ b/node/entry/attempt.go
@@ -63,6 +63,9 @@
 		return nil, err
 	}
 	e.noteRevision(node, answer)
+	if len(answer.Crash) > 0 {
+		e.opts.Suspects.Heard(answer.Crash)
+	}
 	reply := &execute.Reply{Answer: answer}
 	if answer.Problem != nil {
 		x.Close()
--- a/node/entry/call.go
+++ b/node/entry/call.go
@@ -110,8 +110,7 @@
 	e := c.entry
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	query := placement.Query{Service: c.request.Service, Connection: c.connection, Exclude: c.exclude}
-	node, refusal := e.placer.Choose(now, query)
+	node, refusal := c.owner(now)
 	if refusal != nil {
 		span.Fail(string(refusal.Kind))
 		return "", refusal
@@ -121,6 +120,16 @@
 	return node, nil
 }
 
+// owner picks by predicted time, or by rank for a suspected request.
+func (c *call) owner(now time.Time) (model.NodeAddr, *problem.Error) {
+	e := c.entry
+	if c.request.Isolated {
+		return e.owners[c.request.Service].owner(c.request.Fingerprint, c.exclude)
+	}
+	query := placement.Query{Service: c.request.Service, Connection: c.connection, Exclude: c.exclude}
+	return e.placer.Choose(now, query)
+}
+
 // ended takes in the end of an attempt. It returns the reply for the caller,
 // or nil when another attempt is under way.
 func (c *call) ended(ctx context.Context, r result) *execute.Reply {
@@ -135,6 +144,7 @@
 		return r.reply
 	}
 	r.cancel()
+	c.request.Isolated = c.request.Isolated || len(r.reply.Answer.Crash) > 0
 	return c.next(ctx, r, failure)
 }
 
--- a/node/entry/entry.go
+++ b/node/entry/entry.go
@@ -30,7 +30,10 @@
 
 // Suspects knows the requests that crash targets.
 type Suspects interface {
+	// Check returns how a request may run now.
 	Check(quarantine.Fingerprint) quarantine.Standing
+	// Heard takes in an encoded notice.
+	Heard(notice []byte)
 }
 
 // Limits bound what callers may use.
@@ -70,6 +73,7 @@
 	mu      sync.Mutex
 	placer  *placement.Placer
 	budgets map[model.Service]*serviceBudget
+	owners  map[model.Service]isolation
 	limits  accountLimits
 }
 
@@ -79,6 +83,7 @@
 		opts:    opts,
 		placer:  placement.New(opts.Placement),
 		budgets: make(map[model.Service]*serviceBudget),
+		owners:  make(map[model.Service]isolation),
 		issuer:  newIssuer(opts),
 		limits:  newAccountLimits(),
 	}
@@ -89,8 +94,10 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.placer.SetTargets(time.Now(), service, targets)
+	e.owners[service] = newIsolation(targets)
 	if len(targets) == 0 {
 		delete(e.budgets, service)
+		delete(e.owners, service)
 	}
 }
 
--- /dev/null
+++ b/node/entry/isolation.go
@@ -0,0 +1,39 @@
+package entry
+
+import (
+	"slices"
+
+	"zinniafall/policy/model"
+	"zinniafall/policy/placement"
+	"zinniafall/policy/problem"
+	"zinniafall/policy/quarantine"
+)
+
+// isolation finds the one owner that runs a suspected request, so that copies
+// of it never reach two targets at once.
+type isolation struct {
+	processes []model.ProcessID
+	nodes     map[model.ProcessID]model.NodeAddr
+}
+
+func newIsolation(targets []placement.Target) isolation {
+	i := isolation{nodes: make(map[model.ProcessID]model.NodeAddr, len(targets))}
+	for _, t := range targets {
+		i.processes = append(i.processes, t.Process)
+		i.nodes[t.Process] = t.Node
+	}
+	return i
+}
+
+// owner returns the owner for the request. It refuses when that owner is among
+// the excluded ones.
+func (i isolation) owner(f quarantine.Fingerprint, exclude []model.NodeAddr) (model.NodeAddr, *problem.Error) {
+	if len(i.processes) == 0 {
+		return "", problem.New(problem.NoTarget, model.RunNo, "no target of the service takes work")
+	}
+	node := i.nodes[quarantine.Rank(f, i.processes)[0]]
+	if slices.Contains(exclude, node) {
+		return "", problem.New(problem.Overloaded, model.RunNo, "a target died with this request in flight, and the one that may try it does not take it now")
+	}
+	return node, nil
+}
--- a/node/execute/crashes.go
+++ b/node/execute/crashes.go
@@ -16,17 +16,20 @@
 // Several calls lose their connections in one crash; only the first of them
 // reports it.
 type Crashes struct {
-	report    func(sequence uint64, inFlight []quarantine.Fingerprint)
+	report    func(sequence uint64, inFlight []quarantine.Fingerprint) []byte
 	completed func(quarantine.Fingerprint)
 
 	mu       sync.Mutex
 	epoch    uint64
 	inFlight map[*Suspect]struct{}
+	// notice of the last crash, in encoded form.
+	notice []byte
 }
 
 // NewCrashes returns a tracker. The function report is called once for each
-// crash, completed for each call that ended well.
-func NewCrashes(report func(uint64, []quarantine.Fingerprint), completed func(quarantine.Fingerprint)) *Crashes {
+// crash and returns the encoded notice of it; completed is called for each
+// call that ended well.
+func NewCrashes(report func(uint64, []quarantine.Fingerprint) []byte, completed func(quarantine.Fingerprint)) *Crashes {
 	return &Crashes{report: report, completed: completed, inFlight: make(map[*Suspect]struct{})}
 }
 
@@ -39,21 +42,22 @@
 	return s
 }
 
-// Crashed notes that the call's connection died without an answer.
-func (c *Crashes) Crashed(s *Suspect) {
+// Crashed notes that the call's connection died without an answer. It returns
+// the notice of the crash, which rides on the answer, so that the entry knows
+// of it before its caller can send the request again.
+func (c *Crashes) Crashed(s *Suspect) []byte {
 	c.mu.Lock()
+	defer c.mu.Unlock()
 	if s.epoch != c.epoch {
-		c.mu.Unlock()
-		return
+		return c.notice
 	}
 	c.epoch++
-	sequence := c.epoch
 	fingerprints := make([]quarantine.Fingerprint, 0, len(c.inFlight))
 	for other := range c.inFlight {
 		fingerprints = append(fingerprints, other.fingerprint)
 	}
-	c.mu.Unlock()
-	c.report(sequence, fingerprints)
+	c.notice = c.report(c.epoch, fingerprints)
+	return c.notice
 }
 
 // Ended notes the end of a call. A nil suspect never reached the target.
--- a/node/execute/execute.go
+++ b/node/execute/execute.go
@@ -7,6 +7,7 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"io"
 	"net/http"
 	"net/url"
@@ -238,10 +239,10 @@
 		a.finish(admission.Failed)
 		return Refuse(problem.New(problem.AnswerCutOff, model.RunYes, result.Err.Error()))
 	}
-	a.executor.opts.Crashes.Crashed(a.suspect)
+	notice := a.executor.opts.Crashes.Crashed(a.suspect)
 	a.finish(admission.Crashed)
 	reply := Refuse(problem.New(problem.TargetFailed, model.RunUnknown, "the target closed the connection without an answer"))
-	reply.Answer.Crashed = true
+	reply.Answer.Crash = notice
 	return reply
 }
 
@@ -299,6 +300,8 @@
 	switch {
 	case err == io.EOF:
 		b.attempt.finish(b.result)
+	case errors.Is(err, context.Canceled), errors.Is(err, context.DeadlineExceeded):
+		b.attempt.finish(admission.Abandoned)
 	case err != nil:
 		b.attempt.finish(admission.Failed)
 	}
--- a/node/peer/message.go
+++ b/node/peer/message.go
@@ -86,8 +86,9 @@
 	// Length of the body; -1 when unknown.
 	Length int64         `cbor:"6,keyasint,omitempty"`
 	Report *model.Report `cbor:"7,keyasint,omitempty"`
-	// Crashed is set when the target died while it ran the call.
-	Crashed bool `cbor:"8,keyasint,omitempty"`
+	// Crash is the encoded notice of the crash in which the target died while
+	// it ran the call.
+	Crash []byte `cbor:"8,keyasint,omitempty"`
 }
 
 var (
--- /dev/null
+++ b/node/server/fixture_test.go
@@ -0,0 +1,215 @@
+package server
+
+import (
+	"bytes"
+	"context"
+	"encoding/base64"
+	"encoding/hex"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"zinniafall/node/entry"
+	"zinniafall/node/static"
+	"zinniafall/policy/config"
+	"zinniafall/policy/model"
+	"zinniafall/policy/settings"
+)
+
+const (
+	testService = "permits"
+	testAccount = "amherst"
+	testKey     = "the key of amherst"
+	// testWait bounds the waits for something that must happen.
+	testWait = 20 * time.Second
+)
+
+// cell is a node and the target beside it.
+type cell struct {
+	*Server
+	url    string
+	target *httptest.Server
+}
+
+// testFleet is a few nodes that know each other.
+type testFleet struct {
+	t        testing.TB
+	secret   string
+	cells    []*cell
+	document *config.Document
+	revision model.Revision
+	// slots that targets announce.
+	slots int
+}
+
+func newTestFleet(t testing.TB) *testFleet {
+	hash := settings.HashKey(testKey)
+	return &testFleet{
+		t: t, secret: base64.StdEncoding.EncodeToString(bytes.Repeat([]byte{5}, 32)), revision: 1, slots: 4,
+		document: &config.Document{
+			Templates: map[string]config.Template{
+				"domain":  {Kind: config.KindDomain, Body: map[string]any{"region": "test"}},
+				"service": {Kind: config.KindService, Body: map[string]any{"timeout_ms": 5000}},
+				"account": {Kind: config.KindAccount, Body: map[string]any{"weight": 1}},
+			},
+			Domains:  map[model.Domain]config.Domain{"a": {Template: "domain"}, "b": {Template: "domain"}, "c": {Template: "domain"}},
+			Services: map[model.Service]config.Service{testService: {Template: "service"}},
+			Accounts: map[model.Account]config.Account{testAccount: {Template: "account", KeyHashes: []string{hex.EncodeToString(hash[:])}}},
+		},
+	}
+}
+
+// add starts a node in the failure domain; the handler is its target's, nil
+// for a node whose target is absent.
+func (f *testFleet) add(domain string, handler http.HandlerFunc) *cell {
+	settings := f.settings(domain)
+	node, err := Start(settings)
+	qt.Assert(f.t, err, qt.IsNil)
+	c := &cell{Server: node, url: "http://" + node.CallerAddr()}
+	f.t.Cleanup(node.Kill)
+	f.cells = append(f.cells, c)
+	if handler != nil {
+		c.target = httptest.NewServer(handler)
+		f.t.Cleanup(func() { c.target.Close() })
+		f.announce(c, "one")
+	}
+	return c
+}
+
+func (f *testFleet) settings(domain string) *static.Settings {
+	conn, err := net.ListenPacket("udp", "127.0.0.1:0")
+	qt.Assert(f.t, err, qt.IsNil)
+	defer func() { _ = conn.Close() }()
+	known := "[]"
+	if len(f.cells) > 0 {
+		known = fmt.Sprintf("[%q]", f.cells[0].Node())
+	}
+	parsed, err := static.Parse([]byte(fmt.Sprintf(`{
+		"node": {"failure_domain": %q, "region": "test"},
+		"callers": {"listen": "127.0.0.1:0"},
+		"peers": {"listen": %q, "known": %s},
+		"operators": {"listen": "127.0.0.1:0", "token_hashes": [%q]},
+		"target": {"listen": "127.0.0.1:0"},
+		"store": {"url": "http://127.0.0.1:1"},
+		"fleet": {"secrets": [%q]}
+	}`, domain, conn.LocalAddr(), known, strings.Repeat("0", 64), f.secret)))
+	qt.Assert(f.t, err, qt.IsNil)
+	return parsed
+}
+
+func (f *testFleet) announce(c *cell, instance string) {
+	body, _ := json.Marshal(Announcement{
+		Service: testService, Address: c.target.Listener.Addr().String(), Instance: instance,
+		Slots: f.slots, LeaseMs: 60_000,
+	})
+	request, _ := http.NewRequest(http.MethodPut, "http://"+c.TargetAddr()+"/v1/target", bytes.NewReader(body))
+	response, err := http.DefaultClient.Do(request)
+	qt.Assert(f.t, err, qt.IsNil)
+	_ = response.Body.Close()
+	qt.Assert(f.t, response.StatusCode, qt.Equals, http.StatusNoContent)
+}
+
+// apply puts the document in force on all nodes.
+func (f *testFleet) apply() {
+	snapshot, problems := config.Compile(f.revision, f.document)
+	qt.Assert(f.t, problems, qt.HasLen, 0)
+	f.revision++
+	for _, c := range f.cells {
+		c.Apply(snapshot)
+	}
+}
+
+// ready applies the configuration and waits until all nodes know all targets.
+func (f *testFleet) ready() {
+	f.apply()
+	targets := 0
+	for _, c := range f.cells {
+		if c.target != nil {
+			targets++
+		}
+	}
+	for _, c := range f.cells {
+		f.eventually(func() bool { return c.Targets() == targets })
+	}
+}
+
+// eventually waits for a condition that must come true.
+func (f *testFleet) eventually(condition func() bool) {
+	f.t.Helper()
+	deadline := time.Now().Add(testWait)
+	for !condition() {
+		if time.Now().After(deadline) {
+			f.t.Fatal("the condition did not come true in time")
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+}
+
+// got is what a caller received.
+type got struct {
+	status int
+	run    string
+	kind   string
+	body   string
+	err    error
+}
+
+// ask is one request of a caller.
+type ask struct {
+	method, path, body string
+	key                string
+	header             http.Header
+	client             *http.Client
+}
+
+func (c *cell) call(a ask) got {
+	request, _ := http.NewRequestWithContext(context.Background(), a.method, c.url+a.path, strings.NewReader(a.body))
+	for name, values := range a.header {
+		request.Header[name] = values
+	}
+	request.Header.Set(entry.HeaderService, testService)
+	if request.Header.Get(entry.HeaderAccountKey) == "" {
+		request.Header.Set(entry.HeaderAccountKey, testKey)
+	}
+	if a.key != "" {
+		request.Header.Set(entry.HeaderRequestKey, a.key)
+	}
+	client := a.client
+	if client == nil {
+		client = http.DefaultClient
+	}
+	response, err := client.Do(request)
+	if err != nil {
+		return got{err: err}
+	}
+	defer func() { _ = response.Body.Close() }()
+	body, err := io.ReadAll(response.Body)
+	g := got{status: response.StatusCode, run: response.Header.Get(entry.HeaderRun), body: string(body), err: err}
+	if strings.HasPrefix(response.Header.Get("Content-Type"), "application/problem+json") {
+		var p struct {
+			Kind string `json:"kind"`
+		}
+		_ = json.Unmarshal(body, &p)
+		g.kind = p.Kind
+	}
+	return g
+}
+
+// requestKey asks the node for a request key.
+func (c *cell) requestKey(t testing.TB) string {
+	g := c.call(ask{method: http.MethodPost, path: entry.KeysPath})
+	var issued struct {
+		Keys []string `json:"keys"`
+	}
+	qt.Assert(t, json.Unmarshal([]byte(g.body), &issued), qt.IsNil)
+	qt.Assert(t, issued.Keys, qt.HasLen, 1)
+	return issued.Keys[0]
+}
--- a/node/server/fleet.go
+++ b/node/server/fleet.go
@@ -84,12 +84,7 @@
 func (s *Server) flooded(message membership.Delivered) {
 	switch message.Topic {
 	case membership.TopicQuarantine:
-		notice, err := quarantine.DecodeNotice(message.Payload)
-		if err != nil {
-			malformedFloods.Inc()
-			return
-		}
-		s.suspects.apply(notice)
+		s.suspects.Heard(message.Payload)
 	case membership.TopicBeacon:
 		s.judge.beacon(message)
 	case membership.TopicConfiguration:
--- /dev/null
+++ b/node/server/path_test.go
@@ -0,0 +1,342 @@
+package server
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"zinniafall/node/entry"
+	"zinniafall/node/execute"
+)
+
+// echo answers with what was asked.
+func echo(w http.ResponseWriter, r *http.Request) {
+	body, _ := io.ReadAll(r.Body)
+	_, _ = fmt.Fprintf(w, "%s %s %s", r.Method, r.URL.Path, body)
+}
+
+// hangUp reads the request and closes the connection without an answer.
+func hangUp(w http.ResponseWriter, r *http.Request) {
+	_, _ = io.ReadAll(r.Body)
+	panic(http.ErrAbortHandler)
+}
+
+func http2Client() *http.Client {
+	p := new(http.Protocols)
+	p.SetUnencryptedHTTP2(true)
+	return &http.Client{Transport: &http.Transport{Protocols: p}}
+}
+
+func TestCallReachesItsTarget(t *testing.T) {
+	f := newTestFleet(t)
+	owner := f.add("a", echo)
+	other := f.add("b", nil)
+	f.ready()
+	large := strings.Repeat("y", 300<<10)
+	clients := []struct {
+		name   string
+		client *http.Client
+	}{{"http/1.1", http.DefaultClient}, {"http/2", http2Client()}}
+	for _, c := range clients {
+		for _, node := range []*cell{owner, other} {
+			for _, body := range []string{"", "small", large} {
+				g := node.call(ask{method: "POST", path: "/p", body: body, client: c.client})
+				qt.Assert(t, g.err, qt.IsNil)
+				qt.Assert(t, g.run, qt.Equals, "yes")
+				qt.Assert(t, g.body == "POST /p "+body, qt.IsTrue)
+			}
+		}
+	}
+}
+
+func TestRefusalsDoNotRun(t *testing.T) {
+	var runs atomic.Int64
+	f := newTestFleet(t)
+	node := f.add("a", func(w http.ResponseWriter, r *http.Request) { runs.Add(1); echo(w, r) })
+	f.ready()
+	cases := []struct {
+		name   string
+		header http.Header
+		status int
+		kind   string
+	}{
+		{"wrong key", http.Header{entry.HeaderAccountKey: {"wrong"}}, 401, "unauthenticated"},
+		{"bad timeout", http.Header{execute.HeaderTimeout: {"soon"}}, 400, "bad-request"},
+		{"forged call token", http.Header{execute.HeaderCall: {"AAAA"}}, 401, "unauthenticated"},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			g := node.call(ask{method: "GET", path: "/", header: c.header})
+			qt.Assert(t, g.status, qt.Equals, c.status)
+			qt.Assert(t, g.kind, qt.Equals, c.kind)
+			qt.Assert(t, g.run, qt.Equals, "no")
+		})
+	}
+	qt.Assert(t, runs.Load(), qt.Equals, int64(0))
+}
+
+func TestCutOffAnswerIsNeverWhole(t *testing.T) {
+	whole := strings.Repeat("z", 200<<10)
+	cases := []struct {
+		name  string
+		serve http.HandlerFunc
+	}{
+		{"long with length", func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set("Content-Length", strconv.Itoa(len(whole)))
+			_, _ = io.WriteString(w, whole[:100<<10])
+			panic(http.ErrAbortHandler)
+		}},
+		{"short with length", func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set("Content-Length", "10")
+			_, _ = io.WriteString(w, "12345")
+			_ = http.NewResponseController(w).Flush()
+			panic(http.ErrAbortHandler)
+		}},
+		{"chunked", func(w http.ResponseWriter, _ *http.Request) {
+			_, _ = io.WriteString(w, whole)
+			_ = http.NewResponseController(w).Flush()
+			panic(http.ErrAbortHandler)
+		}},
+		{"no framing", func(w http.ResponseWriter, _ *http.Request) {
+			conn, buffer, _ := http.NewResponseController(w).Hijack()
+			_, _ = buffer.WriteString("HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nhalf")
+			_ = buffer.Flush()
+			_ = conn.Close()
+		}},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			f := newTestFleet(t)
+			owner := f.add("a", c.serve)
+			other := f.add("b", nil)
+			f.ready()
+			for _, node := range []*cell{owner, other} {
+				for _, client := range []*http.Client{http.DefaultClient, http2Client()} {
+					g := node.call(ask{method: "POST", path: "/", client: client})
+					qt.Assert(t, g.err != nil || g.status >= 500, qt.IsTrue, qt.Commentf("%+v", g))
+				}
+			}
+		})
+	}
+}
+
+func TestNonIdempotentCallIsSentOnce(t *testing.T) {
+	cases := []struct {
+		method string
+		header http.Header
+		most   int64
+	}{
+		{"POST", nil, 1},
+		{"DELETE", nil, 1},
+		{"POST", http.Header{"Idempotency-Key": {"k"}}, 1},
+		{"GET", nil, 2},
+	}
+	for _, c := range cases {
+		t.Run(c.method, func(t *testing.T) {
+			var runs atomic.Int64
+			f := newTestFleet(t)
+			for range 3 {
+				f.add("a", func(w http.ResponseWriter, r *http.Request) { runs.Add(1); hangUp(w, r) })
+			}
+			f.ready()
+			g := f.cells[0].call(ask{method: c.method, path: "/", header: c.header})
+			qt.Assert(t, g.run, qt.Equals, "unknown")
+			qt.Assert(t, runs.Load() >= 1 && runs.Load() <= c.most, qt.IsTrue, qt.Commentf("%d runs", runs.Load()))
+		})
+	}
+}
+
+func TestKeyedCallRunsOnceThroughAnyNode(t *testing.T) {
+	var runs atomic.Int64
+	release := make(chan struct{})
+	f := newTestFleet(t)
+	for _, domain := range []string{"a", "b", "c"} {
+		f.add(domain, func(w http.ResponseWriter, r *http.Request) {
+			n := runs.Add(1)
+			<-release
+			_, _ = fmt.Fprintf(w, "receipt %d", n)
+		})
+	}
+	f.ready()
+	key := f.cells[0].requestKey(t)
+	answers := make(chan got, 6)
+	var calls sync.WaitGroup
+	for i := range cap(answers) {
+		calls.Add(1)
+		go func() {
+			defer calls.Done()
+			answers <- f.cells[i%3].call(ask{method: "POST", path: "/pay", body: "fee", key: key})
+		}()
+	}
+	f.eventually(func() bool { return runs.Load() == 1 })
+	close(release)
+	calls.Wait()
+	close(answers)
+	for g := range answers {
+		qt.Assert(t, g.body, qt.Equals, "receipt 1")
+		qt.Assert(t, g.run, qt.Equals, "yes")
+	}
+	other := f.cells[1].call(ask{method: "POST", path: "/pay", body: "another fee", key: key})
+	qt.Assert(t, other.kind, qt.Equals, "key-mismatch")
+	qt.Assert(t, runs.Load(), qt.Equals, int64(1))
+}
+
+func TestKeyOfGoneIssuerRunsNothing(t *testing.T) {
+	var runs atomic.Int64
+	f := newTestFleet(t)
+	f.add("a", func(w http.ResponseWriter, r *http.Request) { runs.Add(1); echo(w, r) })
+	issuer := f.add("b", nil)
+	f.ready()
+	key := issuer.requestKey(t)
+	issuer.Stop(canceled())
+	g := f.cells[0].call(ask{method: "POST", path: "/pay", key: key})
+	qt.Assert(t, g.run, qt.Equals, "unknown")
+	qt.Assert(t, runs.Load(), qt.Equals, int64(0))
+}
+
+func canceled() context.Context {
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	return ctx
+}
+
+func TestDomainOutIsEnforcedAtTheOwner(t *testing.T) {
+	var runs atomic.Int64
+	f := newTestFleet(t)
+	node := f.add("a", func(w http.ResponseWriter, r *http.Request) { runs.Add(1); echo(w, r) })
+	stale := f.add("b", nil)
+	f.ready()
+	d := f.document.Domains["a"]
+	d.Out = true
+	f.document.Domains["a"] = d
+	all := f.cells
+	f.cells = []*cell{node}
+	f.apply()
+	f.cells = all
+	g := stale.call(ask{method: "POST", path: "/"})
+	qt.Assert(t, g.run, qt.Equals, "no")
+	qt.Assert(t, runs.Load(), qt.Equals, int64(0))
+	response, err := http.Get("http://" + node.OperatorAddr() + "/readyz")
+	qt.Assert(t, err, qt.IsNil)
+	_ = response.Body.Close()
+	qt.Assert(t, response.StatusCode, qt.Equals, http.StatusServiceUnavailable)
+}
+
+func TestGracefulStopCutsNothingOff(t *testing.T) {
+	started, release := make(chan struct{}, 1), make(chan struct{})
+	f := newTestFleet(t)
+	owner := f.add("a", func(w http.ResponseWriter, r *http.Request) {
+		started <- struct{}{}
+		<-release
+		echo(w, r)
+	})
+	other := f.add("b", nil)
+	f.ready()
+	answer := make(chan got, 2)
+	go func() { answer <- other.call(ask{method: "POST", path: "/1"}) }()
+	<-started
+	go func() { answer <- owner.call(ask{method: "POST", path: "/2"}) }()
+	<-started
+	stopped := make(chan struct{})
+	go func() {
+		defer close(stopped)
+		owner.Stop(context.Background())
+	}()
+	f.eventually(func() bool { return owner.notReady() != "" && other.Targets() == 0 })
+	close(release)
+	for range 2 {
+		g := <-answer
+		qt.Assert(t, g.err, qt.IsNil)
+		qt.Assert(t, g.status, qt.Equals, 200)
+	}
+	<-stopped
+	g := other.call(ask{method: "POST", path: "/3"})
+	qt.Assert(t, g.run, qt.Equals, "no")
+}
+
+func TestNestedCallsKeepTheirAccount(t *testing.T) {
+	const depth = 24
+	var deepest atomic.Int64
+	f := newTestFleet(t)
+	f.slots = depth
+	var nodes []*cell
+	serve := func(w http.ResponseWriter, r *http.Request) {
+		level, _ := strconv.Atoi(strings.TrimPrefix(r.URL.Path, "/"))
+		deepest.Store(max(deepest.Load(), int64(level)))
+		next := nodes[level%len(nodes)].call(ask{
+			method: "GET", path: "/" + strconv.Itoa(level+1),
+			header: http.Header{execute.HeaderCall: r.Header[execute.HeaderCall], entry.HeaderAccountKey: {"none"}},
+		})
+		_, _ = io.WriteString(w, next.kind)
+	}
+	for range 4 {
+		f.add("a", serve)
+	}
+	nodes = f.cells
+	f.ready()
+	g := nodes[0].call(ask{method: "GET", path: "/1"})
+	qt.Assert(t, g.status, qt.Equals, 200)
+	qt.Assert(t, deepest.Load(), qt.Equals, int64(depth))
+}
+
+func TestBodyOverTheLimitIsRefused(t *testing.T) {
+	f := newTestFleet(t)
+	node := f.add("a", echo)
+	f.ready()
+	huge := bytes.Repeat([]byte("x"), 11<<20)
+	g := node.call(ask{method: "POST", path: "/", body: string(huge)})
+	qt.Assert(t, g.kind, qt.Equals, "body-too-large")
+}
+
+func TestPoisonRequestCostsAtMostTwoTargets(t *testing.T) {
+	for _, method := range []string{"GET", "POST"} {
+		t.Run(method, func(t *testing.T) {
+			var crashes atomic.Int64
+			f := newTestFleet(t)
+			for i := range 5 {
+				f.add("a", func(w http.ResponseWriter, r *http.Request) {
+					if r.URL.Path != "/poison" {
+						echo(w, r)
+						return
+					}
+					crashes.Add(1)
+					_ = f.cells[i].target.Listener.Close()
+					f.cells[i].target.CloseClientConnections()
+				})
+			}
+			f.ready()
+			for i := range 10 {
+				before := crashes.Load()
+				g := f.cells[i%5].call(ask{method: method, path: "/poison"})
+				qt.Assert(t, g.status >= 500, qt.IsTrue)
+				if crashes.Load() > before {
+					f.awaitNotices(int(crashes.Load()))
+				}
+			}
+			qt.Assert(t, crashes.Load() <= 2, qt.IsTrue, qt.Commentf("%d targets lost", crashes.Load()))
+		})
+	}
+}
+
+// awaitNotices waits until all nodes know of the crashes.
+func (f *testFleet) awaitNotices(crashes int) {
+	for _, c := range f.cells {
+		f.eventually(func() bool {
+			for _, e := range c.suspects.entries() {
+				if len(e.Crashes) >= crashes {
+					return true
+				}
+			}
+			return false
+		})
+	}
+}
--- a/node/server/server.go
+++ b/node/server/server.go
@@ -60,6 +60,7 @@
 	served    atomic.Int64
 	ctx       context.Context
 	cancel    context.CancelFunc
+	killed    sync.Once
 	duties    sync.WaitGroup
 	placed    sync.Mutex
 	placedFor map[model.Service]struct{}
--- a/node/server/stop.go
+++ b/node/server/stop.go
@@ -72,8 +72,10 @@
 	}
 }
 
-// Kill ends the node at once.
-func (s *Server) Kill() {
+// Kill ends the node at once. A second call waits for the first.
+func (s *Server) Kill() { s.killed.Do(s.kill) }
+
+func (s *Server) kill() {
 	s.cancel()
 	_ = s.callers.Close()
 	_ = s.targetAPI.Close()
--- a/node/server/suspects.go
+++ b/node/server/suspects.go
@@ -31,12 +31,29 @@
 }
 
 // crashed tells all nodes which requests were in flight when the target died.
-func (s *suspects) crashed(epoch uint64, inFlight []quarantine.Fingerprint) {
+func (s *suspects) crashed(epoch uint64, inFlight []quarantine.Fingerprint) []byte {
 	klog.Warningf("target: The target died with %d calls in flight.", len(inFlight))
 	s.mu.Lock()
 	notice := s.list.Crashed(time.Now(), quarantine.CrashOf(s.process, epoch), inFlight)
 	s.mu.Unlock()
 	s.flood(notice)
+	encoded, err := notice.Encode()
+	if err != nil {
+		klog.Errorf("quarantine: A notice could not be encoded: %v.", err)
+	}
+	return encoded
+}
+
+// Heard takes in a notice that came from another node.
+func (s *suspects) Heard(encoded []byte) {
+	notice, err := quarantine.DecodeNotice(encoded)
+	if err != nil {
+		malformedFloods.Inc()
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.list.Apply(time.Now(), notice)
 }
 
 // completed clears a suspect that ended well.
@@ -49,13 +66,6 @@
 	}
 }
 
-// apply takes in another node's notice.
-func (s *suspects) apply(notice quarantine.Notice) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.list.Apply(time.Now(), notice)
-}
-
 func (s *suspects) entries() []quarantine.Entry {
 	s.mu.Lock()
 	defer s.mu.Unlock()
