--- a/node/peer/message.go
+++ b/node/peer/message.go
@@ -1,9 +1,11 @@
 package peer
 
 import (
+	"bytes"
 	"encoding/binary"
 	"io"
 	"net/http"
+	"sync"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -94,10 +96,28 @@
 var (
 	encodeMode = mustEncMode()
 	decodeMode = mustDecMode()
+
+	// frames holds the buffers of messages that are being written or read.
+	frames = sync.Pool{New: func() any { return new(bytes.Buffer) }}
 )
 
-func mustEncMode() cbor.EncMode {
-	mode, err := cbor.EncOptions{}.EncMode()
+// maxPooledFrame is the size in bytes above which a buffer is not kept.
+const maxPooledFrame = 64 << 10
+
+func getFrame() *bytes.Buffer {
+	frame := frames.Get().(*bytes.Buffer)
+	frame.Reset()
+	return frame
+}
+
+func putFrame(frame *bytes.Buffer) {
+	if frame.Cap() <= maxPooledFrame {
+		frames.Put(frame)
+	}
+}
+
+func mustEncMode() cbor.UserBufferEncMode {
+	mode, err := cbor.EncOptions{}.UserBufferEncMode()
 	if err != nil {
 		panic(err)
 	}
@@ -119,41 +139,59 @@
 
 // writeFrame writes one length-prefixed message in a single write.
 func writeFrame(w io.Writer, message any) error {
-	raw, err := encodeMode.Marshal(message)
-	if err != nil {
+	frame := getFrame()
+	defer putFrame(frame)
+	var length [lengthBytes]byte
+	_, _ = frame.Write(length[:])
+	if err := encodeMode.MarshalToBuffer(message, frame); err != nil {
 		return oops.In("peer").Wrap(err)
 	}
-	if len(raw) > maxHeadBytes {
+	size := frame.Len() - lengthBytes
+	if size > maxHeadBytes {
 		return oops.In("peer").Hint("Lower limits.header_bytes in the settings.").
-			Errorf("a message of %d bytes is over the limit of %d", len(raw), maxHeadBytes)
+			Errorf("a message of %d bytes is over the limit of %d", size, maxHeadBytes)
 	}
-	frame := make([]byte, lengthBytes, lengthBytes+len(raw))
-	binary.BigEndian.PutUint32(frame, uint32(len(raw)))
-	_, err = w.Write(append(frame, raw...))
+	binary.BigEndian.PutUint32(frame.Bytes(), uint32(size))
+	_, err := w.Write(frame.Bytes())
 	return err
 }
 
-// readFrame reads one length-prefixed message.
+// readFrame reads one length-prefixed message. The decoder copies what the
+// message keeps, so that the frame's buffer can serve the next one.
 func readFrame(r io.Reader, message any) error {
-	raw, err := readRaw(r)
+	size, err := readLength(r)
 	if err != nil {
 		return err
 	}
-	return decodeMode.Unmarshal(raw, message)
+	frame := getFrame()
+	defer putFrame(frame)
+	if _, err := io.CopyN(frame, r, int64(size)); err != nil {
+		return err
+	}
+	return decodeMode.Unmarshal(frame.Bytes(), message)
 }
 
-func readRaw(r io.Reader) ([]byte, error) {
+func readLength(r io.Reader) (uint32, error) {
 	var length [lengthBytes]byte
 	if _, err := io.ReadFull(r, length[:]); err != nil {
-		return nil, err
+		return 0, err
 	}
 	size := binary.BigEndian.Uint32(length[:])
 	if size > maxHeadBytes {
-		return nil, oops.In("peer").Hint("Check that all nodes run the same release.").
+		return 0, oops.In("peer").Hint("Check that all nodes run the same release.").
 			Errorf("a message of %d bytes is over the limit of %d", size, maxHeadBytes)
 	}
+	return size, nil
+}
+
+// readRaw reads the bytes of one length-prefixed message.
+func readRaw(r io.Reader) ([]byte, error) {
+	size, err := readLength(r)
+	if err != nil {
+		return nil, err
+	}
 	raw := make([]byte, size)
-	_, err := io.ReadFull(r, raw)
+	_, err = io.ReadFull(r, raw)
 	return raw, err
 }
 
