--- /dev/null
+++ b/policy/config/bench_test.go
@@ -0,0 +1,83 @@
+package config
+
+import (
+	"fmt"
+	"testing"
+
+	"zinniafall/policy/model"
+)
+
+// grown is the sample with more accounts and the domains and services of the
+// size given.
+func grown(accounts int) *Document {
+	doc, _ := Parse([]byte(sample))
+	for i := range accounts {
+		doc.Accounts[model.Account(fmt.Sprintf("town-%05d", i))] = Account{
+			Template: "town", Parameters: map[string]any{"weight": 1 + i%10}, KeyHashes: []string{fmt.Sprintf("%064x", i)},
+		}
+	}
+	for i := range 260 {
+		doc.Services[model.Service(fmt.Sprintf("service-%03d", i))] = Service{Template: "booking"}
+	}
+	return doc
+}
+
+// BenchmarkApply is a node's work for one change: the head and the one part
+// that changed come in, the configuration is checked and put in force.
+func BenchmarkApply(b *testing.B) {
+	for _, accounts := range []int{100, 1000, 10000} {
+		b.Run(fmt.Sprint(accounts), func(b *testing.B) {
+			s := newFakeStore()
+			s.commit(Change{ID: "first", Document: grown(accounts)}, 0, nil)
+			follower, source := NewFollower(nil), NewFollower(nil)
+			copyTo(b, source, s)
+			copyTo(b, follower, s)
+			bytes, i := 0, 0
+			for b.Loop() {
+				b.StopTimer()
+				i++
+				s.commit(out(fmt.Sprint(i), model.Revision(i), "ne-a", i%2 == 1), 0, nil)
+				copyTo(b, source, s)
+				raw, err := source.Bundle(follower.Snapshot().Revision)
+				if err != nil {
+					b.Fatal(err)
+				}
+				b.StartTimer()
+				bundle, err := DecodeBundle(raw)
+				if err != nil {
+					b.Fatal(err)
+				}
+				if _, err := follower.Take(bundle.Head, bundle.Parts); err != nil {
+					b.Fatal(err)
+				}
+				bytes += len(raw)
+			}
+			b.ReportMetric(float64(bytes)/float64(i), "bytes/change")
+		})
+	}
+}
+
+// copyTo brings a follower to the store's head.
+func copyTo(b *testing.B, f *Follower, s *fakeStore) {
+	raw, err := s.heads[len(s.heads)-1].Encode()
+	if err != nil {
+		b.Fatal(err)
+	}
+	_, missing, _ := f.Look(raw)
+	var contents [][]byte
+	for _, part := range missing {
+		contents = append(contents, s.parts[part.Key()])
+	}
+	if _, err := f.Take(raw, contents); err != nil {
+		b.Fatal(err)
+	}
+}
+
+func BenchmarkCompile(b *testing.B) {
+	doc := grown(10000)
+	for b.Loop() {
+		if _, problems := Compile(1, doc); len(problems) > 0 {
+			b.Fatal(problems)
+		}
+	}
+}
--- a/policy/config/compile.go
+++ b/policy/config/compile.go
@@ -32,39 +32,88 @@
 // Compile checks a document and builds its snapshot. The snapshot is nil when
 // there is any problem.
 func Compile(revision model.Revision, doc *Document) (*settings.Snapshot, []Problem) {
-	c := &compiler{
-		templates: make(map[string]*compiledTemplate, len(doc.Templates)),
-		snapshot: &settings.Snapshot{
-			Revision:     revision,
-			Domains:      make(map[model.Domain]settings.Domain, len(doc.Domains)),
-			Services:     make(map[model.Service]settings.Service, len(doc.Services)),
-			Accounts:     make(map[model.Account]settings.Account, len(doc.Accounts)),
-			AccountByKey: make(map[settings.KeyHash]model.Account, len(doc.Accounts)),
-		},
-	}
-	for _, name := range slices.Sorted(maps.Keys(doc.Templates)) {
-		c.template(name, doc.Templates[name])
-	}
-	for _, name := range slices.Sorted(maps.Keys(doc.Domains)) {
-		c.domain(name, doc.Domains[name])
+	set := newTemplateSet(doc.Templates)
+	return join(revision, set, []*compiledPart{set.compile(doc)})
+}
+
+// compiledPart is what the accounts, failure domains and services of one part
+// of a document come to, for one set of templates.
+type compiledPart struct {
+	domains  map[model.Domain]settings.Domain
+	services map[model.Service]settings.Service
+	accounts map[model.Account]settings.Account
+	keys     []accountKey
+	problems []Problem
+}
+
+// accountKey is a key with the place where it is written.
+type accountKey struct {
+	hash    settings.KeyHash
+	account model.Account
+	path    string
+}
+
+// compile checks and binds the instances of a part.
+func (s *templateSet) compile(doc *Document) *compiledPart {
+	c := &compiler{templates: s.templates, part: &compiledPart{
+		domains:  make(map[model.Domain]settings.Domain, len(doc.Domains)),
+		services: make(map[model.Service]settings.Service, len(doc.Services)),
+		accounts: make(map[model.Account]settings.Account, len(doc.Accounts)),
+	}}
+	for name, d := range doc.Domains {
+		c.domain(name, d)
 	}
-	for _, name := range slices.Sorted(maps.Keys(doc.Services)) {
-		c.service(name, doc.Services[name])
+	for name, s := range doc.Services {
+		c.service(name, s)
 	}
 	for _, name := range slices.Sorted(maps.Keys(doc.Accounts)) {
 		c.account(name, doc.Accounts[name])
 	}
-	if len(c.problems) > 0 {
-		return nil, sorted(c.problems)
+	return c.part
+}
+
+// join puts compiled parts together and checks what goes across them.
+func join(revision model.Revision, set *templateSet, parts []*compiledPart) (*settings.Snapshot, []Problem) {
+	snapshot := &settings.Snapshot{
+		Revision:     revision,
+		Domains:      make(map[model.Domain]settings.Domain),
+		Services:     make(map[model.Service]settings.Service),
+		Accounts:     make(map[model.Account]settings.Account),
+		AccountByKey: make(map[settings.KeyHash]model.Account),
+	}
+	problems := slices.Clone(set.problems)
+	for _, part := range parts {
+		problems = append(problems, part.problems...)
+		maps.Copy(snapshot.Domains, part.domains)
+		maps.Copy(snapshot.Services, part.services)
+		maps.Copy(snapshot.Accounts, part.accounts)
+		for _, key := range part.keys {
+			other, taken := snapshot.AccountByKey[key.hash]
+			if taken {
+				add(&problems, key.path, fmt.Sprintf("account %q has the same key", other), keyRemedy)
+				continue
+			}
+			snapshot.AccountByKey[key.hash] = key.account
+		}
 	}
-	return c.snapshot, nil
+	if len(problems) > 0 {
+		return nil, sorted(problems)
+	}
+	return snapshot, nil
 }
 
-// compiler collects a snapshot and the problems met on the way.
+// keyRemedy says how to come to a valid key.
+const keyRemedy = "Make a key with `zinniafall account key`"
+
+// compiler collects a compiled part and the problems met on the way.
 type compiler struct {
 	templates map[string]*compiledTemplate
-	snapshot  *settings.Snapshot
-	problems  []Problem
+	part      *compiledPart
+}
+
+// add notes a problem.
+func (c *compiler) add(path, message, remedy string) {
+	add(&c.part.problems, path, message, remedy)
 }
 
 // bind fills the template with parameters and decodes the body into out. It
@@ -72,11 +121,11 @@
 func (c *compiler) bind(path string, want Kind, name string, parameters map[string]any, out any) bool {
 	t, ok := c.templates[name]
 	if !ok {
-		add(&c.problems, path+"/template", fmt.Sprintf("no template %q", name), "Add the template or name another")
+		c.add(path+"/template", fmt.Sprintf("no template %q", name), "Add the template or name another")
 		return false
 	}
 	if t.Kind != want {
-		add(&c.problems, path+"/template", fmt.Sprintf("template %q makes a %s", name, t.Kind), fmt.Sprintf("Name a template of kind %s", want))
+		c.add(path+"/template", fmt.Sprintf("template %q makes a %s", name, t.Kind), fmt.Sprintf("Name a template of kind %s", want))
 		return false
 	}
 	if t.schema == nil {
@@ -86,7 +135,7 @@
 		parameters = map[string]any{}
 	}
 	if found := validate(t.schema, parameters, path+"/parameters"); len(found) > 0 {
-		c.problems = append(c.problems, found...)
+		c.part.problems = append(c.part.problems, found...)
 		return false
 	}
 	body := t.body(parameters)
@@ -103,7 +152,7 @@
 		err = json.Unmarshal(raw, out)
 	}
 	if err != nil {
-		add(&c.problems, path, err.Error(), "Correct the type of the value")
+		c.add(path, err.Error(), "Correct the type of the value")
 		return false
 	}
 	return true
@@ -121,7 +170,7 @@
 	path := "/accounts/" + escape(string(name))
 	body := accountBody{Weight: defaultWeight}
 	if c.bind(path, KindAccount, a.Template, a.Parameters, &body) {
-		c.snapshot.Accounts[name] = settings.Account{
+		c.part.accounts[name] = settings.Account{
 			Weight:        int(body.Weight),
 			RatePerSecond: body.RatePerSecond,
 			Concurrency:   int(body.Concurrency),
@@ -136,15 +185,11 @@
 	raw, err := hex.DecodeString(text)
 	var hash settings.KeyHash
 	if err != nil || len(raw) != len(hash) {
-		add(&c.problems, path, "not a SHA-256 in hexadecimal", "Make a key with `zinniafall account key`")
+		c.add(path, "not a SHA-256 in hexadecimal", keyRemedy)
 		return
 	}
 	copy(hash[:], raw)
-	if other, taken := c.snapshot.AccountByKey[hash]; taken {
-		add(&c.problems, path, fmt.Sprintf("account %q has the same key", other), "Make another key with `zinniafall account key`")
-		return
-	}
-	c.snapshot.AccountByKey[hash] = name
+	c.part.keys = append(c.part.keys, accountKey{hash: hash, account: name, path: path})
 }
 
 // domainBody is the bound body of a failure domain.
@@ -155,7 +200,7 @@
 func (c *compiler) domain(name model.Domain, d Domain) {
 	var body domainBody
 	if c.bind("/domains/"+escape(string(name)), KindDomain, d.Template, d.Parameters, &body) {
-		c.snapshot.Domains[name] = settings.Domain{Region: body.Region, Out: d.Out}
+		c.part.domains[name] = settings.Domain{Region: body.Region, Out: d.Out}
 	}
 }
 
@@ -174,7 +219,7 @@
 		MeasureRate:       defaultMeasureRate,
 	}
 	if c.bind("/services/"+escape(string(name)), KindService, s.Template, s.Parameters, &body) {
-		c.snapshot.Services[name] = settings.Service{
+		c.part.services[name] = settings.Service{
 			IdempotentMethods:  body.IdempotentMethods,
 			NonIdempotentPaths: body.NonIdempotentPaths,
 			Timeout:            time.Duration(body.TimeoutMS) * time.Millisecond,
--- a/policy/config/schema.go
+++ b/policy/config/schema.go
@@ -170,7 +170,8 @@
 	return schema
 }
 
+// pointerEscapes are the letters that a token of a JSON pointer escapes.
+var pointerEscapes = strings.NewReplacer("~", "~0", "/", "~1")
+
 // escape writes a token of a JSON pointer.
-func escape(token string) string {
-	return strings.NewReplacer("~", "~0", "/", "~1").Replace(token)
-}
+func escape(token string) string { return pointerEscapes.Replace(token) }
--- a/policy/config/template.go
+++ b/policy/config/template.go
@@ -15,44 +15,58 @@
 	schema *jsonschema.Schema
 }
 
-func (c *compiler) template(name string, t Template) {
+// templateSet is the templates of a document, ready to bind.
+type templateSet struct {
+	templates map[string]*compiledTemplate
+	problems  []Problem
+}
+
+func newTemplateSet(templates map[string]Template) *templateSet {
+	s := &templateSet{templates: make(map[string]*compiledTemplate, len(templates))}
+	for _, name := range slices.Sorted(maps.Keys(templates)) {
+		s.template(name, templates[name])
+	}
+	return s
+}
+
+func (s *templateSet) template(name string, t Template) {
 	path := "/templates/" + escape(name)
-	c.templates[name] = &compiledTemplate{Template: t}
-	before := len(c.problems)
+	s.templates[name] = &compiledTemplate{Template: t}
+	before := len(s.problems)
 	schema, err := compileSchema("templates/"+name, parameterSchema(t))
 	if err != nil {
-		add(&c.problems, path+"/parameters", err.Error(), "Correct the types of the parameters")
+		add(&s.problems, path+"/parameters", err.Error(), "Correct the types of the parameters")
 		return
 	}
-	c.defaults(path, t)
+	s.defaults(path, t)
 	for _, member := range slices.Sorted(maps.Keys(t.Body)) {
 		reference, ok := referenceOf(t.Body[member])
 		if _, declared := t.Parameters[reference]; ok && !declared {
-			add(&c.problems, path+"/body/"+escape(member), fmt.Sprintf("no parameter %q", reference), "Declare it under parameters or correct its name")
+			add(&s.problems, path+"/body/"+escape(member), fmt.Sprintf("no parameter %q", reference), "Declare it under parameters or correct its name")
 		}
 	}
-	if len(c.problems) == before {
-		c.templates[name].schema = schema
+	if len(s.problems) == before {
+		s.templates[name].schema = schema
 	}
 }
 
 // defaults checks each parameter's default against its own type.
-func (c *compiler) defaults(path string, t Template) {
+func (s *templateSet) defaults(path string, t Template) {
 	for _, name := range slices.Sorted(maps.Keys(t.Parameters)) {
 		p := t.Parameters[name]
 		at := path + "/parameters/" + escape(name)
 		if p.Minimum != nil && p.Maximum != nil && *p.Minimum > *p.Maximum {
-			add(&c.problems, at+"/minimum", "the minimum is above the maximum", "Swap or correct them")
+			add(&s.problems, at+"/minimum", "the minimum is above the maximum", "Swap or correct them")
 		}
 		if p.Default == nil {
 			continue
 		}
 		schema, err := compileSchema("default", p.schema())
 		if err != nil {
-			add(&c.problems, at, err.Error(), "Correct the type of the parameter")
+			add(&s.problems, at, err.Error(), "Correct the type of the parameter")
 			continue
 		}
-		c.problems = append(c.problems, validate(schema, p.Default, at+"/default")...)
+		s.problems = append(s.problems, validate(schema, p.Default, at+"/default")...)
 	}
 }
 
@@ -93,7 +107,7 @@
 		} else {
 			p.Path = "/templates/" + escape(name) + "/body" + p.Path
 		}
-		c.problems = append(c.problems, p)
+		c.part.problems = append(c.part.problems, p)
 	}
 }
 
