Keep each node at the newest accepted configuration

Cause: a configuration that the store accepted must reach every node in seconds, with few calls of the store, whatever the store does. Change: few nodes watch the head, the others fetch what they hear of from nodes that have it and ask the store last; commits of operators run on any node. Conclusion: the calls grow with the watchers, not with the nodes.

--- /dev/null
+++ b/node/configuration/applier_test.go
@@ -0,0 +1,334 @@
+package configuration
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"zinniafall/node/platform"
+	"zinniafall/policy/config"
+	"zinniafall/policy/model"
+	"zinniafall/policy/settings"
+	"zinniafall/standin/store"
+)
+
+const sample = `{
+  "templates": {
+    "town": {"kind": "account", "body": {"weight": 2}},
+    "zone": {"kind": "domain", "body": {"region": "new-england"}},
+    "booking": {"kind": "service", "body": {}}
+  },
+  "accounts": {"lenox": {"template": "town"}, "stow": {"template": "town"}},
+  "domains": {"ne-a": {"template": "zone"}, "ne-b": {"template": "zone"}},
+  "services": {"permits": {"template": "booking"}}
+}`
+
+// fleet is a store with some nodes that reach each other directly.
+type fleet struct {
+	t     *testing.T
+	ctx   context.Context
+	store *store.Store
+
+	mu      sync.Mutex
+	nodes   map[model.NodeAddr]*Applier
+	cutOff  map[model.NodeAddr]bool
+	applied map[model.NodeAddr][]model.Revision
+	polls   map[model.NodeAddr]Poll
+	group   sync.WaitGroup
+}
+
+// run gives a test a fleet in virtual time.
+func run(t *testing.T, test func(f *fleet)) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		f := &fleet{
+			t: t, ctx: ctx, store: store.New(),
+			nodes: make(map[model.NodeAddr]*Applier), cutOff: make(map[model.NodeAddr]bool),
+			applied: make(map[model.NodeAddr][]model.Revision), polls: make(map[model.NodeAddr]Poll),
+		}
+		test(f)
+		cancel()
+		f.group.Wait()
+		f.store.Close()
+	})
+}
+
+// node starts a node; one of the same address is a restart of it.
+func (f *fleet) node(addr model.NodeAddr) *Applier {
+	seed := uint64(len(f.nodes) + 1)
+	a := New(Options{
+		Store:   platform.New(platform.Options{URL: f.store.URL(), Transport: f.store.Transport(), Seed: seed}),
+		Peers:   f,
+		Seed:    seed,
+		OnApply: func(s *settings.Snapshot) { f.flood(addr, s.Revision) },
+		OnPoll: func(p Poll) {
+			f.mu.Lock()
+			defer f.mu.Unlock()
+			f.polls[addr] = p
+		},
+	})
+	f.mu.Lock()
+	f.nodes[addr] = a
+	f.applied[addr] = nil
+	f.mu.Unlock()
+	f.group.Go(func() { _ = a.Run(f.ctx) })
+	return a
+}
+
+// flood tells all other nodes of a revision, as their messages would.
+func (f *fleet) flood(from model.NodeAddr, revision model.Revision) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.applied[from] = append(f.applied[from], revision)
+	for addr, a := range f.nodes {
+		if addr != from && !f.cutOff[addr] && !f.cutOff[from] {
+			a.Hear(revision, from)
+		}
+	}
+}
+
+func (f *fleet) FetchConfiguration(_ context.Context, node model.NodeAddr, have model.Revision) ([]byte, error) {
+	f.mu.Lock()
+	a, gone := f.nodes[node], f.cutOff[node]
+	f.mu.Unlock()
+	if a == nil || gone {
+		return nil, fmt.Errorf("node %s is gone", node)
+	}
+	return a.Bundle(have)
+}
+
+// settle lets a time pass and checks that no node ever went back.
+func (f *fleet) settle(d time.Duration) {
+	time.Sleep(d)
+	synctest.Wait()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for addr, revisions := range f.applied {
+		for i := 1; i < len(revisions); i++ {
+			if revisions[i] <= revisions[i-1] {
+				f.t.Fatalf("%s applied %v", addr, revisions)
+			}
+		}
+	}
+}
+
+func (f *fleet) poll(addr model.NodeAddr) Poll {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.polls[addr]
+}
+
+// started has the sample in force on n nodes, the first of which watches.
+func (f *fleet) started(n int) []*Applier {
+	var nodes []*Applier
+	for i := range n {
+		nodes = append(nodes, f.node(model.NodeAddr(fmt.Sprint("node-", i))))
+	}
+	nodes[0].SetWatching(true)
+	doc, problems := config.Parse([]byte(sample))
+	qt.Assert(f.t, problems, qt.HasLen, 0)
+	f.commit(nodes[0], config.Change{ID: "first", Document: doc}, config.ResultAccepted)
+	f.settle(5 * time.Second)
+	return nodes
+}
+
+func (f *fleet) commit(a *Applier, change config.Change, want config.Result) config.Outcome {
+	f.t.Helper()
+	change.Time = time.Now()
+	ctx, cancel := context.WithTimeout(f.ctx, 20*time.Second)
+	defer cancel()
+	outcome := a.Commit(ctx, change, nil)
+	qt.Assert(f.t, outcome.Result, qt.Equals, want, qt.Commentf("%+v", outcome))
+	return outcome
+}
+
+func (f *fleet) revisions(nodes []*Applier) []model.Revision {
+	var all []model.Revision
+	for _, a := range nodes {
+		all = append(all, a.Current().Revision)
+	}
+	return all
+}
+
+func out(id string, base model.Revision, isOut bool) config.Change {
+	return config.Change{ID: id, Base: base, DomainsOut: map[model.Domain]bool{"ne-a": isOut}}
+}
+
+func TestSpread(t *testing.T) {
+	run(t, func(f *fleet) {
+		nodes := f.started(4)
+		qt.Assert(t, f.revisions(nodes), qt.DeepEquals, []model.Revision{1, 1, 1, 1})
+		f.commit(nodes[2], out("x", 1, true), config.ResultAccepted)
+		f.settle(time.Second)
+		qt.Assert(t, f.revisions(nodes), qt.DeepEquals, []model.Revision{2, 2, 2, 2})
+		qt.Assert(t, nodes[3].Current().Domains["ne-a"].Out, qt.IsTrue)
+		qt.Assert(t, f.poll("node-0").Confirmed, qt.Equals, model.Revision(2))
+		qt.Assert(t, nodes[1].History()[0].ChangeID, qt.Equals, "x")
+	})
+}
+
+func TestWatcherBringsWhatAnotherCommitted(t *testing.T) {
+	run(t, func(f *fleet) {
+		nodes := f.started(2)
+		f.cutOff["node-0"] = true // hears no other node, watches the store
+		f.commit(nodes[1], out("x", 1, true), config.ResultAccepted)
+		f.settle(time.Second)
+		qt.Assert(t, f.revisions(nodes), qt.DeepEquals, []model.Revision{2, 2})
+		nodes[0].SetWatching(false)
+		f.commit(nodes[1], out("y", 2, false), config.ResultAccepted)
+		f.settle(time.Minute)
+		qt.Assert(t, f.revisions(nodes), qt.DeepEquals, []model.Revision{2, 3})
+	})
+}
+
+func TestStoreDown(t *testing.T) {
+	run(t, func(f *fleet) {
+		nodes := f.started(2)
+		f.store.Down(true)
+		f.settle(time.Hour)
+		qt.Assert(t, f.poll("node-0").Reachable, qt.IsFalse)
+		qt.Assert(t, f.revisions(nodes), qt.DeepEquals, []model.Revision{1, 1})
+		f.commit(nodes[0], out("x", 1, true), config.ResultUnavailable)
+		// A new node joins meanwhile and hears of the revision from another.
+		joined := f.node("node-2")
+		joined.Hear(1, "node-1")
+		f.settle(time.Second)
+		qt.Assert(t, joined.Current().Revision, qt.Equals, model.Revision(1))
+		f.store.Down(false)
+		f.settle(10 * time.Second)
+		qt.Assert(t, f.poll("node-0").Reachable, qt.IsTrue)
+		qt.Assert(t, nodes[0].Current().Domains["ne-a"].Out, qt.IsFalse)
+		f.commit(nodes[0], out("x", 1, true), config.ResultAccepted)
+	})
+}
+
+func TestStoreDownAtStart(t *testing.T) {
+	run(t, func(f *fleet) {
+		f.started(1)
+		f.cutOff["node-0"] = true
+		f.store.Down(true)
+		alone := f.node("node-1")
+		f.settle(time.Minute)
+		qt.Assert(t, alone.Current().Revision, qt.Equals, model.Revision(0))
+		f.store.Down(false)
+		f.settle(10 * time.Second)
+		qt.Assert(t, alone.Current().Revision, qt.Equals, model.Revision(1))
+	})
+}
+
+func TestSlowStore(t *testing.T) {
+	run(t, func(f *fleet) {
+		nodes := f.started(2)
+		f.store.Slow(1500 * time.Millisecond)
+		f.commit(nodes[1], out("x", 1, true), config.ResultAccepted)
+		f.settle(5 * time.Second)
+		qt.Assert(t, f.revisions(nodes), qt.DeepEquals, []model.Revision{2, 2})
+		f.store.Slow(time.Minute)
+		outcome := f.commit(nodes[1], out("y", 2, false), config.ResultUnavailable)
+		qt.Assert(t, outcome.Revision <= 2, qt.IsTrue)
+	})
+}
+
+// Each of the first answers to a write is lost in turn.
+func TestLostAnswers(t *testing.T) {
+	for lost := 1; lost <= 4; lost++ {
+		t.Run(fmt.Sprint(lost), func(t *testing.T) {
+			run(t, func(f *fleet) {
+				nodes := f.started(2)
+				f.store.LoseAnswers(lost)
+				outcome := f.commit(nodes[1], out("x", 1, true), config.ResultAccepted)
+				qt.Assert(t, outcome.Revision, qt.Equals, model.Revision(2))
+				qt.Assert(t, outcome.Repeated, qt.IsFalse)
+				again := f.commit(nodes[0], out("x", 1, true), config.ResultAccepted)
+				qt.Assert(t, again.Repeated, qt.IsTrue)
+				f.settle(time.Second)
+				qt.Assert(t, f.revisions(nodes), qt.DeepEquals, []model.Revision{2, 2})
+			})
+		})
+	}
+}
+
+func TestRacingOperatorsAtTwoNodes(t *testing.T) {
+	run(t, func(f *fleet) {
+		nodes := f.started(2)
+		f.store.Slow(10 * time.Millisecond)
+		var outcomes [2]config.Outcome
+		var both sync.WaitGroup
+		for i, a := range nodes {
+			both.Go(func() { outcomes[i] = a.Commit(f.ctx, out(fmt.Sprint("race-", i), 1, i == 0), nil) })
+		}
+		both.Wait()
+		results := map[config.Result]int{outcomes[0].Result: 1}
+		results[outcomes[1].Result]++
+		// Node 1 brings ne-a in, which it is: that is no change, unless it was
+		// taken out first.
+		qt.Assert(t, results[config.ResultAccepted] <= 1, qt.IsTrue)
+		qt.Assert(t, results[config.ResultAccepted]+results[config.ResultConflict]+results[config.ResultUnchanged], qt.Equals, 2)
+		f.settle(time.Second)
+		qt.Assert(t, f.revisions(nodes), qt.DeepEquals, []model.Revision{2, 2})
+	})
+}
+
+// A store that answers from the past takes no node back, also not one that
+// was restarted and hears of the present.
+func TestStaleReads(t *testing.T) {
+	run(t, func(f *fleet) {
+		nodes := f.started(2)
+		f.store.StaleReads(true)
+		f.commit(nodes[0], out("x", 1, true), config.ResultAccepted)
+		f.settle(time.Second)
+		qt.Assert(t, f.revisions(nodes), qt.DeepEquals, []model.Revision{2, 2})
+		qt.Assert(t, f.poll("node-0").Reachable, qt.IsFalse)
+		f.commit(nodes[0], out("y", 2, false), config.ResultUnavailable)
+		restarted := f.node("node-1")
+		restarted.Hear(2, "node-0")
+		restarted.SetWatching(true)
+		f.settle(10 * time.Second)
+		qt.Assert(t, restarted.Current().Revision, qt.Equals, model.Revision(2))
+		f.store.StaleReads(false)
+		f.settle(10 * time.Second)
+		qt.Assert(t, f.poll("node-0").Confirmed, qt.Equals, model.Revision(2))
+	})
+}
+
+// The node that has the newest configuration is lost before it gives it on:
+// the others find it in the store.
+func TestSourceLost(t *testing.T) {
+	run(t, func(f *fleet) {
+		nodes := f.started(3)
+		nodes[0].SetWatching(false)
+		f.cutOff["node-2"] = true
+		f.commit(nodes[2], out("x", 1, true), config.ResultAccepted)
+		nodes[1].Hear(2, "node-2")
+		f.settle(10 * time.Second)
+		qt.Assert(t, nodes[1].Current().Revision, qt.Equals, model.Revision(2))
+	})
+}
+
+// The calls of the store depend on the watchers, not on the nodes.
+func TestStoreCallsPerSecond(t *testing.T) {
+	const measured = 100 // seconds
+	calls := func(nodes, watchers int) (rate float64) {
+		run(t, func(f *fleet) {
+			all := f.started(nodes)
+			for _, a := range all[:watchers] {
+				a.SetWatching(true)
+			}
+			f.settle(5 * time.Second)
+			before := f.store.Counts().Total()
+			f.settle(measured * time.Second)
+			rate = float64(f.store.Counts().Total()-before) / measured
+		})
+		return rate
+	}
+	few, many := calls(20, 2), calls(100, 2)
+	more := calls(20, 6)
+	t.Logf("calls a second: 20 nodes %.2f, 100 nodes %.2f, both with 2 watchers; 20 nodes with 6 watchers %.2f", few, many, more)
+	qt.Assert(t, many <= few*1.1, qt.IsTrue)
+	qt.Assert(t, more <= 6*1.1, qt.IsTrue)
+}
--- a/policy/config/follow.go
+++ b/policy/config/follow.go
@@ -205,7 +205,7 @@
 	if f.head.Revision == 0 {
 		return Current{}, nil
 	}
-	doc, err := assemble(f.head, func(part Part) []byte { return f.parts[part.Sum] })
+	doc, err := Assemble(f.head, f.parts)
 	if err != nil {
 		return Current{}, err
 	}
--- a/policy/config/incremental.go
+++ b/policy/config/incremental.go
@@ -53,9 +53,13 @@
 
 // templatesOf reads the template parts of a head.
 func templatesOf(head *Head, contents map[Sum][]byte) (*templateSet, error) {
-	doc, err := assemble(&Head{Revision: head.Revision, Parts: slices.DeleteFunc(slices.Clone(head.Parts), func(p Part) bool {
-		return p.Section != SectionTemplates
-	})}, func(p Part) []byte { return contents[p.Sum] })
+	templates := &Head{Revision: head.Revision}
+	for _, part := range head.Parts {
+		if part.Section == SectionTemplates {
+			templates.Parts = append(templates.Parts, part)
+		}
+	}
+	doc, err := Assemble(templates, contents)
 	if err != nil {
 		return nil, err
 	}
--- a/policy/config/parts.go
+++ b/policy/config/parts.go
@@ -120,6 +120,12 @@
 	return uint16(min(1<<bits.Len(wanted-1), maxBuckets))
 }
 
+// Assemble puts the document of a head together from the contents of its
+// parts. The error is an *IncompleteError.
+func Assemble(head *Head, contents map[Sum][]byte) (*Document, error) {
+	return assemble(head, func(p Part) []byte { return contents[p.Sum] })
+}
+
 // assemble puts the document of a head together. The function content returns
 // a part's bytes, or nil when they are missing.
 func assemble(head *Head, content func(Part) []byte) (*Document, error) {
