--- a/node/overlay/overlay.go
+++ b/node/overlay/overlay.go
@@ -61,6 +61,7 @@
 		s := d.v.Snapshot()
 		if s.Revision != d.snap.Load().Revision {
 			d.snap.Store(s)
+			d.opts.Transport.Keep(d.v.Neighbors())
 			d.opts.OnChange(s)
 		}
 	}
--- /dev/null
+++ b/node/server/controlchannel.go
@@ -0,0 +1,80 @@
+package server
+
+import (
+	"slices"
+	"sync"
+
+	"zinniafall/node/peer"
+	"zinniafall/policy/model"
+)
+
+// tag is the first byte of a control message and tells whom it is for.
+type tag byte
+
+const (
+	// tagOverlay marks a packet of the overlay.
+	tagOverlay tag = 0
+	// tagRevision marks the announcement of an applied configuration.
+	tagRevision tag = 1
+)
+
+// controlChannel carries control messages between neighbors.
+type controlChannel struct {
+	transport *peer.Transport
+
+	mu    sync.Mutex
+	nodes []model.NodeAddr
+}
+
+// Send queues a packet of the overlay.
+func (c *controlChannel) Send(to model.NodeAddr, payload []byte) bool {
+	return c.send(to, tagOverlay, payload)
+}
+
+func (c *controlChannel) send(to model.NodeAddr, t tag, payload []byte) bool {
+	message := make([]byte, 0, 1+len(payload))
+	message = append(message, byte(t))
+	return c.transport.Send(to, append(message, payload...))
+}
+
+// Keep notes the neighbors; a connection stays open while packets cross it.
+func (c *controlChannel) Keep(nodes []model.NodeAddr) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.nodes = slices.Clone(nodes)
+}
+
+func (c *controlChannel) neighbors() []model.NodeAddr {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.nodes
+}
+
+// announce tells the neighbors which configuration this node applies now.
+func (c *controlChannel) announce(revision model.Revision) {
+	for _, node := range c.neighbors() {
+		c.send(node, tagRevision, encodeRevision(revision))
+	}
+}
+
+// Control takes a control message of another node.
+func (s *Server) Control(from model.NodeAddr, payload []byte) {
+	if len(payload) == 0 {
+		malformedFloods.Inc()
+		return
+	}
+	body := payload[1:]
+	switch tag(payload[0]) {
+	case tagOverlay:
+		s.overlay.Deliver(from, body)
+	case tagRevision:
+		revision, ok := decodeRevision(body)
+		if !ok {
+			malformedFloods.Inc()
+			return
+		}
+		s.configuration.hear(revision, from)
+	default:
+		malformedFloods.Inc()
+	}
+}
--- a/node/server/fleet.go
+++ b/node/server/fleet.go
@@ -86,9 +86,9 @@
 	case membership.TopicQuarantine:
 		s.suspects.Heard(message.Payload)
 	case membership.TopicBeacon:
-		s.judge.beacon(message)
-	case membership.TopicConfiguration:
-		s.configuration.flooded(message)
+		if b, ok := s.judge.beacon(message); ok {
+			s.configuration.behind(b.Head)
+		}
 	default:
 		malformedFloods.Inc()
 	}
--- a/node/server/http.go
+++ b/node/server/http.go
@@ -107,10 +107,15 @@
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
 	mux.HandleFunc("GET /readyz", s.serveReady)
-	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) { metrics.WritePrometheus(w, true) })
+	mux.HandleFunc("GET /metrics", s.serveMetrics)
 	return mux
 }
 
+func (s *Server) serveMetrics(w http.ResponseWriter, _ *http.Request) {
+	metrics.WritePrometheus(w, true)
+	s.metrics.WritePrometheus(w)
+}
+
 // serveReady says whether callers should use this entry.
 func (s *Server) serveReady(w http.ResponseWriter, _ *http.Request) {
 	if reason := s.notReady(); reason != "" {
--- a/node/server/judge.go
+++ b/node/server/judge.go
@@ -41,16 +41,17 @@
 }
 
 // beacon takes in a watcher's beacon.
-func (j *judge) beacon(message membership.Delivered) {
+func (j *judge) beacon(message membership.Delivered) (freshness.Beacon, bool) {
 	var b freshness.Beacon
 	if err := cbor.Unmarshal(message.Payload, &b); err != nil {
 		malformedFloods.Inc()
-		return
+		return b, false
 	}
 	j.mu.Lock()
 	j.judge.Heard(time.Now(), b, message.Age)
 	j.mu.Unlock()
 	j.poke()
+	return b, true
 }
 
 // due returns the beacon to flood now, if this node is a watcher and one is
--- a/node/server/peers.go
+++ b/node/server/peers.go
@@ -50,19 +50,5 @@
 	}
 }
 
-// Control takes a control message of another node.
-func (s *Server) Control(from model.NodeAddr, payload []byte) { s.overlay.Deliver(from, payload) }
-
 // Unreachable is told of a node that could not be connected.
 func (s *Server) Unreachable(node model.NodeAddr) { s.overlay.Unreachable(node) }
-
-// controlTransport carries the overlay's packets.
-type controlTransport struct{ transport *peer.Transport }
-
-// Send queues a packet.
-func (c controlTransport) Send(to model.NodeAddr, payload []byte) bool {
-	return c.transport.Send(to, payload)
-}
-
-// Keep has nothing to do: a connection stays open while packets cross it.
-func (c controlTransport) Keep([]model.NodeAddr) {}
--- a/node/server/server.go
+++ b/node/server/server.go
@@ -13,6 +13,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/samber/oops"
 	"k8s.io/klog/v2"
 
@@ -49,8 +50,10 @@
 	tokens        *calltoken.Sealer
 	configuration *configurationDuty
 	judge         *judge
+	control       *controlChannel
 	target        *targetHolder
 
+	metrics   *metrics.Set
 	callers   *http.Server
 	targetAPI *http.Server
 	operators *http.Server
@@ -75,7 +78,7 @@
 // Start brings a node up. It returns once the node listens; it takes calls
 // when it has a configuration.
 func Start(settings *static.Settings) (*Server, error) {
-	s := &Server{settings: settings, placedFor: make(map[model.Service]struct{}), target: newTargetHolder()}
+	s := &Server{settings: settings, placedFor: make(map[model.Service]struct{}), target: newTargetHolder(), metrics: metrics.NewSet()}
 	if _, err := rand.Read(s.process[:]); err != nil {
 		return nil, oops.In("node").Wrap(err)
 	}
@@ -161,6 +164,7 @@
 		s.owner.Stop()
 		return err
 	}
+	s.control = &controlChannel{transport: s.transport}
 	s.entry = entry.New(s.entryOptions(keys))
 	return nil
 }
@@ -199,7 +203,7 @@
 			Process: s.process, Incarnation: s.incarnation,
 			Domain: s.settings.Node.FailureDomain, Region: s.settings.Node.Region,
 		},
-		Contacts: s.settings.Peers.Known, Transport: controlTransport{s.transport},
+		Contacts: s.settings.Peers.Known, Transport: s.control,
 		OnFlood: s.flooded, OnChange: s.membersChanged, OnPause: s.judge.poke,
 	})
 	s.configuration.start()
--- a/node/static/static.go
+++ b/node/static/static.go
@@ -65,8 +65,6 @@
 type Store struct {
 	// URL is "http://ip:port".
 	URL string `json:"url"`
-	// Prefix of all keys; default "zinniafall".
-	Prefix string `json:"prefix"`
 }
 
 // Fleet holds what all nodes share.
@@ -122,7 +120,6 @@
 
 // The defaults of optional settings.
 const (
-	defaultPrefix            = "zinniafall"
 	defaultHeaderBytes       = 32 << 10
 	defaultHeaderTimeoutMs   = 5000
 	defaultBodyBytes         = 10 << 20
@@ -136,7 +133,6 @@
 // withDefaults returns the settings used when the file leaves a field out.
 func withDefaults() *Settings {
 	return &Settings{
-		Store: Store{Prefix: defaultPrefix},
 		Limits: Limits{
 			HeaderBytes:       defaultHeaderBytes,
 			HeaderTimeoutMs:   defaultHeaderTimeoutMs,
--- a/policy/freshness/freshness.go
+++ b/policy/freshness/freshness.go
@@ -83,4 +83,12 @@
 func (j *Judge) NextChange(now time.Time) time.Time { return now.Add(100 * time.Millisecond) }
 
 // Watchers returns the nodes of a domain that watch the store.
-func Watchers(members []membership.Member, domain model.Domain, n int) []model.NodeAddr { return nil }
+func Watchers(members []membership.Member, domain model.Domain, n int) []model.NodeAddr {
+	var w []model.NodeAddr
+	for _, m := range members {
+		if m.Domain == domain && len(w) < n {
+			w = append(w, m.Node)
+		}
+	}
+	return w
+}
