Add the operators' interface and command line

Cause: operators change templates and parameters, and take failure domains out and back, through any node.

--- a/cmd/zinniafall/main.go
+++ b/cmd/zinniafall/main.go
@@ -1,4 +1,12 @@
 // Command zinniafall is the operators' command.
 package main
 
-func main() {}
+import (
+	"os"
+
+	"zinniafall/operator"
+)
+
+func main() {
+	os.Exit(operator.New(os.Stdout, os.Stderr).Run(os.Args[1:]))
+}
--- /dev/null
+++ b/node/operatorapi/server_test.go
@@ -0,0 +1,59 @@
+package operatorapi
+
+import (
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// Each call of the interface is refused without a token of an operator, and
+// the handlers, which have nothing to call here, are not reached.
+func TestEveryCallNeedsAToken(t *testing.T) {
+	token, hash := NewToken()
+	s := New(Options{Operators: []Operator{{Name: "ana", Token: hash}}})
+	empty := New(Options{})
+	for _, call := range []string{
+		"GET /v1/config", "GET /v1/config/domain", "GET /v1/config/domain/ne-a", "POST /v1/plan", "POST /v1/apply",
+		"GET /v1/history", "GET /v1/domains", "GET /v1/status", "GET /v1/quarantine", "DELETE /v1/quarantine/x", "GET /other",
+	} {
+		method, path, _ := strings.Cut(call, " ")
+		for _, header := range []string{"", "Bearer ", "Bearer wrong", "bearer " + token, "Basic " + token, token, "Bearer " + token + "x", "Bearer " + strings.Repeat("x", 1<<16)} {
+			for _, server := range []*Server{s, empty} {
+				r := httptest.NewRequest(method, path, nil)
+				r.Header.Set("Authorization", header)
+				w := httptest.NewRecorder()
+				server.ServeHTTP(w, r)
+				qt.Assert(t, w.Code, qt.Equals, http.StatusUnauthorized, qt.Commentf("%s with %.40q", call, header))
+			}
+		}
+	}
+	r := httptest.NewRequest(http.MethodGet, "/other", nil)
+	r.Header.Set("Authorization", "Bearer "+token)
+	w := httptest.NewRecorder()
+	s.ServeHTTP(w, r)
+	qt.Assert(t, w.Code, qt.Equals, http.StatusNotFound)
+	qt.Assert(t, s.refused.Get(), qt.Equals, uint64(88))
+}
+
+func FuzzChange(f *testing.F) {
+	token, hash := NewToken()
+	s := New(Options{Operators: []Operator{{Name: "ana", Token: hash}}, Node: cutOff{}})
+	f.Add(`{"change_id":"x","set":{}}`)
+	f.Fuzz(func(t *testing.T, body string) {
+		r := httptest.NewRequest(http.MethodPost, "/v1/apply", strings.NewReader(body))
+		r.Header.Set("Authorization", "Bearer "+token)
+		w := httptest.NewRecorder()
+		s.ServeHTTP(w, r)
+		if w.Code != http.StatusBadRequest && w.Code != http.StatusServiceUnavailable {
+			t.Fatalf("status %d", w.Code)
+		}
+	})
+}
+
+// cutOff is a node that commits nothing.
+type cutOff struct{ Node }
+
+func (cutOff) MayCommit() bool { return false }
--- a/node/platform/client_test.go
+++ b/node/platform/client_test.go
@@ -148,3 +148,31 @@
 		qt.Assert(t, c.End(ctx, next), qt.IsNil)
 	})
 }
+
+// Over real sockets, a kept connection included, the HTTP library does not
+// repeat a write whose answer was lost, and an outage cuts a waiting watch.
+func TestFaultsOverSockets(t *testing.T) {
+	s, err := store.Start("127.0.0.1:0")
+	qt.Assert(t, err, qt.IsNil)
+	defer s.Close()
+	c := New(Options{URL: s.URL()})
+	first, err := c.Create(t.Context(), "k", []byte("1"))
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, first, qt.IsTrue)
+	entry, err := c.Get(t.Context(), "k")
+	qt.Assert(t, err, qt.IsNil)
+	s.LoseAnswers(1)
+	_, err = c.CompareAndSwap(t.Context(), "k", []byte("2"), entry.Index)
+	qt.Assert(t, IsOutcomeUnknown(err), qt.IsTrue)
+	qt.Assert(t, s.Counts().Writes, qt.Equals, 2)
+	entry, err = c.Get(t.Context(), "k")
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, string(entry.Value), qt.Equals, "2")
+	go s.Down(true)
+	for err == nil {
+		_, err = c.Watch(t.Context(), "k", entry.Index)
+	}
+	qt.Assert(t, IsUnavailable(err), qt.IsTrue)
+	_, err = c.CompareAndSwap(t.Context(), "k", []byte("3"), entry.Index)
+	qt.Assert(t, IsOutcomeUnknown(err), qt.IsTrue)
+}
