Join the operators' interface and command line to the node

Cause: operators had no way to the node. Change: the node serves the operators' API; a change waits until a survey over the overlay has heard where it is in force; tokens carry the operator's name; the demo is a command beside the others and commits as an operator does.

--- /dev/null
+++ b/demo/command.go
@@ -0,0 +1,67 @@
+package demo
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/alecthomas/kingpin/v2"
+
+	"zinniafall/operator"
+	"zinniafall/policy/placement"
+)
+
+// errBroken ends a run in which a promise was broken.
+var errBroken = &operator.ExitError{Code: operator.ExitFailed, Message: "the run broke a promise; see the rows marked BROKEN"}
+
+// command is the demo as a part of the command line.
+type command struct {
+	deployment string
+	duration   time.Duration
+	policy     string
+	asJSON     bool
+	out, err   io.Writer
+}
+
+// AddCommand adds `demo` to the command line.
+func AddCommand(app *kingpin.Application, out, err io.Writer) {
+	c := &command{out: out, err: err}
+	clause := app.Command("demo", "Run a whole deployment in this process and check the promises.").Action(c.run)
+	clause.Flag("deployment", "The sizes to run at.").Default(string(NewEngland)).EnumVar(&c.deployment, string(NewEngland), string(Perth))
+	clause.Flag("duration", "The time for which calls are offered.").Default("10s").DurationVar(&c.duration)
+	clause.Flag("policy", "How entries choose targets.").Default(string(placement.Predicted)).EnumVar(&c.policy,
+		string(placement.Predicted), string(placement.Random), string(placement.RoundRobin),
+		string(placement.LeastReported), string(placement.PerConnection))
+	clause.Flag("json", "Print one JSON object.").BoolVar(&c.asJSON)
+}
+
+func (c *command) run(*kingpin.ParseContext) error {
+	if c.duration <= 0 {
+		return &operator.ExitError{Code: operator.ExitBadInput, Message: "--duration must be over 0; write 10s"}
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	result, err := Run(ctx, Options{
+		Deployment: Deployment(c.deployment), Duration: c.duration, Policy: c.policy, Progress: c.err,
+	})
+	if errors.Is(err, context.Canceled) {
+		return &operator.ExitError{Code: operator.ExitFailed, Message: "interrupted before the calls began"}
+	}
+	if err != nil {
+		return &operator.ExitError{Code: operator.ExitFailed, Message: err.Error()}
+	}
+	if c.asJSON {
+		err = json.NewEncoder(c.out).Encode(result)
+	} else {
+		result.WriteTable(c.out)
+	}
+	if err == nil && len(result.Broken) > 0 {
+		err = errBroken
+	}
+	return err
+}
--- a/demo/configure.go
+++ b/demo/configure.go
@@ -3,8 +3,12 @@
 import (
 	"context"
 	"encoding/hex"
+	"encoding/json"
 	"fmt"
 
+	"github.com/dghubble/sling"
+
+	"zinniafall/node/operatorapi"
 	"zinniafall/policy/config"
 	"zinniafall/policy/model"
 	"zinniafall/policy/settings"
@@ -46,12 +50,27 @@
 	return f.commit(ctx, config.Change{ID: id, DomainsOut: map[model.Domain]bool{model.Domain(domain): out}})
 }
 
+// commit sends the change to a node as an operator does and waits until it is
+// in force.
 func (f *fleet) commit(ctx context.Context, change config.Change) error {
 	node := f.nodes[0].node
 	change.Base = node.Revision()
-	outcome := node.Commit(ctx, change)
-	if outcome.Result != config.ResultAccepted {
-		return fmt.Errorf("the change was not accepted: %s %v", outcome.Result, outcome.Problems)
+	request, err := sling.New().Post("http://"+node.OperatorAddr()+"/v1/apply").
+		Set("Authorization", "Bearer "+f.token).BodyJSON(change).Request()
+	if err != nil {
+		return err
+	}
+	response, err := f.client.Do(request.WithContext(ctx))
+	if err != nil {
+		return err
+	}
+	defer func() { _ = response.Body.Close() }()
+	var applied operatorapi.Applied
+	if err := json.NewDecoder(response.Body).Decode(&applied); err != nil {
+		return err
+	}
+	if applied.Result != config.ResultAccepted {
+		return fmt.Errorf("the change was not accepted: %d %s %v", response.StatusCode, applied.Result, applied.Problems)
 	}
 	return nil
 }
--- a/demo/fleet.go
+++ b/demo/fleet.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"crypto/rand"
-	"crypto/sha256"
 	"encoding/base64"
 	"encoding/hex"
 	"fmt"
@@ -12,6 +11,7 @@
 	"sync"
 	"time"
 
+	"zinniafall/node/operatorapi"
 	"zinniafall/node/server"
 	"zinniafall/node/static"
 	"zinniafall/node/trust"
@@ -31,22 +31,17 @@
 
 // fleet is the whole deployment.
 type fleet struct {
-	plan    plan
-	policy  string
-	store   *store.Store
-	token   string
-	secret  string
-	nodes   []*member
-	client  *http.Client
-	started time.Time
-	renewal sync.WaitGroup
-}
-
-// operatorToken returns a fresh token.
-func operatorToken() string {
-	raw := make([]byte, 24)
-	_, _ = rand.Read(raw)
-	return base64.RawURLEncoding.EncodeToString(raw)
+	plan   plan
+	policy string
+	store  *store.Store
+	token  string
+	// tokenHash is the operator's token as the nodes' settings hold it.
+	tokenHash string
+	secret    string
+	nodes     []*member
+	client    *http.Client
+	started   time.Time
+	renewal   sync.WaitGroup
 }
 
 // accountKey is the key with which a demo account proves itself.
@@ -56,10 +51,12 @@
 	secret := make([]byte, trust.MinSecretBytes)
 	_, _ = rand.Read(secret)
 	f := &fleet{
-		plan: p, policy: policy, token: operatorToken(),
+		plan: p, policy: policy,
 		secret: base64.StdEncoding.EncodeToString(secret),
-		client: &http.Client{Timeout: 5 * time.Second}, started: time.Now(),
+		client: &http.Client{Timeout: readyTimeout}, started: time.Now(),
 	}
+	token, hash := operatorapi.NewToken()
+	f.token, f.tokenHash = token, hex.EncodeToString(hash[:])
 	var err error
 	if f.store, err = store.Start("127.0.0.1:0"); err != nil {
 		return nil, err
@@ -110,7 +107,6 @@
 	if err != nil {
 		return nil, err
 	}
-	sum := sha256.Sum256([]byte(f.token))
 	known := "[]"
 	if len(f.nodes) > 0 {
 		known = fmt.Sprintf("[%q]", f.nodes[0].node.Node())
@@ -119,12 +115,12 @@
 		"node": {"failure_domain": %q, "region": %q},
 		"callers": {"listen": "127.0.0.1:0"},
 		"peers": {"listen": %q, "known": %s},
-		"operators": {"listen": "127.0.0.1:0", "token_hashes": [%q]},
+		"operators": {"listen": "127.0.0.1:0", "tokens": [{"name": "demo", "hash": %q}]},
 		"target": {"listen": "127.0.0.1:0"},
 		"store": {"url": %q},
 		"fleet": {"secrets": [%q]},
 		"placement": {"policy": %q}
-	}`, domain, f.plan.region, peers, known, hex.EncodeToString(sum[:]), f.store.URL(), f.secret, f.policy)
+	}`, domain, f.plan.region, peers, known, f.tokenHash, f.store.URL(), f.secret, f.policy)
 	return static.Parse([]byte(text))
 }
 
--- a/node/overlay/overlay.go
+++ b/node/overlay/overlay.go
@@ -93,3 +93,40 @@
 func (d *Duty) Snapshot() *membership.Snapshot { return d.snap.Load() }
 func (d *Duty) CaughtUp() bool                 { return false }
 func (d *Duty) Stop()                          { close(d.stop); <-d.done }
+
+// SetRevision tells which configuration the node applies.
+func (d *Duty) SetRevision(revision model.Revision) {
+	d.do(func(n time.Time) []membership.Outgoing { return d.v.SetRevision(n, revision) })
+}
+
+// Survey asks all nodes to answer as soon as they apply the revision.
+func (d *Duty) Survey(revision model.Revision) uint64 {
+	reply := make(chan uint64, 1)
+	d.do(func(n time.Time) []membership.Outgoing {
+		id, out := d.v.Survey(n, revision)
+		reply <- id
+		return out
+	})
+	select {
+	case id := <-reply:
+		return id
+	case <-d.done:
+		return 0
+	}
+}
+
+// SurveyResult returns what a survey found so far.
+func (d *Duty) SurveyResult(number uint64) membership.SurveyResult {
+	reply := make(chan membership.SurveyResult, 1)
+	d.do(func(time.Time) []membership.Outgoing {
+		result, _ := d.v.SurveyResult(number)
+		reply <- result
+		return nil
+	})
+	select {
+	case result := <-reply:
+		return result
+	case <-d.done:
+		return membership.SurveyResult{}
+	}
+}
--- a/node/server/configuration.go
+++ b/node/server/configuration.go
@@ -185,6 +185,7 @@
 		domains = append(domains, domain)
 	}
 	s.judge.applied(time.Now(), snapshot.Revision, domains)
+	s.overlay.SetRevision(snapshot.Revision)
 	s.placeTargets(s.overlay.Snapshot())
 }
 
--- a/node/server/http.go
+++ b/node/server/http.go
@@ -108,6 +108,7 @@
 	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
 	mux.HandleFunc("GET /readyz", s.serveReady)
 	mux.HandleFunc("GET /metrics", s.serveMetrics)
+	mux.Handle("/v1/", s.operatorAPI())
 	return mux
 }
 
--- a/node/server/server.go
+++ b/node/server/server.go
@@ -65,6 +65,7 @@
 	cancel    context.CancelFunc
 	killed    sync.Once
 	duties    sync.WaitGroup
+	surveys   surveys
 	placed    sync.Mutex
 	placedFor map[model.Service]struct{}
 	members   map[model.NodeAddr]struct{}
--- a/node/static/static.go
+++ b/node/static/static.go
@@ -57,8 +57,16 @@
 type Operators struct {
 	// Listen is "ip:port".
 	Listen string `json:"listen"`
-	// TokenHashes are the hexadecimal SHA-256 hashes of the accepted tokens.
-	TokenHashes []string `json:"token_hashes"`
+	// Tokens are the accepted tokens.
+	Tokens []Token `json:"tokens"`
+}
+
+// Token lets one operator use the operators' API.
+type Token struct {
+	// Name is recorded as the author of changes.
+	Name string `json:"name"`
+	// Hash is the hexadecimal SHA-256 of the token.
+	Hash string `json:"hash"`
 }
 
 // Store names the platform's key-value service.
