--- a/node/server/configuration.go
+++ b/node/server/configuration.go
@@ -91,12 +91,11 @@
 
 // polled hands the outcome of a watcher's read to the judge of freshness.
 func (d *configurationDuty) polled(poll configuration.Poll) {
-	now := time.Now()
 	if poll.Reachable {
-		d.server.judge.confirmed(now, now.Sub(poll.Began), poll.Confirmed)
+		d.server.judge.confirmed(time.Since(poll.Began), poll.Confirmed)
 		return
 	}
-	d.server.judge.failed(now)
+	d.server.judge.failed()
 }
 
 // await waits until at least the revision is applied.
@@ -184,7 +183,7 @@
 	for domain := range snapshot.Domains {
 		domains = append(domains, domain)
 	}
-	s.judge.applied(time.Now(), snapshot.Revision, domains)
+	s.judge.applied(snapshot.Revision, domains)
 	s.overlay.SetRevision(snapshot.Revision)
 	s.placeTargets(s.overlay.Snapshot())
 }
--- a/node/server/control.go
+++ b/node/server/control.go
@@ -27,8 +27,8 @@
 		case <-s.judge.wake:
 		}
 		now := time.Now()
-		s.owner.SetFresh(s.judge.fresh(now))
-		if payload, ok := s.judge.due(now); ok {
+		s.owner.SetFresh(s.judge.fresh())
+		if payload, ok := s.judge.due(); ok {
 			s.overlay.Flood(membership.TopicBeacon, payload, true)
 		}
 		if now.Sub(expired) >= expirePause {
--- a/node/server/fixture_test.go
+++ b/node/server/fixture_test.go
@@ -38,6 +38,8 @@
 	*Server
 	url    string
 	target *httptest.Server
+	// socket is the node's own UDP address, behind its relay.
+	socket string
 }
 
 // testFleet is a few nodes that know each other.
@@ -46,6 +48,7 @@
 	secret   string
 	cells    []*cell
 	store    *store.Store
+	links    *links
 	document *config.Document
 	changes  int
 	// slots that targets announce.
@@ -58,7 +61,7 @@
 	qt.Assert(t, err, qt.IsNil)
 	t.Cleanup(platform.Close)
 	return &testFleet{
-		t: t, store: platform, secret: base64.StdEncoding.EncodeToString(bytes.Repeat([]byte{5}, 32)), slots: 4,
+		t: t, store: platform, links: newLinks(), secret: base64.StdEncoding.EncodeToString(bytes.Repeat([]byte{5}, 32)), slots: 4,
 		document: &config.Document{
 			Templates: map[string]config.Template{
 				"domain":  {Kind: config.KindDomain, Body: map[string]any{"region": "test"}},
@@ -78,7 +81,7 @@
 	settings := f.settings(domain)
 	node, err := Start(settings)
 	qt.Assert(f.t, err, qt.IsNil)
-	c := &cell{Server: node, url: "http://" + node.CallerAddr()}
+	c := &cell{Server: node, url: "http://" + node.CallerAddr(), socket: settings.Peers.Listen}
 	f.t.Cleanup(node.Kill)
 	f.cells = append(f.cells, c)
 	if handler != nil {
@@ -92,7 +95,8 @@
 func (f *testFleet) settings(domain string) *static.Settings {
 	conn, err := net.ListenPacket("udp", "127.0.0.1:0")
 	qt.Assert(f.t, err, qt.IsNil)
-	defer func() { _ = conn.Close() }()
+	_ = conn.Close()
+	relay := startRelay(f.t, f.links, conn.LocalAddr().String())
 	known := "[]"
 	if len(f.cells) > 0 {
 		known = fmt.Sprintf("[%q]", f.cells[0].Node())
@@ -100,12 +104,12 @@
 	parsed, err := static.Parse([]byte(fmt.Sprintf(`{
 		"node": {"failure_domain": %q, "region": "test"},
 		"callers": {"listen": "127.0.0.1:0"},
-		"peers": {"listen": %q, "known": %s},
+		"peers": {"listen": %q, "advertise": %q, "known": %s},
 		"operators": {"listen": "127.0.0.1:0", "tokens": [{"name": "kim", "hash": %q}]},
 		"target": {"listen": "127.0.0.1:0"},
 		"store": {"url": %q},
 		"fleet": {"secrets": [%q]}
-	}`, domain, conn.LocalAddr(), known, strings.Repeat("0", 64), f.store.URL(), f.secret)))
+	}`, domain, conn.LocalAddr(), relay.conn.LocalAddr(), known, strings.Repeat("0", 64), f.store.URL(), f.secret)))
 	qt.Assert(f.t, err, qt.IsNil)
 	return parsed
 }
@@ -198,7 +202,11 @@
 	if client == nil {
 		client = http.DefaultClient
 	}
-	response, err := client.Do(request)
+	return receive(client.Do(request))
+}
+
+// receive reads an answer to its end.
+func receive(response *http.Response, err error) got {
 	if err != nil {
 		return got{err: err}
 	}
--- a/node/server/hooks.go
+++ b/node/server/hooks.go
@@ -32,7 +32,7 @@
 // MayStart is asked right before a request leaves for the target. It looks at
 // the clock again, since the process may have been paused after the admission.
 func (s *Server) MayStart() *problem.Error {
-	if !s.judge.fresh(time.Now()) {
+	if !s.judge.fresh() {
 		return problem.New(problem.NotFresh, model.RunNo, "this node has lost contact with the others").After(catchUpRetry)
 	}
 	if s.domainOut() {
--- a/node/server/http.go
+++ b/node/server/http.go
@@ -134,7 +134,7 @@
 		return "the node has no configuration yet"
 	case s.domainOut():
 		return "the failure domain is out of service"
-	case !s.judge.fresh(time.Now()):
+	case !s.judge.fresh():
 		return "the node has lost contact with the others"
 	}
 	return ""
--- a/node/server/judge.go
+++ b/node/server/judge.go
@@ -18,10 +18,12 @@
 
 	mu    sync.Mutex
 	judge *freshness.Judge
+	// clock tells the time; tests age the evidence with it.
+	clock func() time.Time
 }
 
 func newJudge(opts freshness.Options) *judge {
-	return &judge{judge: freshness.New(opts), wake: make(chan struct{}, 1)}
+	return &judge{judge: freshness.New(opts), wake: make(chan struct{}, 1), clock: time.Now}
 }
 
 // poke makes the control duty look again.
@@ -33,10 +35,10 @@
 }
 
 // fresh reports whether this node may give its target new work.
-func (j *judge) fresh(now time.Time) bool {
+func (j *judge) fresh() bool {
 	j.mu.Lock()
 	defer j.mu.Unlock()
-	standing := j.judge.Standing(now)
+	standing := j.judge.Standing(j.clock())
 	return standing.Fresh || !standing.CutOff
 }
 
@@ -48,7 +50,7 @@
 		return b, false
 	}
 	j.mu.Lock()
-	j.judge.Heard(time.Now(), b, message.Age)
+	j.judge.Heard(j.clock(), b, message.Age)
 	j.mu.Unlock()
 	j.poke()
 	return b, true
@@ -56,9 +58,9 @@
 
 // due returns the beacon to flood now, if this node is a watcher and one is
 // due.
-func (j *judge) due(now time.Time) ([]byte, bool) {
+func (j *judge) due() ([]byte, bool) {
 	j.mu.Lock()
-	b, ok := j.judge.Beacon(now)
+	b, ok := j.judge.Beacon(j.clock())
 	j.mu.Unlock()
 	if !ok {
 		return nil, false
@@ -67,37 +69,30 @@
 	return payload, err == nil
 }
 
-func (j *judge) confirmed(now time.Time, age time.Duration, revision model.Revision) {
+func (j *judge) confirmed(age time.Duration, revision model.Revision) {
 	j.mu.Lock()
-	j.judge.Confirmed(now, age, revision)
+	j.judge.Confirmed(j.clock(), age, revision)
 	j.mu.Unlock()
 	j.poke()
 }
 
-func (j *judge) failed(now time.Time) {
+func (j *judge) failed() {
 	j.mu.Lock()
-	j.judge.Failed(now)
+	j.judge.Failed(j.clock())
 	j.mu.Unlock()
 	j.poke()
 }
 
-func (j *judge) applied(now time.Time, revision model.Revision, domains []model.Domain) {
+func (j *judge) applied(revision model.Revision, domains []model.Domain) {
 	j.mu.Lock()
-	j.judge.SetDomains(now, domains)
-	j.judge.Applied(now, revision)
+	j.judge.SetDomains(j.clock(), domains)
+	j.judge.Applied(j.clock(), revision)
 	j.mu.Unlock()
 	j.poke()
 }
 
-func (j *judge) mayCommit(now time.Time) bool {
+func (j *judge) mayCommit() bool {
 	j.mu.Lock()
 	defer j.mu.Unlock()
-	return j.judge.MayCommit(now)
-}
-
-// nextChange returns when the standing can change without an event.
-func (j *judge) nextChange(now time.Time) time.Time {
-	j.mu.Lock()
-	defer j.mu.Unlock()
-	return j.judge.NextChange(now)
+	return j.judge.MayCommit(j.clock())
 }
--- a/node/server/operators.go
+++ b/node/server/operators.go
@@ -3,7 +3,6 @@
 import (
 	"encoding/hex"
 	"net/http"
-	"time"
 
 	"zinniafall/node/operatorapi"
 	"zinniafall/policy/config"
@@ -51,7 +50,7 @@
 func (v operatorView) Placement() config.Placement { return v.server.placement() }
 
 // MayCommit is false while the node is cut off from half of the domains.
-func (v operatorView) MayCommit() bool { return v.server.judge.mayCommit(time.Now()) }
+func (v operatorView) MayCommit() bool { return v.server.judge.mayCommit() }
 
 // Quarantined lists the requests that are refused.
 func (v operatorView) Quarantined() []operatorapi.Quarantined {
