--- a/policy/freshness/freshness.go
+++ b/policy/freshness/freshness.go
@@ -1,36 +1,54 @@
 // Package freshness decides whether a node may admit new work.
+//
+// A node that was paused or cut off may not know that operators took its
+// failure domain out, and must then give its target nothing new. A node that
+// merely cannot reach the store must go on. Watchers, a few nodes in each
+// failure domain, ask the store for the head revision and flood beacons. A
+// node is fresh while it has evidence, at most Bound old, of either kind:
+//
+//   - a confirmation: the store was asked at that time and answered with a
+//     head revision that the node applies;
+//   - voices of watchers in more than half of the configured failure domains,
+//     each knowing no revision above the one that the node applies.
+//
+// A change counts as accepted only after watchers in more than half of the
+// failure domains have acknowledged it in their beacons (Acknowledged). Any
+// confirmation asked after the acceptance shows the change, and any majority
+// of voices made after it contains an acknowledged one, so Bound after the
+// acceptance no node that does not apply the change is fresh. This needs no
+// synchronized clocks: all times are the own monotonic clock, and the age of
+// a beacon is an upper bound that includes the pauses of its relays.
 package freshness
 
 import (
 	"time"
 
-	"zinniafall/policy/membership"
 	"zinniafall/policy/model"
 )
 
-// Beacon is what a watcher of the store floods.
-type Beacon struct {
-	// Domain of the watcher.
-	Domain model.Domain `cbor:"1,keyasint"`
-	// Watcher is the node that made the beacon.
-	Watcher model.NodeAddr `cbor:"2,keyasint"`
-	// Head is the highest revision that the watcher knows of.
-	Head model.Revision `cbor:"3,keyasint"`
-	// Confirmed is true when the store confirmed Head at most the bound ago.
-	Confirmed bool `cbor:"4,keyasint,omitempty"`
-	// Age is the time since the confirming request was sent to the store.
-	Age time.Duration `cbor:"5,keyasint,omitempty"`
-}
+const (
+	// defaultBound is the longest age of evidence.
+	defaultBound = 2500 * time.Millisecond
+	// commitWindows is the number of bounds within which MayCommit counts a
+	// domain as heard, because domains speak seldom while the store is up.
+	commitWindows = 3
+	// maxEvidence is the number of head revisions told apart in evidence of
+	// one kind.
+	maxEvidence = 4
+)
 
 // Standing is the judgment about the own node.
 type Standing struct {
 	// Fresh nodes admit new work.
 	Fresh bool
-	// CutOff is true when too few failure domains and no confirmation of the
-	// store were heard within the bound.
+	// CutOff is true when neither a confirmation nor voices of more than half
+	// of the failure domains, whatever their revision, came within the bound.
 	CutOff bool
 	// Behind is true when a higher revision is known than the one applied.
 	Behind bool
+	// Until is when Fresh ends unless new evidence comes; it lies in the past
+	// when the node is not fresh.
+	Until time.Time
 }
 
 // Options of a Judge; a zero value means the default.
@@ -42,45 +60,225 @@
 	Domains []model.Domain
 	// Bound is the longest age of evidence.
 	Bound time.Duration // default 2.5 s
+	// Seed of the random delays of beacons.
+	Seed uint64
+}
+
+// news is a revision above the applied one and when it was first heard of.
+type news struct {
+	head  model.Revision
+	since time.Time
+}
+
+// Judge keeps the evidence of one node.
+type Judge struct {
+	options Options
+	applied model.Revision
+	// head is the highest revision known.
+	head model.Revision
+	// ahead lists known revisions above applied, the lowest first.
+	ahead     []news
+	confirmed timeline
+	// told holds the confirmations that beacons told.
+	told    timeline
+	domains map[model.Domain]*domain
+	beacons schedule
+}
+
+// domain is what was heard from one configured failure domain.
+type domain struct {
+	voices timeline
+	// heads holds the highest revision that each of its watchers is known to
+	// know, and when the watcher was heard.
+	heads map[model.NodeAddr]watcherHead
 }
 
-// Judge keeps the evidence.
-type Judge struct{}
+type watcherHead struct {
+	head model.Revision
+	at   time.Time
+}
 
-// New returns a judge without evidence.
-func New(Options) *Judge { return &Judge{} }
+// New returns a judge without evidence: its node is not fresh.
+func New(options Options) *Judge {
+	if options.Bound == 0 {
+		options.Bound = defaultBound
+	}
+	j := &Judge{options: options, domains: make(map[model.Domain]*domain)}
+	j.beacons = newSchedule(options)
+	j.SetDomains(time.Time{}, options.Domains)
+	return j
+}
 
-// SetDomains replaces the configured failure domains.
-func (j *Judge) SetDomains(now time.Time, domains []model.Domain) {}
+// SetDomains replaces the configured failure domains. What was heard from
+// those that stay is kept.
+func (j *Judge) SetDomains(_ time.Time, names []model.Domain) {
+	kept := make(map[model.Domain]*domain, len(names))
+	for _, name := range names {
+		if d := j.domains[name]; d != nil {
+			kept[name] = d
+			continue
+		}
+		kept[name] = &domain{heads: make(map[model.NodeAddr]watcherHead)}
+	}
+	j.domains = kept
+}
 
 // Applied notes the revision that the node applies; it never falls.
-func (j *Judge) Applied(now time.Time, revision model.Revision) {}
+func (j *Judge) Applied(now time.Time, revision model.Revision) {
+	if revision <= j.applied {
+		return
+	}
+	j.applied = revision
+	j.learn(now, revision)
+	for len(j.ahead) > 0 && j.ahead[0].head <= revision {
+		j.ahead = j.ahead[1:]
+	}
+}
 
-// Confirmed notes that the store answered the node's own request, sent age
-// ago, with this head revision.
-func (j *Judge) Confirmed(now time.Time, age time.Duration, revision model.Revision) {}
+// learn notes that a revision exists.
+func (j *Judge) learn(now time.Time, revision model.Revision) {
+	if revision <= j.head {
+		return
+	}
+	j.head = revision
+	if revision <= j.applied {
+		return
+	}
+	if len(j.ahead) == maxEvidence {
+		j.ahead[maxEvidence-1].head = revision
+		return
+	}
+	j.ahead = append(j.ahead, news{head: revision, since: now})
+}
 
-// Failed notes that the node's own request to the store failed or timed out.
-func (j *Judge) Failed(now time.Time) {}
+// Confirmed notes that the store answered the node's own request with this
+// head revision; age is the time since the request was sent. It reports false
+// for an answer from the past, which is no evidence.
+func (j *Judge) Confirmed(now time.Time, age time.Duration, revision model.Revision) bool {
+	if revision < j.head {
+		return false
+	}
+	j.learn(now, revision)
+	e := evidence{head: revision, at: now.Add(-age)}
+	j.confirmed.add(e)
+	j.beacons.confirmed(e)
+	return true
+}
 
-// Heard takes a beacon in; age is the Delivered.Age of its flood.
-func (j *Judge) Heard(now time.Time, b Beacon, age time.Duration) {}
+// Heard takes a beacon in. Born is the Delivered.Born of its flood; a beacon
+// of unknown age still tells the revision that its watcher knows.
+func (j *Judge) Heard(now time.Time, b Beacon, born time.Time) {
+	j.learn(now, b.Head)
+	d := j.domains[b.Domain]
+	if d != nil {
+		d.note(now, b)
+	}
+	if born.IsZero() {
+		return
+	}
+	if d != nil {
+		d.voices.add(evidence{head: b.Head, at: born})
+	}
+	if b.Confirmed {
+		e := evidence{head: b.Head, at: born.Add(-b.Age)}
+		j.confirmed.add(e)
+		j.told.add(e)
+	}
+}
+
+// note keeps the highest revision of a watcher.
+func (d *domain) note(now time.Time, b Beacon) {
+	known, ok := d.heads[b.Watcher]
+	if !ok && len(d.heads) >= maxWatchers {
+		d.forgetOldest()
+	}
+	d.heads[b.Watcher] = watcherHead{head: max(known.head, b.Head), at: now}
+}
+
+func (d *domain) forgetOldest() {
+	var oldest model.NodeAddr
+	for node, w := range d.heads {
+		if oldest == "" || w.at.Before(d.heads[oldest].at) {
+			oldest = node
+		}
+	}
+	delete(d.heads, oldest)
+}
 
 // Standing judges the own node.
-func (j *Judge) Standing(now time.Time) Standing { return Standing{Fresh: true} }
+func (j *Judge) Standing(now time.Time) Standing {
+	until := j.freshUntil(j.applied)
+	if len(j.ahead) > 0 {
+		until = earlier(until, j.ahead[0].since.Add(j.options.Bound))
+	}
+	anything := j.freshUntil(j.head)
+	return Standing{
+		Fresh:  !passed(until, now),
+		CutOff: passed(anything, now),
+		Behind: j.head > j.applied,
+		Until:  until,
+	}
+}
 
-// MayCommit reports whether more than half of the failure domains are heard.
-func (j *Judge) MayCommit(now time.Time) bool { return true }
+// freshUntil returns when the evidence for a node that applies the revision
+// becomes too old.
+func (j *Judge) freshUntil(revision model.Revision) time.Time {
+	until := j.confirmed.latest(revision)
+	voices := make([]time.Time, 0, len(j.domains))
+	for _, d := range j.domains {
+		voices = append(voices, d.voices.latest(revision))
+	}
+	until = later(until, majorityTime(voices))
+	if until.IsZero() {
+		return until
+	}
+	return until.Add(j.options.Bound)
+}
 
-// Acknowledged reports whether watchers in more than half of the failure
-// domains know the revision.
-func (j *Judge) Acknowledged(revision model.Revision) bool { return true }
+// MayCommit reports whether more than half of the failure domains were heard
+// lately. Before that a change could not be acknowledged, so it is better not
+// written.
+func (j *Judge) MayCommit(now time.Time) bool {
+	voices := make([]time.Time, 0, len(j.domains))
+	for _, d := range j.domains {
+		voices = append(voices, d.voices.latest(j.head))
+	}
+	heard := majorityTime(voices)
+	return !heard.IsZero() && !passed(heard.Add(commitWindows*j.options.Bound), now)
+}
 
-// Beacon returns the beacon to flood now, if one is due at a watcher.
-func (j *Judge) Beacon(now time.Time) (Beacon, bool) { return Beacon{}, false }
+// Acknowledged reports whether watchers in more than half of the failure
+// domains know the revision. In a domain of several watchers all that were
+// heard lately must know it.
+func (j *Judge) Acknowledged(now time.Time, revision model.Revision) bool {
+	count := 0
+	for _, d := range j.domains {
+		if d.acknowledged(now, revision, commitWindows*j.options.Bound) {
+			count++
+		}
+	}
+	return 2*count > len(j.domains)
+}
 
-// NextChange returns when Standing or Beacon can change without an event.
-func (j *Judge) NextChange(now time.Time) time.Time { return now.Add(100 * time.Millisecond) }
+func (d *domain) acknowledged(now time.Time, revision model.Revision, window time.Duration) bool {
+	knows := false
+	for _, w := range d.heads {
+		if w.head >= revision {
+			knows = true
+			continue
+		}
+		if !passed(w.at.Add(window), now) {
+			return false
+		}
+	}
+	return knows
+}
 
-// Watchers returns the nodes of a domain that watch the store.
-func Watchers(members []membership.Member, domain model.Domain, n int) []model.NodeAddr { return nil }
+// NextChange returns when Standing changes unless an event comes before; zero
+// when only an event can change it.
+func (j *Judge) NextChange(now time.Time) time.Time {
+	if s := j.Standing(now); s.Fresh {
+		return s.Until
+	}
+	return time.Time{}
+}
--- /dev/null
+++ b/policy/freshness/freshness_test.go
@@ -0,0 +1,179 @@
+package freshness
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"zinniafall/policy/membership"
+	"zinniafall/policy/model"
+)
+
+var (
+	start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	four  = []model.Domain{"ne-a", "ne-b", "ne-c", "ne-d"}
+	three = []model.Domain{"perth-north", "perth-south", "perth-east"}
+	one   = []model.Domain{"only"}
+)
+
+func after(d time.Duration) time.Time { return start.Add(d) }
+
+// says is what the own node hears at the start from one domain.
+type says struct {
+	domain    model.Domain
+	head      model.Revision
+	confirmed bool
+	age       time.Duration
+	unknown   bool
+}
+
+func TestStanding(t *testing.T) {
+	voice := func(d model.Domain) says { return says{domain: d, head: 5} }
+	cases := []struct {
+		name    string
+		domains []model.Domain
+		heard   []says
+		at      time.Duration
+		want    Standing
+	}{
+		{"nothing heard", four, nil, 0, Standing{CutOff: true}},
+		{"store confirmed by one of four", four, []says{{"ne-c", 5, true, time.Second, false}}, time.Second, Standing{Fresh: true}},
+		{"confirmation too old", four, []says{{"ne-c", 5, true, time.Second, false}}, 1600 * time.Millisecond, Standing{CutOff: true}},
+		{"store down, three of four heard", four, []says{voice("ne-a"), voice("ne-b"), voice("ne-c")}, 2 * time.Second, Standing{Fresh: true}},
+		{"store down, half of four heard", four, []says{voice("ne-a"), voice("ne-b")}, 0, Standing{CutOff: true}},
+		{"one domain repeated", four, []says{voice("ne-a"), voice("ne-a"), voice("ne-a")}, 0, Standing{CutOff: true}},
+		{"store down, two of three heard", three, []says{voice("perth-north"), voice("perth-east")}, 0, Standing{Fresh: true}},
+		{"store down, one of three heard", three, []says{voice("perth-north")}, 0, Standing{CutOff: true}},
+		{"domains that are not configured", three, []says{voice("x"), voice("y"), voice("z")}, 0, Standing{CutOff: true}},
+		{"single domain", one, []says{voice("only")}, 0, Standing{Fresh: true}},
+		{"age unknown", one, []says{{"only", 5, true, 0, true}}, 0, Standing{CutOff: true}},
+		{"all ahead", one, []says{{"only", 6, true, 0, false}}, 0, Standing{Behind: true}},
+		{"one ahead within the bound", three, []says{voice("perth-north"), voice("perth-east"), {"perth-south", 6, true, 0, false}}, time.Second, Standing{Fresh: true, Behind: true}},
+		{"first start, config of a peer, store down", three, []says{{"perth-north", 3, false, 0, false}, voice("perth-south")}, 0, Standing{Fresh: true}},
+	}
+	for _, test := range cases {
+		t.Run(test.name, func(t *testing.T) {
+			j := New(Options{Domains: test.domains})
+			j.Applied(start, 5)
+			for _, s := range test.heard {
+				born := start
+				if s.unknown {
+					born = time.Time{}
+				}
+				j.Heard(start, Beacon{Domain: s.domain, Watcher: "w", Head: s.head, Confirmed: s.confirmed, Age: s.age}, born)
+			}
+			got := j.Standing(after(test.at))
+			got.Until = time.Time{}
+			qt.New(t).Assert(got, qt.Equals, test.want)
+		})
+	}
+}
+
+func TestKnownRevisionStopsAfterTheBound(t *testing.T) {
+	c := qt.New(t)
+	j := New(Options{Domains: three})
+	j.Applied(start, 5)
+	j.Heard(start, Beacon{Domain: three[0], Head: 6}, time.Time{})
+	hear := func(now time.Time) {
+		j.Heard(now, Beacon{Domain: three[1], Head: 5}, now)
+		j.Heard(now, Beacon{Domain: three[2], Head: 5}, now)
+	}
+	hear(after(2 * time.Second))
+	c.Assert(j.Standing(after(2*time.Second)).Fresh, qt.IsTrue)
+	hear(after(3 * time.Second))
+	c.Assert(j.Standing(after(3*time.Second)).Fresh, qt.IsFalse)
+	j.Applied(after(3*time.Second), 6)
+	c.Assert(j.Standing(after(3*time.Second)).Fresh, qt.IsTrue)
+}
+
+func TestStoreThatAnswersFromThePast(t *testing.T) {
+	c := qt.New(t)
+	j := New(Options{Domains: one})
+	j.Applied(start, 6)
+	c.Assert(j.Confirmed(start, 0, 5), qt.IsFalse)
+	c.Assert(j.Standing(start).Fresh, qt.IsFalse)
+	c.Assert(j.Confirmed(start, 0, 6), qt.IsTrue)
+	c.Assert(j.Standing(start).Fresh, qt.IsTrue)
+}
+
+func TestAcknowledged(t *testing.T) {
+	c := qt.New(t)
+	j := New(Options{Domains: three})
+	hear := func(d model.Domain, w model.NodeAddr, head model.Revision) {
+		j.Heard(start, Beacon{Domain: d, Watcher: w, Head: head}, start)
+	}
+	hear(three[0], "a", 6)
+	c.Assert(j.Acknowledged(start, 6), qt.IsFalse)
+	hear(three[1], "b", 5)
+	hear(three[1], "c", 6)
+	c.Assert(j.Acknowledged(start, 6), qt.IsFalse, qt.Commentf("b still speaks for its domain with 5"))
+	hear(three[1], "b", 6)
+	c.Assert(j.Acknowledged(start, 6), qt.IsTrue)
+	c.Assert(j.MayCommit(start), qt.IsTrue)
+	c.Assert(j.MayCommit(after(time.Minute)), qt.IsFalse)
+}
+
+// TestOutageLeavesNoGap runs watchers through the loss and the return of the
+// store and counts the beacons.
+func TestOutageLeavesNoGap(t *testing.T) {
+	for _, domains := range [][]model.Domain{one, three, four} {
+		t.Run(string(domains[0]), func(t *testing.T) {
+			c := qt.New(t)
+			const step = 20 * time.Millisecond
+			var judges []*Judge
+			for i, d := range domains {
+				for w := range 2 {
+					j := New(Options{Self: model.NodeAddr(string(d) + string(rune('0'+w))), Domain: d, Domains: domains, Seed: uint64(i)})
+					j.Applied(start, 7)
+					judges = append(judges, j)
+				}
+			}
+			beacons := map[bool]int{}
+			for at := time.Duration(0); at < 30*time.Second; at += step {
+				now := after(at)
+				down := at >= 10*time.Second && at < 20*time.Second
+				for i, j := range judges {
+					if !down && (at/step+time.Duration(7*i))%40 == 0 {
+						j.Confirmed(now, 10*time.Millisecond, 7)
+					}
+					if b, due := j.Beacon(now); due {
+						beacons[down]++
+						for _, other := range judges {
+							if other != j {
+								other.Heard(now, b, now)
+							}
+						}
+					}
+				}
+				for _, j := range judges {
+					if at > 2*time.Second {
+						c.Assert(j.Standing(now).Fresh, qt.IsTrue, qt.Commentf("after %v", at))
+						c.Assert(j.MayCommit(now), qt.IsTrue)
+					}
+				}
+			}
+			c.Logf("%d domains: %.1f beacons a second with the store up, %.1f with it down", len(domains), float64(beacons[false])/20, float64(beacons[true])/10)
+			c.Assert(beacons[true] <= 10*(2*len(domains)), qt.IsTrue)
+			c.Assert(beacons[false] <= 20*(2+len(domains)), qt.IsTrue)
+		})
+	}
+}
+
+func TestWatchers(t *testing.T) {
+	c := qt.New(t)
+	var members []membership.Member
+	for i := range 20 {
+		members = append(members, membership.Member{Node: model.NodeAddr(rune('a' + i)), Domain: four[i%2]})
+	}
+	chosen := Watchers(members, four[0], 3)
+	c.Assert(chosen, qt.HasLen, 3)
+	for i := range members {
+		if members[i].Node == chosen[0] {
+			members[i].Status = membership.Leaving
+		}
+	}
+	next := Watchers(members, four[0], 3)
+	c.Assert(next[:2], qt.DeepEquals, chosen[1:])
+	c.Assert(Watchers(members, "ne-d", 3), qt.HasLen, 0)
+}
