--- a/policy/membership/clock.go
+++ b/policy/membership/clock.go
@@ -8,9 +8,9 @@
 )
 
 const (
-	// UnknownAge is the Delivered.Age of a message that came over a link
-	// whose peer's clock was not measured yet.
-	UnknownAge = time.Duration(math.MaxInt64)
+	// unknownAge is the age of a packet that came over a link whose peer's
+	// clock was not measured yet.
+	unknownAge = time.Duration(math.MaxInt64)
 	// clockWindow is how long a measured clock bound is used before newer ones
 	// replace it, so that drift stays below a few milliseconds.
 	clockWindow = 10 * time.Second
@@ -53,7 +53,7 @@
 // age returns an upper bound of the time since the peer's clock read sent.
 func (c *peerClock) age(local, sent uint64) time.Duration {
 	if !c.hasCurrent {
-		return UnknownAge
+		return unknownAge
 	}
 	offset := c.current
 	if c.hasPrevious {
@@ -62,7 +62,7 @@
 	age := time.Duration(int64(local)-int64(sent)-offset) * time.Microsecond
 	if age < -clockSlack {
 		c.reset()
-		return UnknownAge
+		return unknownAge
 	}
 	return max(age, 0)
 }
--- a/policy/membership/flood.go
+++ b/policy/membership/flood.go
@@ -34,10 +34,10 @@
 	// Sequence numbers the floods of one incarnation from 1.
 	Sequence uint64
 	Topic    Topic
-	// Age is at least the time that passed between Flood and Receive. It
-	// holds whatever relays were paused; it is UnknownAge when a link on the
-	// way had not measured its peer's clock yet.
-	Age     time.Duration
+	// Born is the earliest time, by the own clock, at which the origin can
+	// have made the message. It holds whatever relays were paused; it is zero
+	// when a link on the way had not measured its peer's clock yet.
+	Born    time.Time
 	Payload []byte
 }
 
@@ -77,9 +77,9 @@
 // relay is a flood that waits to be passed on.
 type relay struct {
 	flood flood
-	// born is the earliest time at which the origin can have flooded it.
-	born    time.Time
-	unknown bool
+	// born is the earliest time at which the origin can have made it, zero
+	// when it is unknown.
+	born time.Time
 	// has lists the neighbors that sent it.
 	has []model.NodeAddr
 }
@@ -111,20 +111,26 @@
 // packets. Delivery is best effort: a node that is cut off misses the message.
 // The origin itself does not get it.
 func (v *View) Flood(now time.Time, topic Topic, payload []byte, urgent bool) []Outgoing {
+	return v.FloodBorn(now, now, topic, payload, urgent)
+}
+
+// FloodBorn is Flood for a message whose content was decided at an earlier
+// time, so that a pause between the two does not make it look newer.
+func (v *View) FloodBorn(now, born time.Time, topic Topic, payload []byte, urgent bool) []Outgoing {
 	v.begin(now)
 	v.pacer.refill(now)
-	v.flood(now, topic, payload, urgent)
+	v.flood(now, born, topic, payload, urgent)
 	return v.finish()
 }
 
-func (v *View) flood(now time.Time, topic Topic, payload []byte, urgent bool) {
+func (v *View) flood(now, born time.Time, topic Topic, payload []byte, urgent bool) {
 	if len(payload) > MaxFlood {
 		v.stats.DroppedFloods++
 		return
 	}
 	v.floods.sequence++
 	m := flood{Origin: v.self.Node, Incarnation: v.self.Incarnation, Sequence: v.floods.sequence, Topic: topic, Urgent: urgent, Payload: payload}
-	v.relay(now, &relay{flood: m, born: now})
+	v.relay(now, &relay{flood: m, born: born})
 }
 
 // TakeFloods returns the flooded messages that arrived since the last call,
@@ -148,9 +154,12 @@
 			}
 			continue
 		}
-		age := addAge(linkAge, m.Age)
-		v.deliver(now, from, m, age)
-		v.relay(now, &relay{flood: *m, born: now.Add(-known(age)), unknown: age == UnknownAge, has: []model.NodeAddr{from}})
+		r := &relay{flood: *m, has: []model.NodeAddr{from}}
+		if age := addAge(linkAge, m.Age); age != unknownAge {
+			r.born = now.Add(-age)
+		}
+		v.deliver(now, from, r)
+		v.relay(now, r)
 	}
 }
 
@@ -172,21 +181,15 @@
 
 // addAge adds the age that a flood had when it was sent to that of its packet.
 func addAge(link time.Duration, encoded uint64) time.Duration {
-	const longest = uint64(UnknownAge / time.Microsecond / 2)
-	if encoded == 0 || encoded > longest || link == UnknownAge {
-		return UnknownAge
+	const longest = uint64(unknownAge / time.Microsecond / 2)
+	if encoded == 0 || encoded > longest || link == unknownAge {
+		return unknownAge
 	}
 	return link + time.Duration(encoded-1)*time.Microsecond
 }
 
-func known(age time.Duration) time.Duration {
-	if age == UnknownAge {
-		return 0
-	}
-	return age
-}
-
-func (v *View) deliver(now time.Time, from model.NodeAddr, m *flood, age time.Duration) {
+func (v *View) deliver(now time.Time, from model.NodeAddr, r *relay) {
+	m := &r.flood
 	switch m.Topic {
 	case topicSurvey:
 		v.onSurvey(now, from, m)
@@ -200,7 +203,7 @@
 		v.stats.DroppedFloods++
 	}
 	v.floods.deliveries = append(v.floods.deliveries, Delivered{
-		Origin: m.Origin, Incarnation: m.Incarnation, Sequence: m.Sequence, Topic: m.Topic, Age: age, Payload: m.Payload,
+		Origin: m.Origin, Incarnation: m.Incarnation, Sequence: m.Sequence, Topic: m.Topic, Born: r.born, Payload: m.Payload,
 	})
 }
 
@@ -253,7 +256,7 @@
 func (r *relay) aged(now time.Time) flood {
 	m := r.flood
 	m.Age = 0
-	if !r.unknown {
+	if !r.born.IsZero() {
 		m.Age = uint64(max(now.Sub(r.born), 0)/time.Microsecond) + 1
 	}
 	return m
--- a/policy/membership/heal.go
+++ b/policy/membership/heal.go
@@ -37,7 +37,7 @@
 		return
 	}
 	v.startHeal(now)
-	v.flood(now, topicRefresh, nil, true)
+	v.flood(now, now, topicRefresh, nil, true)
 }
 
 func (v *View) startHeal(now time.Time) {
--- a/policy/membership/pace.go
+++ b/policy/membership/pace.go
@@ -3,7 +3,7 @@
 import "time"
 
 // burst is the time whose bytes may be sent at once.
-const burst = 2 * time.Second
+const burst = time.Second
 
 // pacer is a token bucket in bytes.
 type pacer struct {
--- a/policy/membership/receive.go
+++ b/policy/membership/receive.go
@@ -52,7 +52,7 @@
 func (v *View) heardFrom(now time.Time, from model.NodeAddr, p *packet) time.Duration {
 	l := v.link(now, from)
 	if l == nil {
-		return UnknownAge
+		return unknownAge
 	}
 	if l.incarnation != p.Incarnation {
 		l.incarnation = p.Incarnation
@@ -109,7 +109,8 @@
 	}
 }
 
-// reply answers a packet when it asked for something.
+// reply answers a packet when it asked for something. When too much was sent
+// already, only neighbors get an answer; the others ask again.
 func (v *View) reply(now time.Time, from model.NodeAddr, p *packet, reply *packet) {
 	if p.NeedRecord {
 		reply.Updates = append(reply.Updates, v.self)
@@ -118,6 +119,10 @@
 	if !p.Ask && !wanted {
 		return
 	}
-	v.echo(now, v.links[from], reply)
+	l := v.links[from]
+	if (l == nil || !l.neighbor) && !v.pacer.urgent() {
+		return
+	}
+	v.echo(now, l, reply)
 	v.send(now, from, reply)
 }
--- a/policy/membership/survey.go
+++ b/policy/membership/survey.go
@@ -99,7 +99,7 @@
 	question := make([]byte, 0, surveyQuestion)
 	question = binary.BigEndian.AppendUint64(question, s.id.number)
 	question = binary.BigEndian.AppendUint64(question, uint64(s.revision))
-	v.flood(now, topicSurvey, question, true)
+	v.flood(now, now, topicSurvey, question, true)
 }
 
 // SurveyResult returns what was heard so far; false when the survey is not
--- a/policy/membership/sync.go
+++ b/policy/membership/sync.go
@@ -196,7 +196,7 @@
 			}
 		}
 	}
-	if len(wants) > 0 {
+	if len(wants) > 0 && v.pacer.urgent() {
 		v.send(now, l.node, &packet{Wants: wants})
 	}
 }
