--- a/node/overlay/overlay.go
+++ b/node/overlay/overlay.go
@@ -1,59 +1,285 @@
-// Package overlay drives a node's membership view.
+// Package overlay runs a node's membership view: one goroutine owns the View,
+// takes packets and requests from bounded rings, ticks it every 100 ms and
+// hands what it decides to the transport.
+//
+// The ring of inbound packets drops its oldest when it is full, because
+// heartbeats and records come again. The ring of requests makes its caller
+// wait: requests are few and none may be lost.
 package overlay
 
 import (
+	"sync/atomic"
+	"time"
+
+	"k8s.io/klog/v2"
+
 	"zinniafall/policy/membership"
 	"zinniafall/policy/model"
 )
 
-// Transport carries packets to other nodes.
+const (
+	// tickInterval is the time between two ticks of the View.
+	tickInterval = 100 * time.Millisecond
+	// changeInterval is the least time between two calls of OnChange.
+	changeInterval = 200 * time.Millisecond
+	// packetRing is the number of inbound packets that may wait.
+	packetRing = 1024
+	// requestRing is the number of requests that may wait.
+	requestRing = 16
+)
+
+// Transport carries packets to other nodes. Its methods are called from the
+// duty's goroutine.
 type Transport interface {
 	// Send queues a packet without blocking; false says that it was dropped.
 	Send(to model.NodeAddr, payload []byte) bool
-	// Keep names the nodes to hold long-lived connections with.
+	// Keep names the nodes to hold long-lived connections with, each time
+	// they change.
 	Keep(nodes []model.NodeAddr)
 }
 
-// Options of a Duty; a zero value means the default.
+// Options of a Duty. The functions may be nil; they are called from the
+// duty's goroutine, must not block and must not call the Duty's methods other
+// than Snapshot and Standing.
 type Options struct {
-	Self      membership.Member
-	Contacts  []model.NodeAddr
+	// Self is the node's own record.
+	Self membership.Member
+	// Contacts are the nodes to join through; none makes this node the first.
+	Contacts []model.NodeAddr
+	// Transport carries the packets.
 	Transport Transport
-	// OnFlood is called from the duty's goroutine for each flooded message.
+	// OnFlood takes each flooded message, exactly once.
 	OnFlood func(membership.Delivered)
-	// OnChange is called from the duty's goroutine after each change.
+	// OnChange takes a new picture of the fleet, at most five times a second.
 	OnChange func(*membership.Snapshot)
-	// OnPause is called when the process finds that it was paused.
-	OnPause func()
-	View    membership.Options
+	// OnPause is told that the process was paused and for how long. What it
+	// knew before is to be doubted until Standing().CaughtUp.
+	OnPause func(time.Duration)
+	// OnSuperseded is told once that a later process has this node's address.
+	// The node must stop.
+	OnSuperseded func()
+	// View holds the settings of the View.
+	View membership.Options
+}
+
+// Standing is the node's own place in the fleet.
+type Standing struct {
+	// Joined and CaughtUp are those of the View.
+	Joined   bool
+	CaughtUp bool
+	// Superseded is true once a later process has the node's address.
+	Superseded bool
+	// Self is the own record with its present incarnation.
+	Self membership.Member
+}
+
+// packet is an inbound packet, or with no payload the news that a node could
+// not be reached.
+type packet struct {
+	from    model.NodeAddr
+	payload []byte
+}
+
+// request is a call that the duty's goroutine makes on the View.
+type request struct {
+	run  func(now time.Time) []membership.Outgoing
+	done chan struct{}
 }
 
 // Duty owns a membership view.
-type Duty struct{}
+type Duty struct {
+	options  Options
+	view     *membership.View
+	packets  chan packet
+	requests chan request
+	stop     chan struct{}
+	stopped  chan struct{}
+	stopping atomic.Bool
+	snapshot atomic.Pointer[membership.Snapshot]
+	standing atomic.Pointer[Standing]
+	kept     []model.NodeAddr
+	changed  time.Time
+}
 
 // Start joins the fleet and runs until Stop.
-func Start(Options) *Duty { return &Duty{} }
+func Start(options Options) *Duty {
+	d := &Duty{
+		options:  options,
+		view:     membership.New(options.Self, options.View),
+		packets:  make(chan packet, packetRing),
+		requests: make(chan request, requestRing),
+		stop:     make(chan struct{}),
+		stopped:  make(chan struct{}),
+	}
+	d.snapshot.Store(d.view.Snapshot())
+	d.standing.Store(&Standing{Self: options.Self})
+	go d.run()
+	return d
+}
 
-// Deliver hands an inbound packet in.
-func (d *Duty) Deliver(from model.NodeAddr, payload []byte) {}
+// Deliver hands an inbound packet in and keeps the payload. When the ring is
+// full the oldest packet is dropped.
+func (d *Duty) Deliver(from model.NodeAddr, payload []byte) {
+	d.push(packet{from: from, payload: payload})
+}
 
 // Unreachable notes that the transport could not reach a node.
-func (d *Duty) Unreachable(node model.NodeAddr) {}
+func (d *Duty) Unreachable(node model.NodeAddr) { d.push(packet{from: node}) }
+
+func (d *Duty) push(p packet) {
+	for {
+		select {
+		case d.packets <- p:
+			return
+		default:
+		}
+		select {
+		case <-d.packets:
+			packetsDropped.Inc()
+		default:
+		}
+	}
+}
+
+// Flood sends a message of at most membership.MaxFlood bytes to every other
+// node. Born is when its content was decided.
+func (d *Duty) Flood(born time.Time, topic membership.Topic, payload []byte, urgent bool) {
+	d.request(func(now time.Time) []membership.Outgoing {
+		return d.view.FloodBorn(now, born, topic, payload, urgent)
+	})
+}
+
+// UpdateSelf changes the node's own record and returns when it is sent.
+func (d *Duty) UpdateSelf(change func(*membership.Member)) {
+	d.request(func(now time.Time) []membership.Outgoing { return d.view.UpdateSelf(now, change) })
+}
+
+// SetRevision tells which configuration the node applies, for surveys.
+func (d *Duty) SetRevision(revision model.Revision) {
+	d.request(func(now time.Time) []membership.Outgoing { return d.view.SetRevision(now, revision) })
+}
+
+// Survey asks all nodes to answer as soon as they apply the revision.
+func (d *Duty) Survey(revision model.Revision) uint64 {
+	var id uint64
+	d.request(func(now time.Time) []membership.Outgoing {
+		var out []membership.Outgoing
+		id, out = d.view.Survey(now, revision)
+		return out
+	})
+	return id
+}
+
+// SurveyResult returns what a survey found so far; false when it is unknown
+// or has expired.
+func (d *Duty) SurveyResult(id uint64) (membership.SurveyResult, bool) {
+	var result membership.SurveyResult
+	var ok bool
+	d.request(func(time.Time) []membership.Outgoing {
+		result, ok = d.view.SurveyResult(id)
+		return nil
+	})
+	return result, ok
+}
+
+// Leave marks the node as leaving: it gets nothing new and stays in the
+// overlay until Stop.
+func (d *Duty) Leave() {
+	d.request(d.view.Leave)
+}
 
-// Flood sends a message to every node.
-func (d *Duty) Flood(topic membership.Topic, payload []byte, urgent bool) {}
+// Snapshot returns the latest picture of the fleet.
+func (d *Duty) Snapshot() *membership.Snapshot { return d.snapshot.Load() }
 
-// UpdateSelf changes the node's own record.
-func (d *Duty) UpdateSelf(change func(*membership.Member)) {}
+// Standing returns the node's own place in the fleet.
+func (d *Duty) Standing() Standing { return *d.standing.Load() }
 
-// Leave marks the node as leaving.
-func (d *Duty) Leave() {}
+// CaughtUp reports whether, since the start or the last pause, another node
+// has compared its view with this one.
+func (d *Duty) CaughtUp() bool { return d.Standing().CaughtUp }
 
-// Snapshot returns the latest picture.
-func (d *Duty) Snapshot() *membership.Snapshot { return nil }
+// Stop announces the departure and ends the goroutine. The transport must
+// still carry the last packets. A second call waits for the first.
+func (d *Duty) Stop() {
+	if d.stopping.CompareAndSwap(false, true) {
+		close(d.stop)
+	}
+	<-d.stopped
+}
 
-// CaughtUp reports whether the view was compared with a neighbour's.
-func (d *Duty) CaughtUp() bool { return false }
+// request runs a call on the duty's goroutine and waits for it; after Stop it
+// does nothing.
+func (d *Duty) request(run func(now time.Time) []membership.Outgoing) {
+	r := request{run: run, done: make(chan struct{})}
+	select {
+	case d.requests <- r:
+	case <-d.stopped:
+		return
+	}
+	select {
+	case <-r.done:
+	case <-d.stopped:
+	}
+}
 
-// Stop announces the departure and ends the goroutine.
-func (d *Duty) Stop() {}
+func (d *Duty) run() {
+	defer close(d.stopped)
+	ticker := time.NewTicker(tickInterval)
+	defer ticker.Stop()
+	klog.Infof("overlay: %s joins through %d contacts", d.options.Self.Node, len(d.options.Contacts))
+	d.act(d.view.Join(time.Now(), d.options.Contacts))
+	for {
+		select {
+		case <-d.stop:
+			d.send(d.view.Depart(time.Now()))
+			klog.Infof("overlay: %s has left", d.options.Self.Node)
+			return
+		case p := <-d.packets:
+			d.receive(p)
+		case r := <-d.requests:
+			d.act(r.run(time.Now()))
+			close(r.done)
+		case <-ticker.C:
+			d.act(d.view.Tick(time.Now()))
+			d.publish()
+		}
+	}
+}
+
+func (d *Duty) receive(p packet) {
+	if p.payload == nil {
+		d.act(d.view.Unreachable(time.Now(), p.from))
+		return
+	}
+	packetsIn.Inc()
+	bytesIn.Add(len(p.payload))
+	out, err := d.view.Receive(time.Now(), p.from, p.payload)
+	if err != nil {
+		packetsRefused.Inc()
+		klog.V(1).Infof("overlay: refused a packet from %s: %v", p.from, err)
+		return
+	}
+	d.act(out)
+}
+
+// act sends packets and hands flooded messages out.
+func (d *Duty) act(out []membership.Outgoing) {
+	d.send(out)
+	for _, flood := range d.view.TakeFloods() {
+		floodsIn.Inc()
+		if d.options.OnFlood != nil {
+			d.options.OnFlood(flood)
+		}
+	}
+}
+
+func (d *Duty) send(out []membership.Outgoing) {
+	for _, p := range out {
+		if !d.options.Transport.Send(p.To, p.Payload) {
+			sendsDropped.Inc()
+			continue
+		}
+		packetsOut.Inc()
+		bytesOut.Add(len(p.Payload))
+	}
+}
--- /dev/null
+++ b/node/overlay/overlay_test.go
@@ -0,0 +1,183 @@
+package overlay
+
+import (
+	"fmt"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"go.uber.org/goleak"
+
+	"zinniafall/policy/membership"
+	"zinniafall/policy/model"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// hub carries packets between duties at once.
+type hub struct {
+	mu     sync.Mutex
+	duties map[model.NodeAddr]*Duty
+}
+
+func (h *hub) put(node model.NodeAddr, d *Duty) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.duties[node] = d
+}
+
+// port is one duty's transport.
+type port struct {
+	hub  *hub
+	self model.NodeAddr
+	kept atomic.Int64
+}
+
+func (p *port) Send(to model.NodeAddr, payload []byte) bool {
+	p.hub.mu.Lock()
+	defer p.hub.mu.Unlock()
+	d := p.hub.duties[to]
+	if d == nil {
+		return false
+	}
+	d.Deliver(p.self, payload)
+	return true
+}
+
+func (p *port) Keep(nodes []model.NodeAddr) { p.kept.Store(int64(len(nodes))) }
+
+func address(i int) model.NodeAddr { return model.NodeAddr(fmt.Sprintf("127.0.0.1:%d", 7000+i)) }
+
+func self(i int) membership.Member {
+	m := membership.Member{Node: address(i), Incarnation: 1, Domain: "ne-a", Service: "permits"}
+	m.Process[0] = byte(i)
+	return m
+}
+
+func (h *hub) start(t *testing.T, i int, change func(*Options)) (*Duty, *port) {
+	p := &port{hub: h, self: address(i)}
+	options := Options{Self: self(i), Contacts: []model.NodeAddr{address(0)}, Transport: p}
+	if change != nil {
+		change(&options)
+	}
+	d := Start(options)
+	h.put(address(i), d)
+	t.Cleanup(d.Stop)
+	return d, p
+}
+
+func newHub() *hub { return &hub{duties: make(map[model.NodeAddr]*Duty)} }
+
+func TestDutiesShareAView(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		h := newHub()
+		var flooded [5]atomic.Int64
+		var changes atomic.Int64
+		var duties []*Duty
+		var ports []*port
+		for i := range 5 {
+			d, p := h.start(t, i, func(o *Options) {
+				o.OnFlood = func(membership.Delivered) { flooded[i].Add(1) }
+				o.OnChange = func(*membership.Snapshot) { changes.Add(1) }
+			})
+			duties, ports = append(duties, d), append(ports, p)
+		}
+		time.Sleep(10 * time.Second)
+		for i, d := range duties {
+			c.Assert(d.Snapshot().Members, qt.HasLen, 5)
+			c.Assert(d.CaughtUp() && d.Standing().Joined, qt.IsTrue)
+			kept := ports[i].kept.Load()
+			c.Assert(kept >= 2 && kept <= 4, qt.IsTrue)
+		}
+		duties[1].Flood(time.Now(), membership.TopicConfiguration, []byte("revision"), true)
+		duties[1].UpdateSelf(func(m *membership.Member) { m.Slots = 12 })
+		duties[2].SetRevision(4)
+		survey := duties[0].Survey(4)
+		time.Sleep(2 * time.Second)
+		for i := range duties {
+			want := int64(1)
+			if i == 1 {
+				want = 0
+			}
+			c.Assert(flooded[i].Load(), qt.Equals, want)
+		}
+		c.Assert(duties[4].Snapshot().ByService["permits"][1].Slots, qt.Equals, uint16(12))
+		result, ok := duties[0].SurveyResult(survey)
+		c.Assert(ok, qt.IsTrue)
+		c.Assert(result.InForce, qt.DeepEquals, []model.NodeAddr{address(2)})
+		duties[3].Leave()
+		time.Sleep(time.Second)
+		c.Assert(duties[0].Snapshot().ByService["permits"], qt.HasLen, 4)
+		duties[3].Stop()
+		time.Sleep(time.Second)
+		c.Assert(duties[0].Snapshot().Members, qt.HasLen, 4)
+		c.Assert(changes.Load() > 0, qt.IsTrue)
+		duties[3].Leave()
+	})
+}
+
+// TestBlockedDutyReportsAPause blocks the goroutine in a callback, as a pause
+// of the process would.
+func TestBlockedDutyReportsAPause(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		h := newHub()
+		var pause atomic.Int64
+		a, _ := h.start(t, 0, func(o *Options) { o.Contacts = nil })
+		b, _ := h.start(t, 1, func(o *Options) {
+			o.OnFlood = func(membership.Delivered) { time.Sleep(2 * time.Second) }
+			o.OnPause = func(d time.Duration) { pause.Store(int64(d)) }
+		})
+		time.Sleep(5 * time.Second)
+		a.Flood(time.Now(), membership.TopicBeacon, nil, true)
+		time.Sleep(3 * time.Second)
+		c.Assert(time.Duration(pause.Load()) >= 2*time.Second, qt.IsTrue)
+		c.Assert(b.CaughtUp(), qt.IsTrue)
+	})
+}
+
+func TestFullRingDropsTheOldest(t *testing.T) {
+	c := qt.New(t)
+	before := packetsDropped.Get()
+	d := &Duty{packets: make(chan packet, 2)}
+	for i := range 5 {
+		d.Deliver(address(i), []byte{1})
+	}
+	c.Assert(packetsDropped.Get()-before, qt.Equals, uint64(3))
+	c.Assert((<-d.packets).from, qt.Equals, address(3))
+	c.Assert((<-d.packets).from, qt.Equals, address(4))
+}
+
+func TestRandomBytesAreRefusedAndCounted(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		before := packetsRefused.Get()
+		d, _ := newHub().start(t, 0, nil)
+		d.Deliver(address(1), []byte("GET / HTTP/1.1"))
+		d.Deliver(address(1), make([]byte, membership.MaxPacket+1))
+		d.Unreachable(address(2))
+		time.Sleep(time.Second)
+		c.Assert(packetsRefused.Get()-before, qt.Equals, uint64(2))
+	})
+}
+
+func TestReplacedProcessIsTold(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		h := newHub()
+		a, _ := h.start(t, 0, func(o *Options) { o.Contacts = nil })
+		var told atomic.Int64
+		old, _ := h.start(t, 1, func(o *Options) { o.OnSuperseded = func() { told.Add(1) } })
+		time.Sleep(5 * time.Second)
+		h.start(t, 1, func(o *Options) { o.Self.Incarnation, o.Self.Process[1] = 2, 9 })
+		time.Sleep(5 * time.Second)
+		h.put(address(1), old)
+		time.Sleep(5 * time.Second)
+		c.Assert(told.Load(), qt.Equals, int64(1))
+		c.Assert(a.Snapshot().Members[1].Incarnation, qt.Equals, model.Incarnation(2))
+	})
+}
