--- a/node/overlay/counters.go
+++ b/node/overlay/counters.go
@@ -11,6 +11,7 @@
 	packetsDropped = metrics.NewCounter("zinniafall_overlay_packets_dropped_total")
 	packetsRefused = metrics.NewCounter("zinniafall_overlay_packets_refused_total")
 	sendsDropped   = metrics.NewCounter("zinniafall_overlay_sends_dropped_total")
+	floodsDropped  = metrics.NewCounter("zinniafall_overlay_floods_dropped_total")
 	floodsIn       = metrics.NewCounter("zinniafall_overlay_floods_delivered_total")
 	pauses         = metrics.NewCounter("zinniafall_overlay_pauses_total")
 )
--- a/node/overlay/overlay.go
+++ b/node/overlay/overlay.go
@@ -3,8 +3,8 @@
 // hands what it decides to the transport.
 //
 // The ring of inbound packets drops its oldest when it is full, because
-// heartbeats and records come again. The ring of requests makes its caller
-// wait: requests are few and none may be lost.
+// heartbeats and records come again. The ring of requests drops floods when it
+// is full, which are best effort, and makes the callers of all else wait.
 package overlay
 
 import (
@@ -25,7 +25,7 @@
 	// packetRing is the number of inbound packets that may wait.
 	packetRing = 1024
 	// requestRing is the number of requests that may wait.
-	requestRing = 16
+	requestRing = 256
 )
 
 // Transport carries packets to other nodes. Its methods are called from the
@@ -39,8 +39,8 @@
 }
 
 // Options of a Duty. The functions may be nil; they are called from the
-// duty's goroutine, must not block and must not call the Duty's methods other
-// than Snapshot and Standing.
+// duty's goroutine and must not block. Of the Duty's methods they may call
+// Snapshot, Standing, SetRevision, Flood and FloodBorn, which do not wait.
 type Options struct {
 	// Self is the node's own record.
 	Self membership.Member
@@ -52,9 +52,9 @@
 	OnFlood func(membership.Delivered)
 	// OnChange takes a new picture of the fleet, at most five times a second.
 	OnChange func(*membership.Snapshot)
-	// OnPause is told that the process was paused and for how long. What it
-	// knew before is to be doubted until Standing().CaughtUp.
-	OnPause func(time.Duration)
+	// OnPause is told that the process was paused. What it knew before is to
+	// be doubted until Standing().CaughtUp.
+	OnPause func()
 	// OnSuperseded is told once that a later process has this node's address.
 	// The node must stop.
 	OnSuperseded func()
@@ -95,6 +95,7 @@
 	stop     chan struct{}
 	stopped  chan struct{}
 	stopping atomic.Bool
+	revision atomic.Uint64
 	snapshot atomic.Pointer[membership.Snapshot]
 	standing atomic.Pointer[Standing]
 	kept     []model.NodeAddr
@@ -141,12 +142,24 @@
 	}
 }
 
-// Flood sends a message of at most membership.MaxFlood bytes to every other
-// node. Born is when its content was decided.
-func (d *Duty) Flood(born time.Time, topic membership.Topic, payload []byte, urgent bool) {
-	d.request(func(now time.Time) []membership.Outgoing {
+// Flood sends a message of at most membership.MaxFlood bytes, whose content
+// was decided just now, to every other node. It does not wait; when too many
+// requests wait already the message is dropped and counted.
+func (d *Duty) Flood(topic membership.Topic, payload []byte, urgent bool) {
+	d.FloodBorn(time.Now(), topic, payload, urgent)
+}
+
+// FloodBorn is Flood for a message whose content was decided at the time
+// born. Receivers date it by that time.
+func (d *Duty) FloodBorn(born time.Time, topic membership.Topic, payload []byte, urgent bool) {
+	run := func(now time.Time) []membership.Outgoing {
 		return d.view.FloodBorn(now, born, topic, payload, urgent)
-	})
+	}
+	select {
+	case d.requests <- request{run: run, done: make(chan struct{})}:
+	default:
+		floodsDropped.Inc()
+	}
 }
 
 // UpdateSelf changes the node's own record and returns when it is sent.
@@ -154,9 +167,10 @@
 	d.request(func(now time.Time) []membership.Outgoing { return d.view.UpdateSelf(now, change) })
 }
 
-// SetRevision tells which configuration the node applies, for surveys.
+// SetRevision tells which configuration the node applies, for surveys. It
+// takes effect with the next tick.
 func (d *Duty) SetRevision(revision model.Revision) {
-	d.request(func(now time.Time) []membership.Outgoing { return d.view.SetRevision(now, revision) })
+	d.revision.Store(uint64(revision))
 }
 
 // Survey asks all nodes to answer as soon as they apply the revision.
@@ -170,16 +184,15 @@
 	return id
 }
 
-// SurveyResult returns what a survey found so far; false when it is unknown
-// or has expired.
-func (d *Duty) SurveyResult(id uint64) (membership.SurveyResult, bool) {
+// SurveyResult returns what a survey found so far; it is empty when the survey
+// is unknown or has expired.
+func (d *Duty) SurveyResult(id uint64) membership.SurveyResult {
 	var result membership.SurveyResult
-	var ok bool
 	d.request(func(time.Time) []membership.Outgoing {
-		result, ok = d.view.SurveyResult(id)
+		result, _ = d.view.SurveyResult(id)
 		return nil
 	})
-	return result, ok
+	return result
 }
 
 // Leave marks the node as leaving: it gets nothing new and stays in the
@@ -240,6 +253,7 @@
 			d.act(r.run(time.Now()))
 			close(r.done)
 		case <-ticker.C:
+			d.act(d.view.SetRevision(time.Now(), model.Revision(d.revision.Load())))
 			d.act(d.view.Tick(time.Now()))
 			d.publish()
 		}
--- a/node/overlay/publish.go
+++ b/node/overlay/publish.go
@@ -16,7 +16,7 @@
 		pauses.Inc()
 		klog.Warningf("overlay: the process was paused for %v", pause.Round(time.Millisecond))
 		if d.options.OnPause != nil {
-			d.options.OnPause(pause)
+			d.options.OnPause()
 		}
 	}
 	if neighbors := d.view.Neighbors(); !slices.Equal(neighbors, d.kept) {
--- a/policy/membership/detect.go
+++ b/policy/membership/detect.go
@@ -10,6 +10,8 @@
 const (
 	// voteInterval is the time between two votes about one silent neighbor.
 	voteInterval = time.Second
+	// answerTime is how long the other observers have to answer the first vote.
+	answerTime = time.Second
 	// opinionLife is how long an observer's opinion counts.
 	opinionLife = 4 * time.Second
 	// minVotes is the number of observers that must agree.
@@ -24,6 +26,9 @@
 
 // ballot collects the opinions about one neighbor.
 type ballot struct {
+	// since is when this node began to find the member silent, zero while it
+	// is heard.
+	since time.Time
 	// aloneSince is when this node began to find the member silent with no
 	// other observer answering.
 	aloneSince time.Time
@@ -61,7 +66,7 @@
 
 func (v *View) forgetSilence(node model.NodeAddr) {
 	if b := v.votes[node]; b != nil {
-		b.aloneSince = time.Time{}
+		b.since, b.aloneSince = time.Time{}, time.Time{}
 	}
 }
 
@@ -81,12 +86,18 @@
 		return
 	}
 	b := v.ballot(node)
+	if b.since.IsZero() {
+		b.since = now
+	}
 	observers := v.table.rings.neighbors(node)
 	if !now.Before(b.nextVote) {
 		b.nextVote = now.Add(voteInterval)
 		v.sendVotes(now, r, observers)
 	}
 	answered, against := v.tally(now, b, observers)
+	if answered < len(observers) && now.Sub(b.since) < answerTime {
+		return
+	}
 	if against >= minVotes && 2*against > answered {
 		v.callGone(now, r)
 		return
