--- a/policy/freshness/evidence.go
+++ b/policy/freshness/evidence.go
@@ -46,14 +46,14 @@
 	return latest
 }
 
-// majorityTime returns the latest time since which more than half have been
-// heard, zero when half or more were never heard.
-func majorityTime(times []time.Time) time.Time {
-	if len(times) == 0 {
+// heardSince returns the latest time since which at least count of the times
+// lie, zero when fewer were ever heard.
+func heardSince(times []time.Time, count int) time.Time {
+	if count == 0 || count > len(times) {
 		return time.Time{}
 	}
 	slices.SortFunc(times, func(a, b time.Time) int { return b.Compare(a) })
-	return times[len(times)/2]
+	return times[count-1]
 }
 
 func later(a, b time.Time) time.Time {
--- a/policy/freshness/freshness.go
+++ b/policy/freshness/freshness.go
@@ -11,11 +11,12 @@
 //   - voices of watchers in more than half of the configured failure domains,
 //     each knowing no revision above the one that the node applies.
 //
-// A change counts as accepted only after watchers in more than half of the
+// A change counts as accepted only after watchers in at least half of the
 // failure domains have acknowledged it in their beacons (Acknowledged). Any
-// confirmation asked after the acceptance shows the change, and any majority
-// of voices made after it contains an acknowledged one, so Bound after the
-// acceptance no node that does not apply the change is fresh. This needs no
+// confirmation asked after the acceptance shows the change, and the voices of
+// more than half of the domains made after it contain an acknowledged one, so
+// Bound after the acceptance no node that does not apply the change is fresh.
+// While the set of domains changes, half of each set must acknowledge. This needs no
 // synchronized clocks: all times are the own monotonic clock, and the age of
 // a beacon is an upper bound that includes the pauses of its relays.
 package freshness
@@ -80,22 +81,16 @@
 	ahead     []news
 	confirmed timeline
 	// told holds the confirmations that beacons told.
-	told    timeline
-	domains map[model.Domain]*domain
-	beacons schedule
-}
-
-// domain is what was heard from one configured failure domain.
-type domain struct {
-	voices timeline
-	// heads holds the highest revision that each of its watchers is known to
-	// know, and when the watcher was heard.
-	heads map[model.NodeAddr]watcherHead
-}
-
-type watcherHead struct {
-	head model.Revision
-	at   time.Time
+	told timeline
+	// current are the configured domains; former are earlier sets under which
+	// a node that lags may still be fresh. The domains of all are in domains.
+	current []model.Domain
+	former  [][]model.Domain
+	// currentSince is the revision from which on current is configured, 0
+	// until it is known.
+	currentSince model.Revision
+	domains      map[model.Domain]*domain
+	beacons      schedule
 }
 
 // New returns a judge without evidence: its node is not fresh.
@@ -109,26 +104,15 @@
 	return j
 }
 
-// SetDomains replaces the configured failure domains. What was heard from
-// those that stay is kept.
-func (j *Judge) SetDomains(_ time.Time, names []model.Domain) {
-	kept := make(map[model.Domain]*domain, len(names))
-	for _, name := range names {
-		if d := j.domains[name]; d != nil {
-			kept[name] = d
-			continue
-		}
-		kept[name] = &domain{heads: make(map[model.NodeAddr]watcherHead)}
-	}
-	j.domains = kept
-}
-
 // Applied notes the revision that the node applies; it never falls.
 func (j *Judge) Applied(now time.Time, revision model.Revision) {
 	if revision <= j.applied {
 		return
 	}
 	j.applied = revision
+	if j.currentSince == 0 {
+		j.currentSince = revision
+	}
 	j.learn(now, revision)
 	for len(j.ahead) > 0 && j.ahead[0].head <= revision {
 		j.ahead = j.ahead[1:]
@@ -172,6 +156,7 @@
 	d := j.domains[b.Domain]
 	if d != nil {
 		d.note(now, b)
+		j.settleDomains(now)
 	}
 	if born.IsZero() {
 		return
@@ -186,25 +171,6 @@
 	}
 }
 
-// note keeps the highest revision of a watcher.
-func (d *domain) note(now time.Time, b Beacon) {
-	known, ok := d.heads[b.Watcher]
-	if !ok && len(d.heads) >= maxWatchers {
-		d.forgetOldest()
-	}
-	d.heads[b.Watcher] = watcherHead{head: max(known.head, b.Head), at: now}
-}
-
-func (d *domain) forgetOldest() {
-	var oldest model.NodeAddr
-	for node, w := range d.heads {
-		if oldest == "" || w.at.Before(d.heads[oldest].at) {
-			oldest = node
-		}
-	}
-	delete(d.heads, oldest)
-}
-
 // Standing judges the own node.
 func (j *Judge) Standing(now time.Time) Standing {
 	until := j.freshUntil(j.applied)
@@ -223,57 +189,32 @@
 // freshUntil returns when the evidence for a node that applies the revision
 // becomes too old.
 func (j *Judge) freshUntil(revision model.Revision) time.Time {
-	until := j.confirmed.latest(revision)
-	voices := make([]time.Time, 0, len(j.domains))
-	for _, d := range j.domains {
-		voices = append(voices, d.voices.latest(revision))
-	}
-	until = later(until, majorityTime(voices))
+	voices := heardSince(j.voices(revision), len(j.current)/2+1)
+	until := later(j.confirmed.latest(revision), voices)
 	if until.IsZero() {
 		return until
 	}
 	return until.Add(j.options.Bound)
 }
 
-// MayCommit reports whether more than half of the failure domains were heard
+// voices returns when each configured domain spoke last without knowing more
+// than the revision.
+func (j *Judge) voices(revision model.Revision) []time.Time {
+	times := make([]time.Time, 0, len(j.current))
+	for _, name := range j.current {
+		times = append(times, j.domains[name].voices.latest(revision))
+	}
+	return times
+}
+
+// MayCommit reports whether at least half of the failure domains were heard
 // lately. Before that a change could not be acknowledged, so it is better not
 // written.
 func (j *Judge) MayCommit(now time.Time) bool {
-	voices := make([]time.Time, 0, len(j.domains))
-	for _, d := range j.domains {
-		voices = append(voices, d.voices.latest(j.head))
-	}
-	heard := majorityTime(voices)
+	heard := heardSince(j.voices(j.head), (len(j.current)+1)/2)
 	return !heard.IsZero() && !passed(heard.Add(commitWindows*j.options.Bound), now)
 }
 
-// Acknowledged reports whether watchers in more than half of the failure
-// domains know the revision. In a domain of several watchers all that were
-// heard lately must know it.
-func (j *Judge) Acknowledged(now time.Time, revision model.Revision) bool {
-	count := 0
-	for _, d := range j.domains {
-		if d.acknowledged(now, revision, commitWindows*j.options.Bound) {
-			count++
-		}
-	}
-	return 2*count > len(j.domains)
-}
-
-func (d *domain) acknowledged(now time.Time, revision model.Revision, window time.Duration) bool {
-	knows := false
-	for _, w := range d.heads {
-		if w.head >= revision {
-			knows = true
-			continue
-		}
-		if !passed(w.at.Add(window), now) {
-			return false
-		}
-	}
-	return knows
-}
-
 // NextChange returns when Standing changes unless an event comes before; zero
 // when only an event can change it.
 func (j *Judge) NextChange(now time.Time) time.Time {
