--- a/policy/membership/fault_test.go
+++ b/policy/membership/fault_test.go
@@ -107,6 +107,12 @@
 	n.run(time.Minute, nil)
 	v := n.nodes[address(1)].view
 	c.Assert(v.table.dead, qt.Equals, 1)
+	tombstone := v.table.records[address(3)].Member
+	other := n.nodes[address(2)].view
+	c.Assert(other.table.expire(n.now), qt.HasLen, 1)
+	c.Assert(other.table.differing(v.table.digest()), qt.HasLen, 0)
+	other.receiveUpdate(n.now, address(1), tombstone)
+	c.Assert(other.table.records[address(3)], qt.IsNil)
 	n.run(6*time.Minute, nil)
 	c.Assert(v.table.records[address(3)], qt.IsNil)
 	c.Assert(n.agreed(), qt.IsTrue)
@@ -172,7 +178,7 @@
 				n.nodes[address(i)].view.SetRevision(n.now, 8)
 			}
 		}
-		n.nodes[address(7)].pausedUntil = n.now.Add(3 * time.Second)
+		n.cut = func(from, to model.NodeAddr) bool { return from == address(7) || to == address(7) }
 		id, out := v.Survey(n.now, 8)
 		n.send(address(0), out)
 		n.run(2500*time.Millisecond, nil)
@@ -182,6 +188,7 @@
 		c.Assert(result.Silent, qt.Contains, address(7))
 		c.Assert(len(result.InForce) > size/2, qt.IsTrue)
 		n.nodes[address(5)].view.SetRevision(n.now, 9)
+		n.cut = nil
 		took := n.run(20*time.Second, func() bool {
 			result, _ = v.SurveyResult(id)
 			return len(result.InForce) == size
