Test request keys and retries under random faults

Adds property tests that drive restarts, lost answers, late ends, expiry and planned stops over issued keys and callers' keys, and a table per failure.

--- /dev/null
+++ b/policy/callkey/binding_test.go
@@ -0,0 +1,266 @@
+package callkey
+
+import (
+	"encoding/binary"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/google/uuid"
+	"pgregory.net/rapid"
+
+	"zinniafall/policy/model"
+	"zinniafall/policy/problem"
+)
+
+// callerKey returns a version 7 UUID born at the given time.
+func callerKey(born time.Time, n byte) string {
+	var id uuid.UUID
+	binary.BigEndian.PutUint64(id[:8], uint64(born.UnixMilli())<<16)
+	id[6], id[8], id[15] = 0x70, 0x80, n
+	return id.String()
+}
+
+func TestBindingSteps(t *testing.T) {
+	down := Event{Outcome: Failed}
+	tests := []struct {
+		name   string
+		key    string
+		drain  bool
+		events []Event
+		want   Step
+		kind   problem.Kind
+		run    model.Run
+	}{
+		{name: "created", events: []Event{{Outcome: Created}}, want: Step{Action: Carry, Key: "issued"}},
+		{name: "bound before", events: []Event{{Outcome: Exists}, {Outcome: Found, Value: "other"}}, want: Step{Action: Carry, Key: "other"}},
+		{name: "bound before, value told", events: []Event{{Outcome: Exists, Value: "other"}}, want: Step{Action: Carry, Key: "other"}},
+		{name: "answer lost after the write", events: []Event{{Outcome: Lost}, {Outcome: Found, Value: "issued"}}, want: Step{Action: Carry, Key: "issued"}},
+		{name: "answer lost before the write", events: []Event{{Outcome: Lost}, {Outcome: Absent}, {Outcome: Created}}, want: Step{Action: Carry, Key: "issued"}},
+		{name: "lost twice", events: []Event{{Outcome: Lost}, {Outcome: Absent}, {Outcome: Lost}, {Outcome: Absent}}, kind: problem.StoreUnavailable, run: model.RunNo},
+		{name: "store down", events: []Event{down, down, down, down}, kind: problem.StoreUnavailable, run: model.RunUnknown},
+		{name: "budget spent, never bound", drain: true, events: []Event{{Outcome: Absent}}, kind: problem.ClaimBudgetSpent, run: model.RunNo},
+		{name: "budget spent, bound before", drain: true, events: []Event{{Outcome: Found, Value: "other"}}, want: Step{Action: Carry, Key: "other"}},
+		{name: "budget spent, store down", drain: true, events: []Event{down, down, down}, kind: problem.StoreUnavailable, run: model.RunUnknown},
+		{name: "too old by the store's clock", events: []Event{{Outcome: Created, StoreTime: start.Add(11 * time.Minute)}}, kind: problem.KeyExpired, run: model.RunUnknown},
+		{name: "bound, too old by the store's clock", events: []Event{{Outcome: Exists}, {Outcome: Found, Value: "other", StoreTime: start.Add(11 * time.Minute)}}, kind: problem.KeyExpired, run: model.RunUnknown},
+		{name: "absent, too old by the store's clock", events: []Event{{Outcome: Lost}, {Outcome: Absent, StoreTime: start.Add(11 * time.Minute)}}, kind: problem.KeyExpired, run: model.RunUnknown},
+		{name: "too old at once", key: callerKey(start.Add(-time.Hour), 1), kind: problem.KeyExpired, run: model.RunUnknown},
+		{name: "from the future", key: callerKey(start.Add(time.Hour), 1), kind: problem.KeyInvalid, run: model.RunUnknown},
+		{name: "no birth time", key: uuid.NewString(), kind: problem.KeyInvalid, run: model.RunNo},
+		{name: "other spelling", key: "urn:uuid:" + callerKey(start, 1), kind: problem.KeyInvalid, run: model.RunNo},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			b := NewBinder(BinderOptions{})
+			b.SetMembers(start, 2200)
+			for tt.drain && b.writes.AllowN(start, 1) {
+				continue
+			}
+			if tt.key == "" {
+				tt.key = callerKey(start, 1)
+			}
+			g, step := b.Begin(start, "town", tt.key, "issued")
+			for _, e := range tt.events {
+				step = g.Next(start, e)
+			}
+			if tt.kind == "" {
+				qt.Assert(t, step, qt.DeepEquals, tt.want)
+				return
+			}
+			qt.Assert(t, step.Action, qt.Equals, RefuseCall)
+			qt.Assert(t, step.Refusal.Kind, qt.Equals, tt.kind)
+			qt.Assert(t, step.Refusal.Run, qt.Equals, tt.run)
+			qt.Assert(t, step.Refusal.RetryAfter > 0, qt.Equals, tt.kind == problem.ClaimBudgetSpent)
+		})
+	}
+}
+
+// The writes of all nodes together stay within the fleet's budget.
+func TestWriteBudgetIsShared(t *testing.T) {
+	const nodes = 100
+	b := NewBinder(BinderOptions{})
+	b.SetMembers(start, nodes)
+	writes := 0
+	for ms := range 100_000 {
+		now := start.Add(time.Duration(ms) * time.Millisecond)
+		if _, step := b.Begin(now, "town", callerKey(now, 1), "issued"); step.Action == Create {
+			writes++
+		}
+	}
+	qt.Assert(t, writes, qt.Equals, defaultBurst+99)
+}
+
+// binding is one value in the fake store.
+type binding struct {
+	value   string
+	expires time.Time
+}
+
+// delayed is a create that the store has not seen yet.
+type delayed struct {
+	key string
+	binding
+}
+
+// attempt is one sending under a caller's key that is not decided yet.
+type attempt struct {
+	caller string
+	wall   time.Duration
+	g      *Binding
+	step   Step
+}
+
+// bindingFleet adds a store, callers' keys and wrong wall clocks to a fleet.
+type bindingFleet struct {
+	*fleet
+	store    map[string]binding
+	transit  []delayed
+	binder   *Binder
+	callers  []string
+	issuedTo map[string]string
+	pending  []*attempt
+}
+
+func (f *bindingFleet) begin() {
+	if len(f.callers) == 0 {
+		f.t.Skip("no key")
+	}
+	caller := rapid.SampledFrom(f.callers).Draw(f.t, "caller")
+	keys, refusal := f.anyIssuer().Issue(f.now, "town", 1)
+	if refusal != nil {
+		return
+	}
+	f.issuedTo[keys[0]] = caller
+	wall := time.Duration(rapid.IntRange(-60, 60).Draw(f.t, "clock error")) * time.Minute
+	g, step := f.binder.Begin(f.now.Add(wall), "town", caller, keys[0])
+	f.pending = append(f.pending, &attempt{caller: caller, wall: wall, g: g, step: step})
+}
+
+// advance takes one step of a pending sending.
+func (f *bindingFleet) advance() {
+	if len(f.pending) == 0 {
+		f.t.Skip("nothing pending")
+	}
+	n := rapid.IntRange(0, len(f.pending)-1).Draw(f.t, "pending")
+	a := f.pending[n]
+	switch a.step.Action {
+	case Create:
+		a.step = a.g.Next(f.now.Add(a.wall), f.create(a.step))
+	case ReadBack:
+		a.step = a.g.Next(f.now.Add(a.wall), f.read(a.step.StoreKey))
+	}
+	switch a.step.Action {
+	case Create, ReadBack:
+		return
+	case RefuseCall:
+		executed, open := f.ranFor(a.caller)
+		f.told(refuse(a.step.Refusal), executed, open)
+	case Carry:
+		f.carry(a)
+	}
+	f.pending = append(f.pending[:n], f.pending[n+1:]...)
+}
+
+func (f *bindingFleet) create(s Step) Event {
+	b := binding{value: s.Value, expires: f.now.Add(s.Keep)}
+	event := Event{Outcome: rapid.SampledFrom([]Outcome{Created, Created, Lost, Failed}).Draw(f.t, "create"), StoreTime: f.now}
+	switch {
+	case event.Outcome == Failed:
+	case event.Outcome == Lost && rapid.Bool().Draw(f.t, "late"):
+		f.transit = append(f.transit, delayed{s.StoreKey, b})
+	case !f.put(s.StoreKey, b) && event.Outcome == Created:
+		event.Outcome = Exists
+	}
+	return event
+}
+
+func (f *bindingFleet) put(key string, b binding) bool {
+	if old, ok := f.store[key]; ok && f.now.Before(old.expires) {
+		return false
+	}
+	f.store[key] = b
+	return true
+}
+
+func (f *bindingFleet) read(key string) Event {
+	event := Event{Outcome: rapid.SampledFrom([]Outcome{Found, Found, Lost, Failed}).Draw(f.t, "read"), StoreTime: f.now}
+	b, ok := f.store[key]
+	switch {
+	case event.Outcome != Found:
+	case !ok || !f.now.Before(b.expires):
+		event.Outcome = Absent
+	default:
+		event.Value = b.value
+	}
+	return event
+}
+
+// carry claims the issued key and, on Start, leaves the run open.
+func (f *bindingFleet) carry(a *attempt) {
+	key := a.step.Key
+	issuer := f.issuers[mustParse(f.t, key, f.secrets).Process]
+	if issuer == nil {
+		return
+	}
+	executed, open := f.ranFor(a.caller)
+	c := issuer.Claim(f.now, Request{Key: key, Account: "town"})
+	f.told(c, executed, open)
+	if c.Verdict == Start {
+		if executed+open > 0 {
+			f.t.Fatalf("started again: %d executed, %d open", executed, open)
+		}
+		f.runs = append(f.runs, &run{issuer: issuer, serial: c.Serial, key: key})
+	}
+}
+
+// ranFor counts the runs under all issued keys that a caller's key led to.
+func (f *bindingFleet) ranFor(caller string) (executed, open int) {
+	for issued, c := range f.issuedTo {
+		if c == caller {
+			e, o := f.counts(issued)
+			executed, open = executed+e, open+o
+		}
+	}
+	return executed, open
+}
+
+func (f *bindingFleet) actions() map[string]func(*rapid.T) {
+	actions := f.fleet.actions()
+	for _, direct := range []string{"issue", "send", "send again", "planned stop"} {
+		delete(actions, direct)
+	}
+	actions["caller's key"] = func(t *rapid.T) {
+		born := f.now.Add(time.Duration(rapid.IntRange(-20, 3).Draw(t, "born")) * time.Minute)
+		f.callers = append(f.callers, callerKey(born, byte(len(f.callers))))
+	}
+	actions["begin"] = func(*rapid.T) { f.begin() }
+	actions["begin again"] = func(*rapid.T) { f.begin() }
+	for _, name := range []string{"step", "step again", "one more step"} {
+		actions[name] = func(*rapid.T) { f.advance() }
+	}
+	actions["late create arrives"] = func(t *rapid.T) {
+		if len(f.transit) == 0 {
+			t.Skip("none")
+		}
+		f.put(f.transit[0].key, f.transit[0].binding)
+		f.transit = f.transit[1:]
+	}
+	actions["long time passes"] = func(t *rapid.T) {
+		f.now = f.now.Add(time.Duration(rapid.IntRange(1, 30).Draw(t, "minutes")) * time.Minute)
+	}
+	return actions
+}
+
+func TestCallerKeyAtMostOnceUnderFaults(t *testing.T) {
+	s := secret(t, "a fleet secret of today")
+	rapid.Check(t, func(t *rapid.T) {
+		f := &bindingFleet{
+			fleet:    newFleet(t, s),
+			store:    make(map[string]binding),
+			binder:   NewBinder(BinderOptions{FleetWrites: 1, Burst: 3}),
+			issuedTo: make(map[string]string),
+		}
+		t.Repeat(f.actions())
+	})
+}
--- a/policy/callkey/issuer.go
+++ b/policy/callkey/issuer.go
@@ -2,61 +2,12 @@
 
 import (
 	"fmt"
-	"net/http"
 	"time"
 
 	"zinniafall/policy/model"
 	"zinniafall/policy/problem"
 )
 
-// Verdict tells the node what to do with a keyed call.
-type Verdict uint8
-
-// The verdicts on a keyed call.
-const (
-	// Start gives the caller of Claim the only right to run the call. It ends
-	// with exactly one of Complete, Release and Lose.
-	Start Verdict = iota + 1
-	// Wait means that the call runs now: wait for Done, then claim again.
-	Wait
-	// Replay means that the call ran; its answer is in the claim.
-	Replay
-	// Refuse means that the call is answered with the claim's refusal.
-	Refuse
-)
-
-// Request is one sending of a keyed call.
-type Request struct {
-	// Key is the text of the key.
-	Key string
-	// Account is the client account that sent the call.
-	Account model.Account
-	// Fingerprint digests the service, method, path and body.
-	Fingerprint [32]byte
-}
-
-// Claim is the decision on one sending of a keyed call.
-type Claim struct {
-	Verdict Verdict
-	// Serial names the right to run that a Start gave. It is not the key's
-	// serial: each Start has its own, so that a late end of an earlier start
-	// never ends a newer one.
-	Serial uint64
-	// Answer is set on Replay.
-	Answer *Answer
-	// Refusal is set on Refuse.
-	Refusal *problem.Error
-	// Done is set on Wait and is closed when the running call has ended.
-	Done <-chan struct{}
-}
-
-// Answer is a whole answer of a target.
-type Answer struct {
-	Status int         `cbor:"1,keyasint"`
-	Header http.Header `cbor:"2,keyasint"`
-	Body   []byte      `cbor:"3,keyasint"`
-}
-
 // Issuer hands out keys and decides on the calls sent under them. It is not
 // safe for concurrent use. Every now must come from one monotonic clock.
 type Issuer struct {
@@ -127,7 +78,7 @@
 		return refuse(refusal)
 	}
 	if c := i.claims.find(key); c != nil {
-		return i.resent(c, r)
+		return c.resent(r)
 	}
 	if i.closed {
 		return refuse(draining())
@@ -146,34 +97,17 @@
 	case err != nil:
 		return key, err
 	case key.Account != r.Account:
-		return key, problem.New(problem.KeyMismatch, model.RunNo, "the request key was issued to another client account")
+		return key, otherAccount()
 	case key.Process != i.opts.Process:
 		return key, IssuerGone(key)
 	case key.Serial > i.lastSerial:
-		return key, problem.New(problem.KeyInvalid, model.RunNo, "the request key was never issued")
+		return key, neverIssued()
 	case i.claims.expired(key, now.Sub(i.epoch)):
-		return key, problem.New(problem.KeyExpired, model.RunUnknown, "the request key is older than its time to live")
+		return key, expired()
 	}
 	return key, nil
 }
 
-// resent decides on a sending whose key is already claimed.
-func (i *Issuer) resent(c *claim, r Request) Claim {
-	if c.fingerprint != r.Fingerprint {
-		return refuse(problem.New(problem.KeyMismatch, model.RunUnknown, "the request key was used for a request with another service, method, path or body"))
-	}
-	switch c.state {
-	case running:
-		return Claim{Verdict: Wait, Done: c.wait()}
-	case lost:
-		return refuse(c.refusal)
-	}
-	if c.answer == nil {
-		return refuse(problem.New(problem.AnswerNotRetained, model.RunYes, "the request ran once under this key"))
-	}
-	return Claim{Verdict: Replay, Answer: c.answer}
-}
-
 func (i *Issuer) start(key Parsed, r Request) Claim {
 	i.lastStart++
 	c := &claim{key: key.Serial, issued: key.Issued, start: i.lastStart, account: r.Account, fingerprint: r.Fingerprint}
@@ -238,19 +172,3 @@
 // Close starts a planned stop: no key is issued and no call started any more.
 // Calls that run go on, and what is recorded is still answered.
 func (i *Issuer) Close() { i.closed = true }
-
-// IssuerGone is the refusal of a key whose issuing process no longer runs or
-// cannot be reached. Nothing runs; whether the call ran before is unknown.
-func IssuerGone(key Parsed) *problem.Error {
-	return problem.New(problem.KeyIssuerGone, model.RunUnknown, "process "+key.Process.String()+" at "+string(key.Node)+" issued the request key and cannot be asked")
-}
-
-func refuse(e *problem.Error) Claim { return Claim{Verdict: Refuse, Refusal: e} }
-
-func tableFull() *problem.Error {
-	return problem.New(problem.KeyTableFull, model.RunNo, "the node has no room for another claim of the client account")
-}
-
-func draining() *problem.Error {
-	return problem.New(problem.Draining, model.RunNo, "the node stops and starts no call under its request keys; ask another node for a key")
-}
--- /dev/null
+++ b/policy/callkey/issuer_test.go
@@ -0,0 +1,252 @@
+package callkey
+
+import (
+	"bytes"
+	"fmt"
+	"net/http"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"zinniafall/policy/model"
+	"zinniafall/policy/problem"
+)
+
+var start = time.Date(2030, 5, 1, 8, 0, 0, 0, time.UTC)
+
+func secret(t testing.TB, fleet string) Secret {
+	s, err := NewSecret([]byte(fleet))
+	qt.Assert(t, err, qt.IsNil)
+	return s
+}
+
+func testOptions(t testing.TB) Options {
+	return Options{
+		Process: model.ProcessID{1},
+		Node:    "10.0.0.7:7001",
+		Secrets: []Secret{secret(t, "a fleet secret of today")},
+		TTL:     time.Minute,
+	}
+}
+
+// issueOne returns a key of the account "town".
+func issueOne(t testing.TB, i *Issuer, now time.Time) string {
+	keys, err := i.Issue(now, "town", 1)
+	qt.Assert(t, err == nil, qt.IsTrue)
+	return keys[0]
+}
+
+func pay(key string) Request {
+	return Request{Key: key, Account: "town", Fingerprint: [32]byte{7}}
+}
+
+func answer(body string) *Answer {
+	return &Answer{Status: http.StatusOK, Header: http.Header{"Content-Type": {"text/plain"}}, Body: []byte(body)}
+}
+
+// outcome is a Claim in the form that tables compare.
+type outcome struct {
+	verdict Verdict
+	kind    problem.Kind
+	run     model.Run
+}
+
+func outcomeOf(c Claim) outcome {
+	o := outcome{verdict: c.Verdict}
+	if c.Refusal != nil {
+		o.kind, o.run = c.Refusal.Kind, c.Refusal.Run
+	}
+	return o
+}
+
+func refused(kind problem.Kind, run model.Run) outcome { return outcome{Refuse, kind, run} }
+
+func TestSecondSending(t *testing.T) {
+	issuerLost := problem.New(problem.TargetFailed, model.RunYes, "connection reset")
+	tests := []struct {
+		name  string
+		end   func(i *Issuer, serial uint64)
+		after time.Duration
+		with  func(r *Request)
+		want  outcome
+	}{
+		{name: "while it runs", want: outcome{verdict: Wait}},
+		{name: "answered", end: func(i *Issuer, s uint64) { i.Complete(start, s, answer("paid")) }, want: outcome{verdict: Replay}},
+		{name: "answer not given", end: func(i *Issuer, s uint64) { i.Complete(start, s, nil) }, want: refused(problem.AnswerNotRetained, model.RunYes)},
+		{name: "answer too large", end: func(i *Issuer, s uint64) { i.Complete(start, s, &Answer{Body: make([]byte, 1<<20)}) }, want: refused(problem.AnswerNotRetained, model.RunYes)},
+		{name: "lost", end: func(i *Issuer, s uint64) { i.Lose(start, s, issuerLost) }, want: refused(problem.TargetFailed, model.RunUnknown)},
+		{name: "lost, then released", end: func(i *Issuer, s uint64) { i.Lose(start, s, issuerLost); i.Release(start, s) }, want: refused(problem.TargetFailed, model.RunUnknown)},
+		{name: "lost, then answered", end: func(i *Issuer, s uint64) { i.Lose(start, s, issuerLost); i.Complete(start, s, answer("paid")) }, want: outcome{verdict: Replay}},
+		{name: "answered, then lost and released", end: func(i *Issuer, s uint64) {
+			i.Complete(start, s, answer("paid"))
+			i.Lose(start, s, issuerLost)
+			i.Release(start, s)
+		}, want: outcome{verdict: Replay}},
+		{name: "released", end: func(i *Issuer, s uint64) { i.Release(start, s) }, want: outcome{verdict: Start}},
+		{name: "released during a stop", end: func(i *Issuer, s uint64) { i.Release(start, s); i.Close() }, want: refused(problem.Draining, model.RunNo)},
+		{name: "answered, stop", end: func(i *Issuer, s uint64) { i.Complete(start, s, answer("paid")); i.Close() }, want: outcome{verdict: Replay}},
+		{name: "at the end of its time", after: time.Minute, want: refused(problem.KeyExpired, model.RunUnknown)},
+		{name: "expired and forgotten, clock set back", end: func(i *Issuer, _ uint64) { i.Expire(start.Add(time.Hour)) }, want: refused(problem.KeyExpired, model.RunUnknown)},
+		{name: "another body", with: func(r *Request) { r.Fingerprint = [32]byte{8} }, want: refused(problem.KeyMismatch, model.RunUnknown)},
+		{name: "another account", with: func(r *Request) { r.Account = "rival" }, want: refused(problem.KeyMismatch, model.RunNo)},
+		{name: "not a key", with: func(r *Request) { r.Key = "my-key" }, want: refused(problem.KeyInvalid, model.RunNo)},
+		{name: "cut off", with: func(r *Request) { r.Key = r.Key[:len(r.Key)-4] }, want: refused(problem.KeyInvalid, model.RunNo)},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			i := NewIssuer(testOptions(t))
+			r := pay(issueOne(t, i, start))
+			first := i.Claim(start, r)
+			qt.Assert(t, first.Verdict, qt.Equals, Start)
+			if tt.end != nil {
+				tt.end(i, first.Serial)
+			}
+			if tt.with != nil {
+				tt.with(&r)
+			}
+			second := i.Claim(start.Add(tt.after), r)
+			qt.Assert(t, outcomeOf(second), qt.Equals, tt.want)
+			if second.Verdict == Replay {
+				qt.Assert(t, string(second.Answer.Body), qt.Equals, "paid")
+			}
+		})
+	}
+}
+
+func TestKeyOfAnotherProcess(t *testing.T) {
+	i := NewIssuer(testOptions(t))
+	r := pay(issueOne(t, i, start))
+	opts := testOptions(t)
+	opts.Process = model.ProcessID{2}
+	replacement := NewIssuer(opts)
+	issueOne(t, replacement, start)
+	qt.Assert(t, outcomeOf(replacement.Claim(start, r)), qt.Equals, refused(problem.KeyIssuerGone, model.RunUnknown))
+}
+
+func TestSecretRotation(t *testing.T) {
+	old, young, stranger := secret(t, "a fleet secret of today"), secret(t, "the next fleet secret"), secret(t, "somebody's own secret")
+	i := NewIssuer(testOptions(t))
+	key := issueOne(t, i, start)
+	tests := []struct {
+		name    string
+		secrets []Secret
+		want    problem.Kind
+	}{
+		{"before", []Secret{old}, ""},
+		{"during", []Secret{young, old}, ""},
+		{"after", []Secret{young}, problem.KeyInvalid},
+		{"forged", []Secret{stranger}, problem.KeyInvalid},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			p, err := Parse(key, tt.secrets)
+			if tt.want != "" {
+				qt.Assert(t, err.Kind, qt.Equals, tt.want)
+				qt.Assert(t, err.Run, qt.Equals, model.RunUnknown)
+				return
+			}
+			qt.Assert(t, err == nil, qt.IsTrue)
+			qt.Assert(t, p, qt.Equals, Parsed{Node: "10.0.0.7:7001", Process: model.ProcessID{1}, Serial: 1, Account: "town"})
+		})
+	}
+	_, err := NewSecret([]byte("short"))
+	qt.Assert(t, err, qt.Equals, ErrShortSecret)
+}
+
+// A late end of an earlier start must not end, or free, a newer one.
+func TestLateEndOfReleasedStart(t *testing.T) {
+	i := NewIssuer(testOptions(t))
+	r := pay(issueOne(t, i, start))
+	first := i.Claim(start, r)
+	i.Release(start, first.Serial)
+	second := i.Claim(start, r)
+	qt.Assert(t, second.Verdict, qt.Equals, Start)
+	i.Release(start, first.Serial)
+	i.Complete(start, first.Serial, answer("not ours"))
+	qt.Assert(t, i.Claim(start, r).Verdict, qt.Equals, Wait)
+}
+
+func TestWaitIsWoken(t *testing.T) {
+	ends := map[string]func(i *Issuer, serial uint64){
+		"completed": func(i *Issuer, s uint64) { i.Complete(start, s, nil) },
+		"released":  func(i *Issuer, s uint64) { i.Release(start, s) },
+		"lost":      func(i *Issuer, s uint64) { i.Lose(start, s, problem.New(problem.TargetFailed, model.RunUnknown, "")) },
+		"expired":   func(i *Issuer, _ uint64) { i.Expire(start.Add(time.Hour)) },
+	}
+	for name, end := range ends {
+		t.Run(name, func(t *testing.T) {
+			i := NewIssuer(testOptions(t))
+			r := pay(issueOne(t, i, start))
+			first := i.Claim(start, r)
+			done := i.Claim(start, r).Done
+			end(i, first.Serial)
+			select {
+			case <-done:
+			default:
+				t.Fatal("the waiting sending was not woken")
+			}
+		})
+	}
+}
+
+func TestAccountCannotFillTheTable(t *testing.T) {
+	opts := testOptions(t)
+	opts.MaxClaims = 100
+	i := NewIssuer(opts)
+	started := func(now time.Time, account model.Account) int {
+		n := 0
+		for {
+			keys, err := i.Issue(now, account, 1)
+			if err != nil {
+				qt.Assert(t, err.Kind, qt.Equals, problem.KeyTableFull)
+				return n
+			}
+			c := i.Claim(now, Request{Key: keys[0], Account: account})
+			qt.Assert(t, c.Verdict, qt.Equals, Start)
+			n++
+		}
+	}
+	qt.Assert(t, started(start, "heavy"), qt.Equals, 50)
+	qt.Assert(t, started(start, "light"), qt.Equals, 25)
+	qt.Assert(t, started(start, "heavy"), qt.Equals, 0)
+	later := start.Add(time.Hour)
+	i.Expire(later)
+	qt.Assert(t, started(later, "light"), qt.Equals, 50)
+}
+
+// The account with the most bytes pays for a full store of answers.
+func TestAnswersAreEvictedFromTheLargestAccount(t *testing.T) {
+	opts := testOptions(t)
+	opts.MaxTotalBytes = 10 * (1000 + answerOverhead)
+	i := NewIssuer(opts)
+	ran := func(account model.Account) Request {
+		keys, err := i.Issue(start, account, 1)
+		qt.Assert(t, err == nil, qt.IsTrue)
+		r := Request{Key: keys[0], Account: account}
+		i.Complete(start, i.Claim(start, r).Serial, &Answer{Body: bytes.Repeat([]byte{'x'}, 1000)})
+		return r
+	}
+	light := ran("light")
+	var heavy []Request
+	for range 30 {
+		heavy = append(heavy, ran("heavy"))
+	}
+	qt.Assert(t, i.answers.total <= opts.MaxTotalBytes, qt.IsTrue)
+	qt.Assert(t, i.Claim(start, light).Verdict, qt.Equals, Replay)
+	qt.Assert(t, outcomeOf(i.Claim(start, heavy[20])), qt.Equals, refused(problem.AnswerNotRetained, model.RunYes))
+	qt.Assert(t, i.Claim(start, heavy[21]).Verdict, qt.Equals, Replay)
+}
+
+func TestIssueLimits(t *testing.T) {
+	i := NewIssuer(testOptions(t))
+	for _, n := range []int{-1, 0, maxBatch + 1} {
+		t.Run(fmt.Sprint(n), func(t *testing.T) {
+			_, err := i.Issue(start, "town", n)
+			qt.Assert(t, err.Kind, qt.Equals, problem.BadRequest)
+		})
+	}
+	i.Close()
+	_, err := i.Issue(start, "town", 1)
+	qt.Assert(t, err.Kind, qt.Equals, problem.Draining)
+}
--- a/policy/callkey/key.go
+++ b/policy/callkey/key.go
@@ -139,11 +139,7 @@
 			return parsed, nil
 		}
 	}
-	return Parsed{}, problem.New(problem.KeyInvalid, model.RunUnknown, "no accepted secret signed the request key")
-}
-
-func malformed() *problem.Error {
-	return problem.New(problem.KeyInvalid, model.RunNo, "the request key is not one that a node issued")
+	return Parsed{}, unsigned()
 }
 
 func decode(raw []byte) (Parsed, bool) {
--- a/policy/callkey/table.go
+++ b/policy/callkey/table.go
@@ -1,54 +1,11 @@
 package callkey
 
 import (
-	"container/list"
 	"time"
 
 	"zinniafall/policy/model"
-	"zinniafall/policy/problem"
 )
 
-// claimState is the state of one claim.
-type claimState uint8
-
-const (
-	running claimState = iota
-	completed
-	lost
-	released
-)
-
-// claim records that a call was started under a key.
-type claim struct {
-	key         uint64
-	issued      time.Duration
-	start       uint64
-	account     model.Account
-	fingerprint [32]byte
-	state       claimState
-	refusal     *problem.Error
-	answer      *Answer
-	retained    *list.Element
-	done        chan struct{}
-}
-
-// wait returns the channel that end closes.
-func (c *claim) wait() <-chan struct{} {
-	if c.done == nil {
-		c.done = make(chan struct{})
-	}
-	return c.done
-}
-
-// end sets the state and wakes those that wait.
-func (c *claim) end(state claimState) {
-	c.state = state
-	if c.done != nil {
-		close(c.done)
-		c.done = nil
-	}
-}
-
 // claimTable holds the claims in buckets by the time of issue of their keys,
 // so that expiry drops whole buckets.
 type claimTable struct {
--- a/policy/quarantine/list.go
+++ b/policy/quarantine/list.go
@@ -141,10 +141,10 @@
 }
 
 func (l *List) find(f Fingerprint) *record {
-	if r, ok := l.quarantined.Peek(f); ok {
+	if r, ok := l.quarantined.Get(f); ok {
 		return r
 	}
-	r, _ := l.suspects.Peek(f)
+	r, _ := l.suspects.Get(f)
 	return r
 }
 
--- a/policy/retry/attempts.go
+++ b/policy/retry/attempts.go
@@ -83,13 +83,13 @@
 type Attempts struct {
 	budget    *Budget
 	call      Call
-	machine   *chart.Machine
+	state     chart.State
 	allowance int
 	tries     int
 	ran       bool
 }
 
-var definition = chart.Load(chart.Call)
+var callChart = chart.LoadTable(chart.Call)
 
 // The states of the call chart that decisions depend on.
 const (
@@ -104,7 +104,7 @@
 	a := &Attempts{
 		budget:    b,
 		call:      call,
-		machine:   definition.New(nil),
+		state:     callChart.Initial(),
 		allowance: b.allowance(call),
 	}
 	a.place()
@@ -127,28 +127,35 @@
 func (a *Attempts) Allowance() int { return a.allowance }
 
 // State returns the state of the call in its chart.
-func (a *Attempts) State() chart.State { return a.machine.State() }
+func (a *Attempts) State() chart.State { return a.state }
+
+// send applies an event of the call chart.
+func (a *Attempts) send(e chart.Event) error {
+	to, err := callChart.Next(a.state, e)
+	a.state = to
+	return err
+}
 
 // Answered records that an answer began to arrive, which ends the choice
 // between attempts and pays for further attempts of other calls.
 func (a *Attempts) Answered(now time.Time) error {
 	a.budget.Succeeded(now)
-	return a.machine.Send("answer")
+	return a.send("answer")
 }
 
 // Ended records whether the answer arrived whole.
 func (a *Attempts) Ended(whole bool) error {
 	if whole {
-		return a.machine.Send("complete")
+		return a.send("complete")
 	}
-	return a.machine.Send("cut_off")
+	return a.send("cut_off")
 }
 
 // Abandon records that the caller left or the deadline passed, and returns
 // what is known of the run.
 func (a *Attempts) Abandon() model.Run {
 	run := a.known()
-	_ = a.machine.Send("give_up")
+	_ = a.send("give_up")
 	return run
 }
 
@@ -157,7 +164,7 @@
 	if err := a.failed(f); err != nil {
 		return a.giveUp(NotRetryable, f.RetryAfter)
 	}
-	switch a.State() {
+	switch a.state {
 	case stateNotRun, stateMayHaveRun:
 	default:
 		return Step{Verdict: Pending}
@@ -175,14 +182,14 @@
 func (a *Attempts) failed(f Failure) error {
 	a.ran = a.ran || f.Run == model.RunYes
 	if f.Run == model.RunNo {
-		return a.machine.Send("refuse")
+		return a.send("refuse")
 	}
-	return a.machine.Send("lose")
+	return a.send("lose")
 }
 
 // forbidden returns why another attempt is out of the question, or 0.
 func (a *Attempts) forbidden(now time.Time, f Failure) Reason {
-	mayHaveRun := f.Run != model.RunNo || a.machine.Is(stateMayHaveRun)
+	mayHaveRun := f.Run != model.RunNo || a.state == stateMayHaveRun
 	switch {
 	case final[f.Kind]:
 		return NotRetryable
@@ -242,7 +249,7 @@
 
 func (a *Attempts) place() {
 	a.tries++
-	_ = a.machine.Send("place")
+	_ = a.send("place")
 }
 
 func (a *Attempts) giveUp(reason Reason, wait time.Duration) Step {
@@ -259,7 +266,7 @@
 	switch {
 	case a.ran:
 		return model.RunYes
-	case a.machine.Is(stateNotRun):
+	case a.state == stateNotRun:
 		return model.RunNo
 	}
 	return model.RunUnknown
--- a/policy/retry/hedge.go
+++ b/policy/retry/hedge.go
@@ -27,12 +27,12 @@
 	}
 	a.allowance--
 	a.tries++
-	return a.machine.Send("hedge") == nil
+	return a.send("hedge") == nil
 }
 
 // mayHedge reports whether the call may have a second attempt in flight. A
 // keyed call may not: its issuer would only let the second one wait.
 func (a *Attempts) mayHedge() bool {
 	return a.call.Idempotent && !a.call.Keyed && a.allowance > 0 &&
-		a.tries < a.budget.opts.MaxTries && a.machine.Is(statePlaced)
+		a.tries < a.budget.opts.MaxTries && a.state == statePlaced
 }
