--- a/policy/callkey/issuer_test.go
+++ b/policy/callkey/issuer_test.go
@@ -165,6 +165,29 @@
 	i.Release(start, first.Serial)
 	i.Complete(start, first.Serial, answer("not ours"))
 	qt.Assert(t, i.Claim(start, r).Verdict, qt.Equals, Wait)
+	qt.Assert(t, i.starts, qt.HasLen, 1)
+	qt.Assert(t, i.answers.total, qt.Equals, 0)
+}
+
+// Whenever claims are expired, no key that was used is free afterwards.
+func TestExpiryFreesNoKey(t *testing.T) {
+	const tick = 500 * time.Millisecond
+	for born := time.Duration(0); born < 8*time.Second; born += tick {
+		i := NewIssuer(testOptions(t))
+		issueOne(t, i, start)
+		r := pay(issueOne(t, i, start.Add(born)))
+		i.Complete(start, i.Claim(start.Add(born), r).Serial, answer("paid"))
+		for age := time.Duration(0); age < 80*time.Second; age += tick {
+			now := start.Add(born + age)
+			i.Expire(now)
+			want := outcome{verdict: Replay}
+			if age >= time.Minute {
+				want = refused(problem.KeyExpired, model.RunUnknown)
+			}
+			qt.Assert(t, outcomeOf(i.Claim(now, r)), qt.Equals, want, qt.Commentf("age %v", age))
+		}
+		qt.Assert(t, i.claims.count, qt.Equals, 0)
+	}
 }
 
 func TestWaitIsWoken(t *testing.T) {
--- a/policy/callkey/key.go
+++ b/policy/callkey/key.go
@@ -1,7 +1,6 @@
 package callkey
 
 import (
-	"bytes"
 	"crypto/hkdf"
 	"crypto/hmac"
 	"crypto/sha256"
@@ -155,15 +154,8 @@
 	}
 	valid := b.Version == keyVersion && len(b.Process) == len(p.Process) && b.Serial > 0 && b.Issued <= maxIssued
 	copy(p.Process[:], b.Process)
-	return p, valid && canonical(b, raw)
+	return p, valid
 }
 
 // maxIssued is the largest time of issue, in milliseconds; a hundred years.
 const maxIssued = 100 * 366 * 24 * 3600 * 1000
-
-// canonical reports whether raw is the only encoding of the key, so that two
-// texts never name one key.
-func canonical(b body, raw []byte) bool {
-	again, err := cbor.Marshal(b)
-	return err == nil && bytes.Equal(again, raw)
-}
--- /dev/null
+++ b/policy/quarantine/list_test.go
@@ -0,0 +1,204 @@
+package quarantine
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"zinniafall/policy/model"
+	"zinniafall/policy/problem"
+)
+
+var start = time.Date(2030, 5, 1, 8, 0, 0, 0, time.UTC)
+
+// named returns a fingerprint for a test.
+func named(path string) Fingerprint {
+	return Of("town", "permits", "POST", path, nil)
+}
+
+var (
+	poison   = named("/poison")
+	innocent = named("/innocent")
+	crashA   = CrashOf(model.ProcessID{1}, 1)
+	crashB   = CrashOf(model.ProcessID{2}, 1)
+	crashC   = CrashOf(model.ProcessID{3}, 1)
+)
+
+func struck(crash CrashID, struck ...Fingerprint) Notice {
+	return Notice{Crash: crash, Struck: struck}
+}
+
+func cleared(f Fingerprint, crashes ...CrashID) Notice {
+	return Notice{Cleared: f, Forgiven: crashes}
+}
+
+func TestStanding(t *testing.T) {
+	old := struck(crashA, poison)
+	old.Age = 30 * time.Minute
+	tests := []struct {
+		name    string
+		notices []Notice
+		after   time.Duration
+		want    Standing
+	}{
+		{name: "never seen", want: Clear},
+		{name: "one crash", notices: []Notice{struck(crashA, poison, innocent)}, want: Suspect},
+		{name: "two crashes", notices: []Notice{struck(crashA, poison), struck(crashB, poison)}, want: Quarantined},
+		{name: "one crash told twice", notices: []Notice{struck(crashA, poison), struck(crashA, poison)}, want: Suspect},
+		{name: "one crash told in parts", notices: []Notice{struck(crashA, innocent), struck(crashA, poison)}, want: Suspect},
+		{name: "another's crashes", notices: []Notice{struck(crashA, innocent), struck(crashB, innocent)}, want: Clear},
+		{name: "cleared", notices: []Notice{struck(crashA, poison), cleared(poison, crashA)}, want: Clear},
+		{name: "cleared before it was struck", notices: []Notice{cleared(poison, crashA), struck(crashA, poison)}, want: Clear},
+		{name: "struck again after clearing", notices: []Notice{struck(crashA, poison), cleared(poison, crashA), struck(crashB, poison)}, want: Suspect},
+		{name: "convicted after clearing", notices: []Notice{struck(crashA, poison), cleared(poison, crashA), struck(crashB, poison), struck(crashC, poison)}, want: Quarantined},
+		{name: "clearing of one of two crashes", notices: []Notice{struck(crashA, poison), struck(crashB, poison), cleared(poison, crashA)}, want: Suspect},
+		{name: "in term", notices: []Notice{struck(crashA, poison), struck(crashB, poison)}, after: time.Hour - time.Second, want: Quarantined},
+		{name: "after its term", notices: []Notice{struck(crashA, poison), struck(crashB, poison)}, after: time.Hour, want: Suspect},
+		{name: "after its memory", notices: []Notice{struck(crashA, poison), struck(crashB, poison)}, after: 24 * time.Hour, want: Clear},
+		{name: "told late", notices: []Notice{old, struck(crashB, poison)}, after: time.Hour - time.Second, want: Quarantined},
+		{name: "told late, after its term", notices: []Notice{old}, after: 23*time.Hour + 30*time.Minute, want: Clear},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			l := New(Options{})
+			for _, n := range tt.notices {
+				raw, err := n.Encode()
+				qt.Assert(t, err, qt.IsNil)
+				back, err := DecodeNotice(raw)
+				qt.Assert(t, err, qt.IsNil)
+				l.Apply(start, back)
+			}
+			qt.Assert(t, l.Check(start.Add(tt.after), poison), qt.Equals, tt.want)
+			joined := New(Options{})
+			for _, n := range l.Notices(start.Add(tt.after)) {
+				joined.Apply(start.Add(tt.after), n)
+			}
+			qt.Assert(t, joined.Check(start.Add(tt.after), poison), qt.Equals, tt.want, qt.Commentf("a node that joined"))
+		})
+	}
+}
+
+// A third crash after the term convicts at once, and costs no fourth target.
+func TestTermAfterTermCostsOneTarget(t *testing.T) {
+	l := New(Options{})
+	l.Crashed(start, crashA, []Fingerprint{poison})
+	l.Crashed(start, crashB, []Fingerprint{poison})
+	later := start.Add(2 * time.Hour)
+	qt.Assert(t, l.Check(later, poison), qt.Equals, Suspect)
+	l.Crashed(later, crashC, []Fingerprint{poison})
+	qt.Assert(t, l.Check(later, poison), qt.Equals, Quarantined)
+}
+
+func TestOperatorsListAndLift(t *testing.T) {
+	l, other := New(Options{}), New(Options{})
+	for _, crash := range []CrashID{crashA, crashB} {
+		other.Apply(start, l.Crashed(start, crash, []Fingerprint{poison, poison}))
+	}
+	other.Apply(start, l.Crashed(start, crashC, []Fingerprint{innocent}))
+	qt.Assert(t, l.Entries(start), qt.DeepEquals, []Entry{
+		{Fingerprint: poison, Standing: Quarantined, Crashes: []CrashID{crashA, crashB}, Expires: start.Add(time.Hour)},
+		{Fingerprint: innocent, Standing: Suspect, Crashes: []CrashID{crashC}, Expires: start.Add(24 * time.Hour)},
+	})
+	refusal := l.Refusal(start.Add(time.Minute), poison)
+	qt.Assert(t, refusal.Kind, qt.Equals, problem.Quarantined)
+	qt.Assert(t, refusal.RetryAfter, qt.Equals, 59*time.Minute)
+	f, err := ParseFingerprint(poison.String())
+	qt.Assert(t, err, qt.IsNil)
+	other.Apply(start, l.Lift(start, f))
+	qt.Assert(t, other.Check(start, poison), qt.Equals, Clear)
+	_, news := other.Completed(start, innocent)
+	qt.Assert(t, news, qt.IsTrue)
+	qt.Assert(t, other.Entries(start), qt.HasLen, 0)
+	_, news = other.Completed(start, innocent)
+	qt.Assert(t, news, qt.IsFalse)
+}
+
+// A crash with many suspects does not push out what is quarantined.
+func TestMemoryIsBounded(t *testing.T) {
+	l := New(Options{MaxSuspects: 10, MaxQuarantined: 3})
+	l.Crashed(start, crashA, []Fingerprint{poison})
+	l.Crashed(start, crashB, []Fingerprint{poison})
+	for n := range 1000 {
+		l.Crashed(start, CrashOf(model.ProcessID{9}, uint64(n)), []Fingerprint{named(time.Duration(n).String())})
+	}
+	qt.Assert(t, l.suspects.Len(), qt.Equals, 10)
+	qt.Assert(t, l.Check(start, poison), qt.Equals, Quarantined)
+	for n := range 1000 {
+		l.Crashed(start, CrashOf(model.ProcessID{9}, uint64(n)), []Fingerprint{innocent})
+	}
+	qt.Assert(t, len(l.find(innocent).strikes), qt.Equals, maxStrikes)
+}
+
+// Twelve requests were in flight at a crash and are sent again to one other
+// target, where the poison among them crashes it. Isolation convicts the
+// poison alone; without it all twelve would be.
+func TestSecondCrashConvictsOne(t *testing.T) {
+	for _, isolated := range []bool{true, false} {
+		l, gate := New(Options{}), Gate{}
+		suspects := []Fingerprint{poison}
+		for n := range 11 {
+			suspects = append(suspects, named(time.Duration(n).String()))
+		}
+		l.Crashed(start, crashA, suspects)
+		var inFlight []Fingerprint
+		for _, f := range suspects {
+			if !isolated || gate.Enter(f) {
+				inFlight = append(inFlight, f)
+			}
+		}
+		l.Crashed(start, crashB, inFlight)
+		quarantined := 0
+		for _, e := range l.Entries(start) {
+			if e.Standing == Quarantined {
+				quarantined++
+			}
+		}
+		qt.Assert(t, l.Check(start, poison), qt.Equals, Quarantined)
+		qt.Assert(t, quarantined == 1, qt.Equals, isolated)
+	}
+}
+
+func TestGate(t *testing.T) {
+	var g Gate
+	qt.Assert(t, g.Enter(poison), qt.IsTrue)
+	qt.Assert(t, g.Enter(innocent), qt.IsFalse)
+	qt.Assert(t, g.Enter(poison), qt.IsFalse, qt.Commentf("a second copy"))
+	g.Leave(innocent)
+	qt.Assert(t, g.Enter(innocent), qt.IsFalse)
+	g.Leave(poison)
+	qt.Assert(t, g.Enter(innocent), qt.IsTrue)
+}
+
+// All nodes agree on the owner, a member that leaves moves only its own
+// requests, and requests spread evenly.
+func TestRank(t *testing.T) {
+	var owners []model.ProcessID
+	for n := range byte(10) {
+		owners = append(owners, model.ProcessID{n})
+	}
+	reversed := make([]model.ProcessID, 0, len(owners))
+	for n := range owners {
+		reversed = append(reversed, owners[len(owners)-1-n])
+	}
+	first := make(map[model.ProcessID]int)
+	for n := range 10_000 {
+		f := named(time.Duration(n).String())
+		ranked := Rank(f, owners)
+		first[ranked[0]]++
+		qt.Assert(t, Rank(f, reversed)[0], qt.Equals, ranked[0])
+		if ranked[0] != owners[9] {
+			qt.Assert(t, Rank(f, owners[:9])[0], qt.Equals, ranked[0])
+		}
+	}
+	for _, o := range owners {
+		qt.Assert(t, first[o] > 900 && first[o] < 1100, qt.IsTrue, qt.Commentf("%d", first[o]))
+	}
+}
+
+func TestFingerprintPartsAreKeptApart(t *testing.T) {
+	qt.Assert(t, Of("a", "bc", "POST", "/", nil), qt.Not(qt.Equals), Of("ab", "c", "POST", "/", nil))
+	qt.Assert(t, Of("a", "b", "POST", "/x", nil), qt.Not(qt.Equals), Of("a", "b", "POST", "/", []byte("x")))
+	_, err := ParseFingerprint("poison")
+	qt.Assert(t, err, qt.Equals, ErrFingerprint)
+}
