--- a/policy/callkey/bench_test.go
+++ b/policy/callkey/bench_test.go
@@ -4,8 +4,6 @@
 	"runtime"
 	"testing"
 	"time"
-
-	"zinniafall/policy/problem"
 )
 
 // BenchmarkIssue is the cost of one key.
@@ -75,6 +73,7 @@
 				i.Complete(now, i.Claim(now, pay(issueOne(b, i, now))).Serial, nil)
 			}
 		})
+		runtime.KeepAlive(i)
 		b.ReportMetric(float64(bare)/claims, "B/claim")
 		i = NewIssuer(opts)
 		whole := heapOf(func() {
@@ -101,13 +100,13 @@
 
 // BenchmarkBinding is the cost of the decisions on one caller's key.
 func BenchmarkBinding(b *testing.B) {
-	binder := NewBinder(BinderOptions{FleetWrites: 1e12})
+	binder := NewBinder(BinderOptions{Burst: 1 << 40})
 	key := callerKey(start, 1)
 	b.ReportAllocs()
 	for b.Loop() {
 		g, step := binder.Begin(start, "town", key, "issued")
 		if step.Action != Create {
-			b.Fatal(problem.As(step.Refusal))
+			b.Fatal(step.Refusal)
 		}
 		g.Next(start, Event{Outcome: Created})
 	}
--- a/policy/callkey/binding_test.go
+++ b/policy/callkey/binding_test.go
@@ -76,6 +76,22 @@
 	}
 }
 
+// A lease that the first key of a bucket was granted, at the earliest time that
+// a node accepts one, outlives the time at which the last key is refused.
+func TestSharedLeaseOutlivesItsBucket(t *testing.T) {
+	b := NewBinder(BinderOptions{})
+	opened := start.Truncate(defaultWindow)
+	earliest := opened.Add(-defaultMaxAhead - defaultMargin/2)
+	_, step := b.Begin(earliest, "town", callerKey(opened, 1), "issued")
+	qt.Assert(t, step.Action, qt.Equals, Create)
+	last := opened.Add(defaultWindow - time.Millisecond)
+	g, lastStep := b.Begin(last, "town", callerKey(last, 2), "issued")
+	qt.Assert(t, lastStep.Bucket, qt.Equals, step.Bucket)
+	ends := earliest.Add(step.Keep)
+	qt.Assert(t, g.Next(last, Event{Outcome: Created, StoreTime: ends}).Action, qt.Equals, RefuseCall)
+	qt.Assert(t, g.Next(last, Event{Outcome: Created, StoreTime: last.Add(defaultWindow)}).Action, qt.Equals, Carry)
+}
+
 // The writes of all nodes together stay within the fleet's budget.
 func TestWriteBudgetIsShared(t *testing.T) {
 	const nodes = 100
--- a/policy/quarantine/fingerprint.go
+++ b/policy/quarantine/fingerprint.go
@@ -27,11 +27,14 @@
 // Of returns the fingerprint of a request. Body is the body, or a digest or
 // prefix of it, taken in the same way on every node.
 func Of(account model.Account, service model.Service, method, path string, body []byte) Fingerprint {
-	h := sha256.New()
-	for _, part := range []string{string(account), string(service), method, path} {
-		h.Write(binary.AppendUvarint(nil, uint64(len(part))))
-		h.Write([]byte(part))
+	const usualHead = 256
+	head := make([]byte, 0, usualHead)
+	for _, part := range [...]string{string(account), string(service), method, path} {
+		head = binary.AppendUvarint(head, uint64(len(part)))
+		head = append(head, part...)
 	}
+	h := sha256.New()
+	h.Write(head)
 	h.Write(body)
 	return Fingerprint(h.Sum(nil)[:fingerprintSize])
 }
--- a/policy/retry/attempts.go
+++ b/policy/retry/attempts.go
@@ -234,15 +234,18 @@
 	return Step{Verdict: Again}
 }
 
-// retry sends a call again that may have run.
+// retry sends a call again that may have run. A keyed call takes nothing from
+// the allowance, since its issuer starts no second run with nested calls.
 func (a *Attempts) retry(now time.Time, f Failure) Step {
-	if a.allowance == 0 {
+	if !a.call.Keyed && a.allowance == 0 {
 		return a.giveUp(AllowanceSpent, f.RetryAfter)
 	}
 	if !a.budget.retries.take(now) {
 		return a.giveUp(BudgetSpent, max(f.RetryAfter, a.budget.retries.wait()))
 	}
-	a.allowance--
+	if !a.call.Keyed {
+		a.allowance--
+	}
 	a.place()
 	return Step{Verdict: Again}
 }
--- a/policy/retry/retry_test.go
+++ b/policy/retry/retry_test.go
@@ -58,6 +58,8 @@
 		{name: "caller claims a large allowance", call: nested(1000), failures: []Failure{lostCall, lostCall}, want: gaveUp(AllowanceSpent, model.RunUnknown)},
 		{name: "retries switched off", call: lookup, options: Options{Allowance: -1}, failures: []Failure{lostCall}, want: gaveUp(AllowanceSpent, model.RunUnknown)},
 		{name: "keyed, issuer's answer lost", call: keyed, failures: []Failure{lostCall}, want: again},
+		{name: "keyed, nested, answers lost", call: Call{Keyed: true, Hop: 3}, failures: []Failure{lostCall, lostCall, lostCall}, want: again},
+		{name: "keyed, answers lost", call: keyed, failures: []Failure{lostCall, lostCall, lostCall, lostCall}, want: gaveUp(TriesSpent, model.RunUnknown)},
 		{name: "keyed, issuer not reached", call: keyed, failures: []Failure{unreachable}, want: again},
 		{name: "keyed, refused by the issuer", call: keyed, failures: []Failure{refusedCall}, want: gaveUp(NotRetryable, model.RunNo)},
 		{name: "quarantined", call: lookup, failures: []Failure{{Run: model.RunNo, Kind: problem.Quarantined}}, want: gaveUp(NotRetryable, model.RunNo)},
