--- a/policy/callkey/answers.go
+++ b/policy/callkey/answers.go
@@ -7,7 +7,7 @@
 )
 
 // answerOverhead is what a retained answer takes besides its text, in bytes.
-const answerOverhead = 256
+const answerOverhead = 512
 
 // answerStore bounds the memory of retained answers. When it is full, the
 // account that holds the most bytes loses its oldest answer.
--- a/policy/callkey/options.go
+++ b/policy/callkey/options.go
@@ -19,7 +19,7 @@
 	// TTL is the time for which a key may be used after it was issued.
 	// Default 10 minutes.
 	TTL time.Duration
-	// MaxClaims bounds the claims in memory. Default 16,384.
+	// MaxClaims bounds the claims in memory. Default 32,768.
 	MaxClaims int
 	// MaxAnswerBytes bounds one retained answer. Default 64 KiB.
 	MaxAnswerBytes int
@@ -29,7 +29,7 @@
 
 const (
 	defaultTTL            = 10 * time.Minute
-	defaultMaxClaims      = 16384
+	defaultMaxClaims      = 32768
 	defaultMaxAnswerBytes = 64 << 10
 	defaultMaxTotalBytes  = 8 << 20
 	// maxBatch is the largest number of keys that one Issue hands out.
--- a/policy/retry/attempts.go
+++ b/policy/retry/attempts.go
@@ -45,7 +45,8 @@
 	Again Verdict = iota + 1
 	// GiveUp answers the caller at once.
 	GiveUp
-	// Pending means that a hedged attempt is still in flight: wait for it.
+	// Pending means that there is nothing to do: another attempt is in flight,
+	// or the call has its answer already.
 	Pending
 )
 
@@ -162,7 +163,7 @@
 // Next decides after one attempt has failed.
 func (a *Attempts) Next(now time.Time, f Failure) Step {
 	if err := a.failed(f); err != nil {
-		return a.giveUp(NotRetryable, f.RetryAfter)
+		return Step{Verdict: Pending}
 	}
 	switch a.state {
 	case stateNotRun, stateMayHaveRun:
