Share the floor and the burst of retries between entries

A floor of one retry a second and a burst of ten for each entry add up in a large fleet: 2,200 entries could send 2,200 retries a second to one failing service that gets about 1,600 first tries. Both are now divided by the number of entries.

--- a/policy/callkey/binding_test.go
+++ b/policy/callkey/binding_test.go
@@ -88,7 +88,8 @@
 	g, lastStep := b.Begin(last, "town", callerKey(last, 2), "issued")
 	qt.Assert(t, lastStep.Bucket, qt.Equals, step.Bucket)
 	ends := earliest.Add(step.Keep)
-	qt.Assert(t, g.Next(last, Event{Outcome: Created, StoreTime: ends}).Action, qt.Equals, RefuseCall)
+	refusal := g.Next(last, Event{Outcome: Created, StoreTime: ends}).Refusal
+	qt.Assert(t, refusal != nil && refusal.Kind == problem.KeyExpired, qt.IsTrue)
 	qt.Assert(t, g.Next(last, Event{Outcome: Created, StoreTime: last.Add(defaultWindow)}).Action, qt.Equals, Carry)
 }
 
--- a/policy/callkey/issuer_test.go
+++ b/policy/callkey/issuer_test.go
@@ -127,6 +127,7 @@
 	replacement := NewIssuer(opts)
 	issueOne(t, replacement, start)
 	qt.Assert(t, outcomeOf(replacement.Claim(start, r)), qt.Equals, refused(problem.KeyIssuerGone, model.RunUnknown))
+	qt.Assert(t, outcomeOf(NewIssuer(testOptions(t)).Claim(start, r)), qt.Equals, refused(problem.KeyInvalid, model.RunNo))
 }
 
 func TestSecretRotation(t *testing.T) {
--- a/policy/retry/budget.go
+++ b/policy/retry/budget.go
@@ -23,11 +23,15 @@
 	// ElsewhereFraction is the number of further attempts after a certain
 	// refusal that each first try pays for. Default 0.5.
 	ElsewhereFraction float64
-	// FloorPerSecond is the rate at which each bucket fills without any
-	// success. Default 1.
+	// FloorPerSecond is the rate at which the buckets of all entries together
+	// fill without any success. Default 20.
 	FloorPerSecond float64
-	// Burst is the number of tokens that a bucket holds. Default 10.
+	// Burst is the number of retries, and of hedges, that all entries together
+	// may make at once; each may make at least one. Default 200.
 	Burst float64
+	// Entries is the number of entries that call the service, until
+	// SetEntries changes it. Default 20.
+	Entries int
 	// MinRemaining is the time that must be left before the deadline for
 	// another attempt. Default 2 ms.
 	MinRemaining time.Duration
@@ -45,11 +49,15 @@
 	defaultRetryFraction     = 0.1
 	defaultHedgeFraction     = 0.05
 	defaultElsewhereFraction = 0.5
-	defaultFloorPerSecond    = 1
-	defaultBurst             = 10
+	defaultFloorPerSecond    = 20
+	defaultBurst             = 200
+	defaultEntries           = 20
 	defaultMinRemaining      = 2 * time.Millisecond
 	defaultMinRetryAfter     = 200 * time.Millisecond
 	defaultMaxRetryAfter     = 30 * time.Second
+	// elsewhereBurst is the number of further attempts after certain refusals
+	// that one entry may make at once.
+	elsewhereBurst = 10
 )
 
 func orDefault[T int | float64 | time.Duration](value, standard T) T {
@@ -70,6 +78,7 @@
 	o.ElsewhereFraction = orDefault(o.ElsewhereFraction, defaultElsewhereFraction)
 	o.FloorPerSecond = orDefault(o.FloorPerSecond, defaultFloorPerSecond)
 	o.Burst = orDefault(o.Burst, defaultBurst)
+	o.Entries = max(orDefault(o.Entries, defaultEntries), 1)
 	o.MinRemaining = orDefault(o.MinRemaining, defaultMinRemaining)
 	o.MinRetryAfter = orDefault(o.MinRetryAfter, defaultMinRetryAfter)
 	o.MaxRetryAfter = max(orDefault(o.MaxRetryAfter, defaultMaxRetryAfter), o.MinRetryAfter)
@@ -84,8 +93,13 @@
 	filled time.Time
 }
 
-func newBucket(o Options) bucket {
-	return bucket{tokens: o.Burst, burst: o.Burst, floor: o.FloorPerSecond}
+func newBucket(burst float64) bucket { return bucket{tokens: burst, burst: burst} }
+
+// resize changes the bucket's size and floor, and keeps its tokens if they fit.
+func (b *bucket) resize(now time.Time, burst, floor float64) {
+	b.fill(now)
+	b.burst, b.floor = burst, floor
+	b.tokens = min(b.tokens, burst)
 }
 
 // fill adds what the time since the last call has earned.
@@ -130,13 +144,29 @@
 // NewBudget returns a budget with full buckets.
 func NewBudget(opts Options) *Budget {
 	opts = opts.withDefaults()
-	return &Budget{
+	burst := opts.burst(opts.Entries)
+	b := &Budget{
 		opts:      opts,
-		retries:   newBucket(opts),
-		hedges:    newBucket(opts),
-		elsewhere: newBucket(opts),
+		retries:   newBucket(burst),
+		hedges:    newBucket(burst),
+		elsewhere: newBucket(elsewhereBurst),
 		jitter:    rand.New(rand.NewPCG(opts.Seed, 0)),
 	}
+	b.SetEntries(time.Time{}, opts.Entries)
+	return b
+}
+
+// burst is one entry's share of the burst.
+func (o Options) burst(entries int) float64 { return max(o.Burst/float64(entries), 1) }
+
+// SetEntries divides the floor and the burst by the number of entries that
+// call the service, so that they do not add up in a large fleet.
+func (b *Budget) SetEntries(now time.Time, entries int) {
+	entries = max(entries, 1)
+	burst, floor := b.opts.burst(entries), b.opts.FloorPerSecond/float64(entries)
+	b.retries.resize(now, burst, floor)
+	b.hedges.resize(now, burst, floor)
+	b.elsewhere.resize(now, elsewhereBurst, floor)
 }
 
 // Succeeded records that a call was answered by a target, which pays for
--- a/policy/retry/retry_test.go
+++ b/policy/retry/retry_test.go
@@ -149,9 +149,27 @@
 	}
 }
 
+// Many entries together retry no more than few when nothing succeeds, but for
+// one retry each.
+func TestFloorIsSharedByEntries(t *testing.T) {
+	const entries, seconds = 500, 60
+	again := 0
+	for range entries {
+		b := NewBudget(Options{})
+		b.SetEntries(start, entries)
+		for n := range seconds {
+			now := start.Add(time.Duration(n) * time.Second)
+			if b.Begin(now, lookup).Next(now, lostCall).Verdict == Again {
+				again++
+			}
+		}
+	}
+	qt.Assert(t, again >= entries && again <= entries+defaultFloorPerSecond*seconds, qt.IsTrue, qt.Commentf("%d", again))
+}
+
 // A spent budget answers at once and says when a token is there again.
 func TestRetryAfter(t *testing.T) {
-	b := NewBudget(Options{FloorPerSecond: 0.1, Burst: 1, Seed: 1})
+	b := NewBudget(Options{FloorPerSecond: 0.1, Burst: 1, Entries: 1, Seed: 1})
 	qt.Assert(t, b.Begin(start, lookup).Next(start, lostCall).Verdict, qt.Equals, Again)
 	step := b.Begin(start, lookup).Next(start, lostCall)
 	qt.Assert(t, step.Reason, qt.Equals, BudgetSpent)
