--- a/policy/quarantine/list.go
+++ b/policy/quarantine/list.go
@@ -130,7 +130,9 @@
 	return Clear
 }
 
-// Refusal is the problem with which a quarantined request is answered.
+// Refusal is the problem with which a quarantined request is answered. It says
+// that this sending was not run, so a keyed request must be claimed first: an
+// earlier sending under its key may have run.
 func (l *List) Refusal(now time.Time, f Fingerprint) *problem.Error {
 	e := problem.New(problem.Quarantined, model.RunNo, "request "+f.String()+" was in flight at the crash of two targets")
 	if r := l.find(f); r != nil {
