--- /dev/null
+++ b/policy/retry/bench_test.go
@@ -0,0 +1,22 @@
+package retry
+
+import (
+	"testing"
+
+	"zinniafall/policy/proptest"
+)
+
+func TestMain(m *testing.M) { proptest.Main(m) }
+
+// BenchmarkCall is the cost of the decisions on one call that is refused once
+// and then answered.
+func BenchmarkCall(b *testing.B) {
+	budget := NewBudget(Options{})
+	b.ReportAllocs()
+	for b.Loop() {
+		a := budget.Begin(start, lookup)
+		a.Next(start, refusedCall)
+		_ = a.Answered(start)
+		_ = a.Ended(true)
+	}
+}
