Measure the store's calls and close gaps in the tests

Cause: mutations showed that the wait for a change to be in force, an ended context and the printing of a refused key were not tested.

--- a/node/configuration/applier_test.go
+++ b/node/configuration/applier_test.go
@@ -310,25 +310,45 @@
 	})
 }
 
-// The calls of the store depend on the watchers, not on the nodes.
-func TestStoreCallsPerSecond(t *testing.T) {
-	const measured = 100 // seconds
-	calls := func(nodes, watchers int) (rate float64) {
-		run(t, func(f *fleet) {
-			all := f.started(nodes)
-			for _, a := range all[:watchers] {
-				a.SetWatching(true)
-			}
-			f.settle(5 * time.Second)
+// rates are calls of the store.
+type rates struct{ perSecond, perChange float64 }
+
+// measureCalls counts the calls of a fleet at rest, and those that a change
+// adds.
+func measureCalls(t *testing.T, nodes, watchers int) (r rates) {
+	const measured, changes = 100, 10
+	run(t, func(f *fleet) {
+		all := f.started(nodes)
+		for _, a := range all[:watchers] {
+			a.SetWatching(true)
+		}
+		f.settle(5 * time.Second)
+		count := func(d time.Duration) float64 {
 			before := f.store.Counts().Total()
-			f.settle(measured * time.Second)
-			rate = float64(f.store.Counts().Total()-before) / measured
-		})
-		return rate
+			f.settle(d)
+			return float64(f.store.Counts().Total() - before)
+		}
+		r.perSecond = count(measured*time.Second) / measured
+		before := f.store.Counts().Total()
+		for i := range changes {
+			f.commit(all[nodes-1], out(fmt.Sprint(i), model.Revision(i+1), i%2 == 0), config.ResultAccepted)
+			f.settle(10 * time.Second)
+		}
+		during := float64(f.store.Counts().Total() - before)
+		r.perChange = (during - 10*changes*r.perSecond) / changes
+		qt.Assert(t, all[nodes/2].Current().Revision, qt.Equals, model.Revision(changes+1))
+	})
+	return r
+}
+
+// The calls of the store grow with the watchers, not with the nodes.
+func TestStoreCalls(t *testing.T) {
+	at := make(map[[2]int]rates)
+	for _, size := range [][2]int{{20, 2}, {200, 2}, {20, 8}} {
+		at[size] = measureCalls(t, size[0], size[1])
+		t.Logf("%d nodes, %d watchers: %.2f calls a second, %.1f more for a change", size[0], size[1], at[size].perSecond, at[size].perChange)
 	}
-	few, many := calls(20, 2), calls(100, 2)
-	more := calls(20, 6)
-	t.Logf("calls a second: 20 nodes %.2f, 100 nodes %.2f, both with 2 watchers; 20 nodes with 6 watchers %.2f", few, many, more)
-	qt.Assert(t, many <= few*1.1, qt.IsTrue)
-	qt.Assert(t, more <= 6*1.1, qt.IsTrue)
+	few, many := at[[2]int{20, 2}], at[[2]int{200, 2}]
+	qt.Assert(t, many.perSecond <= 1.1*few.perSecond, qt.IsTrue)
+	qt.Assert(t, many.perChange <= few.perChange+2, qt.IsTrue)
 }
--- a/node/operatorapi/server_test.go
+++ b/node/operatorapi/server_test.go
@@ -5,8 +5,11 @@
 	"net/http/httptest"
 	"strings"
 	"testing"
+	"testing/synctest"
 
 	qt "github.com/frankban/quicktest"
+
+	"zinniafall/policy/model"
 )
 
 // Each call of the interface is refused without a token of an operator, and
@@ -53,6 +56,40 @@
 	})
 }
 
+// slowToApply is a node whose other member applies a revision after a number
+// of looks.
+type slowToApply struct {
+	Node
+	looks int
+}
+
+func (n *slowToApply) InForce(model.Revision) (in, missing []model.NodeAddr) {
+	n.looks--
+	if n.looks > 0 {
+		return []model.NodeAddr{"a"}, []model.NodeAddr{"b"}
+	}
+	return []model.NodeAddr{"a", "b"}, nil
+}
+
+func TestAwaitInForce(t *testing.T) {
+	for _, test := range []struct {
+		name  string
+		looks int
+		want  *InForce
+	}{
+		{"at once", 1, &InForce{Nodes: 2}},
+		{"after a while", 51, &InForce{Nodes: 2, WaitedMS: 1000}},
+		{"not in time", 1000, &InForce{Nodes: 1, Missing: []model.NodeAddr{"b"}, WaitedMS: 7000}},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := New(Options{Node: &slowToApply{looks: test.looks}})
+				qt.Assert(t, s.awaitInForce(t.Context(), 2), qt.DeepEquals, test.want)
+			})
+		})
+	}
+}
+
 // cutOff is a node that commits nothing.
 type cutOff struct{ Node }
 
--- a/node/platform/client_test.go
+++ b/node/platform/client_test.go
@@ -118,6 +118,10 @@
 	c := New(Options{URL: address, Attempts: 1})
 	_, err = c.Create(t.Context(), "k", nil)
 	qt.Assert(t, IsUnavailable(err), qt.IsTrue)
+	ended, cancel := context.WithCancel(t.Context())
+	cancel()
+	_, err = c.Create(ended, "k", nil)
+	qt.Assert(t, IsUnavailable(err), qt.IsTrue)
 }
 
 // A paused holder believes in its lease after it has lapsed: the store does
--- a/operator/cli_test.go
+++ b/operator/cli_test.go
@@ -11,6 +11,7 @@
 	"path/filepath"
 	"strings"
 	"testing"
+	"time"
 
 	qt "github.com/frankban/quicktest"
 	"k8s.io/klog/v2"
@@ -24,7 +25,7 @@
 	"zinniafall/standin/store"
 )
 
-const whole = `{"document": {
+const whole = `{
   "templates": {
     "town": {"kind": "account", "parameters": {"weight": {"type": "integer", "default": 1, "minimum": 1, "maximum": 10}},
       "body": {"weight": {"parameter": "weight"}}},
@@ -34,7 +35,7 @@
   "accounts": {"lenox": {"template": "town"}},
   "domains": {"ne-a": {"template": "zone"}, "ne-b": {"template": "zone"}},
   "services": {"permits": {"template": "booking"}}
-}}`
+}`
 
 // fakeNode stands for membership and quarantine.
 type fakeNode struct {
@@ -82,6 +83,19 @@
 }
 
 func newBench(t testing.TB) *bench {
+	b := emptyBench(t, 0)
+	b.start()
+	return b
+}
+
+// start puts the sample in force.
+func (b *bench) start() {
+	code, output := b.run("apply", b.file(`{"document": `+whole+`}`))
+	qt.Assert(b.t, code, qt.Equals, ExitOK, qt.Commentf("%s", output))
+}
+
+// emptyBench has no configuration yet.
+func emptyBench(t testing.TB, commitTimeout time.Duration) *bench {
 	b := &bench{t: t, store: store.New(), node: &fakeNode{}}
 	b.applier = configuration.New(configuration.Options{
 		Store: platform.New(platform.Options{URL: b.store.URL(), Transport: b.store.Transport()}),
@@ -89,7 +103,7 @@
 	})
 	token, hash := operatorapi.NewToken()
 	api := operatorapi.New(operatorapi.Options{
-		Configuration: b.applier, Node: b.node, InForceTimeout: 1,
+		Configuration: b.applier, Node: b.node, InForceTimeout: 1, CommitTimeout: commitTimeout,
 		Operators: []operatorapi.Operator{{Name: "other", Token: operatorapi.HashToken("other")}, {Name: "ana", Token: hash}},
 	})
 	b.server = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
@@ -104,8 +118,6 @@
 	t.Cleanup(b.server.Close)
 	t.Cleanup(b.store.Close)
 	b.token = b.file(token)
-	code, _ := b.run("apply", b.file(whole))
-	qt.Assert(t, code, qt.Equals, ExitOK)
 	return b
 }
 
@@ -201,7 +213,7 @@
 	}{
 		{"change set", `{"set": {"services": {"calendar": {"template": "booking"}}}}`, "accepted at revision 2", ExitOK},
 		{"no change", `{"base_revision": 1, "domains_out": {"ne-a": false}}`, "unchanged", ExitOK},
-		{"whole without a base", whole, "base_revision", ExitBadInput},
+		{"whole without a base", `{"document": ` + whole + `}`, "base_revision", ExitBadInput},
 		{"unknown member", `{"sets": {}}`, "unknown field", ExitBadInput},
 		{"no JSON", `{`, "is not a change", ExitBadInput},
 		{"trailing data", `{"set": {}} {}`, "something after", ExitBadInput},
@@ -260,10 +272,16 @@
 }
 
 func TestStoreDown(t *testing.T) {
-	b := newBench(t)
+	b := emptyBench(t, 2*time.Second)
+	b.start()
 	b.store.Down(true)
 	for _, command := range [][]string{{"get"}, {"status"}, {"domain", "out", "ne-a", "--dry-run"}} {
 		code, _ := b.run(command...)
 		qt.Assert(t, code, qt.Equals, ExitOK)
 	}
+	// Nothing is accepted, and no key is shown that does not work.
+	code, output := b.run("account", "key", "lenox")
+	qt.Assert(t, code, qt.Equals, ExitFailed)
+	qt.Assert(t, output, qt.Contains, "nothing was changed")
+	qt.Assert(t, output, qt.Not(qt.Contains), "shown this once")
 }
--- a/policy/config/bench_test.go
+++ b/policy/config/bench_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"runtime"
 	"testing"
 
 	"zinniafall/policy/model"
@@ -81,3 +82,30 @@
 		}
 	}
 }
+
+// BenchmarkMemory is what a node holds for a configuration.
+func BenchmarkMemory(b *testing.B) {
+	for _, accounts := range []int{100, 1000, 10000} {
+		b.Run(fmt.Sprint(accounts), func(b *testing.B) {
+			s := newFakeStore()
+			s.commit(Change{ID: "first", Document: grown(accounts)}, 0, nil)
+			before := heap()
+			held := NewFollower(nil)
+			copyTo(b, held, s)
+			after := heap()
+			for b.Loop() {
+				runtime.KeepAlive(held)
+			}
+			b.ReportMetric(float64(after)-float64(before), "held-bytes")
+			runtime.KeepAlive(s)
+		})
+	}
+}
+
+func heap() uint64 {
+	runtime.GC()
+	runtime.GC()
+	var stats runtime.MemStats
+	runtime.ReadMemStats(&stats)
+	return stats.HeapAlloc
+}
--- a/policy/config/commit_test.go
+++ b/policy/config/commit_test.go
@@ -252,6 +252,11 @@
 	qt.Assert(t, now.Head.Recent, qt.HasLen, HistoryLength)
 	qt.Assert(t, len(s.parts), qt.Equals, len(now.Head.Parts)+len(now.Head.Retired))
 	qt.Assert(t, len(now.Head.Retired) <= retiredFor+1, qt.IsTrue)
+	// A node that reads a head which was replaced meanwhile finds its parts.
+	for age := range retiredFor {
+		_, whole := s.read(age)
+		qt.Assert(t, whole, qt.IsTrue)
+	}
 }
 
 func TestUnchangedIsProvedCurrent(t *testing.T) {
