--- a/node/configuration/applier.go
+++ b/node/configuration/applier.go
@@ -124,7 +124,7 @@
 type Applier struct {
 	options  Options
 	current  atomic.Pointer[settings.Snapshot]
-	known    atomic.Uint64 // highest revision heard of
+	settled  atomic.Uint64 // highest revision in force or known to be invalid
 	ring     chan heard
 	watching chan bool
 	counters counters
@@ -175,9 +175,10 @@
 func (a *Applier) Current() *settings.Snapshot { return a.current.Load() }
 
 // Hear takes the revision that a message of another node carried. It does not
-// block and is cheap enough for each message.
+// block and is cheap enough for each message. A revision that was heard before
+// is taken again until it is in force: the sender is one more node to ask.
 func (a *Applier) Hear(revision model.Revision, from model.NodeAddr) {
-	if uint64(revision) <= a.known.Load() {
+	if uint64(revision) <= a.settled.Load() {
 		return
 	}
 	select {
@@ -247,7 +248,7 @@
 	defer a.applying.Unlock()
 	a.mu.Lock()
 	snapshot, err := a.follower.Take(head, contents)
-	a.raiseKnown(a.follower.Wanted())
+	a.settled.Store(uint64(a.follower.Settled()))
 	a.mu.Unlock()
 	if err != nil {
 		a.countRefusal(err)
@@ -263,12 +264,6 @@
 	return nil
 }
 
-func (a *Applier) raiseKnown(revision model.Revision) {
-	if uint64(revision) > a.known.Load() {
-		a.known.Store(uint64(revision)) // written under mu only
-	}
-}
-
 func (a *Applier) countRefusal(err error) {
 	if _, invalid := err.(*config.InvalidError); invalid {
 		a.counters.invalid.Inc()
--- a/node/configuration/applier_test.go
+++ b/node/configuration/applier_test.go
@@ -341,6 +341,27 @@
 	return r
 }
 
+// The same while the store is down: another node that has it, heard of later
+// with the same revision, is asked.
+func TestSourceLostWhileTheStoreIsDown(t *testing.T) {
+	run(t, func(f *fleet) {
+		nodes := f.started(2)
+		f.store.Down(true)
+		f.cutOff["node-9"] = true
+		joined := f.node("node-2")
+		joined.Hear(1, "node-9")
+		f.settle(time.Minute)
+		qt.Assert(t, joined.Current().Revision, qt.Equals, model.Revision(0))
+		for range 2 * ringSize {
+			joined.Hear(1, "node-9")
+		}
+		f.settle(time.Second)
+		joined.Hear(1, "node-1")
+		f.settle(5 * time.Second)
+		qt.Assert(t, joined.Current().Revision, qt.Equals, nodes[1].Current().Revision)
+	})
+}
+
 // The calls of the store grow with the watchers, not with the nodes.
 func TestStoreCalls(t *testing.T) {
 	at := make(map[[2]int]rates)
--- a/node/configuration/fetch.go
+++ b/node/configuration/fetch.go
@@ -76,7 +76,6 @@
 func (a *Applier) hear(sources []model.NodeAddr, h heard) []model.NodeAddr {
 	a.mu.Lock()
 	a.follower.Hear(h.revision)
-	a.raiseKnown(a.follower.Wanted())
 	a.mu.Unlock()
 	sources = slices.DeleteFunc(sources, func(n model.NodeAddr) bool { return n == h.from })
 	sources = slices.Insert(sources, 0, h.from)
@@ -95,15 +94,27 @@
 	}
 }
 
-// await waits for the time to retry, or for another node to be heard.
+// await waits for the time to retry, or, after a shorter time, for a node that
+// was not asked yet.
 func (a *Applier) await(ctx context.Context, wait time.Duration, sources *[]model.NodeAddr) {
+	if !pause(ctx, min(wait, a.jitter(a.options.RetryDelay))) {
+		return
+	}
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	case h := <-a.ring:
-		*sources = a.hear(*sources, h)
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-timer.C:
+			return
+		case h := <-a.ring:
+			asked := slices.Contains(*sources, h.from)
+			*sources = a.hear(*sources, h)
+			if !asked {
+				return
+			}
+		}
 	}
 }
 
@@ -178,7 +189,6 @@
 	}
 	a.mu.Lock()
 	step, missing, err := a.follower.Look(entry.Value)
-	a.raiseKnown(a.follower.Wanted())
 	a.mu.Unlock()
 	if err != nil {
 		a.countRefusal(err)
