Predict slow targets by their load

Cause: on replayed arrivals the entries preferred the targets with the lowest reported service time and filled them beyond their slots, while a target that had turned slow was recognized only when its slow calls completed. Predicted counts a load above the service's mean as a sign of a longer service time (Little's law), weighs unanswered calls more, and forgets a reported service time after 5 of them instead of 20. Failures are forgotten with time.

--- a/policy/placement/estimate.go
+++ b/policy/placement/estimate.go
@@ -18,6 +18,8 @@
 	believeState = 3 * time.Second
 	// failureWeight is the share of one outcome in the failure rate.
 	failureWeight = 1.0 / 8
+	// failureMemory is the time constant in which failures are forgotten.
+	failureMemory = 2 * time.Second
 	// failureCost is the time that a failed call counts for.
 	failureCost = time.Second
 	// firstBackoff and maxBackoff bound the time for which an unreachable
@@ -26,10 +28,12 @@
 	maxBackoff   = 5 * time.Second
 	// overdueWeight is the number of calls that the reported service time
 	// counts for beside the ages of unanswered calls.
-	overdueWeight = 4.0
+	overdueWeight = 2.0
+	// waitVariance is the variance of the load around its expectation.
+	waitVariance = 1.0
 	// serviceMemory is the time constant, in service times, after which a
 	// reported service time gives way to that of the service.
-	serviceMemory = 20
+	serviceMemory = 5
 )
 
 // prior is the mean over a service's reports: what is believed of a target
@@ -81,6 +85,7 @@
 	unseen int
 
 	failures     float64
+	rated        time.Duration
 	backoff      time.Duration
 	blockedUntil time.Duration
 	probed       time.Duration
@@ -201,19 +206,43 @@
 func (t *target) predict(at time.Duration) float64 {
 	limit := max(t.limit(at), 1)
 	service := t.serviceTime(at)
-	load := t.service.prior.load * limit
-	spread := limit
+	usual := t.service.prior.load * limit
+	load := t.load(at, usual, service/limit)
+	service *= crowding(load, usual, limit)
+	wait := positivePart(load+1-limit, waitVariance) * service / limit
+	failing := max(0, t.failureRate(at)-t.service.prior.failures)
+	return float64(t.roundTrip) + service + wait + failing*float64(failureCost)
+}
+
+// load returns the expected number of calls that the target holds, given the
+// usual number and the time between completions, in nanoseconds, when all
+// slots are busy.
+func (t *target) load(at time.Duration, usual, completion float64) float64 {
+	load := usual
 	if t.known {
 		reported := float64(t.report.InFlight) + float64(t.report.Queued)
-		turnover := service * max(1, reported/limit)
+		turnover := completion * max(float64(t.report.Limit), reported)
 		trust := math.Exp(-float64(at-t.heard) / turnover)
 		load += trust * (reported - load)
-		spread *= 1 - trust*trust
 	}
-	load = max(load+float64(t.unseen), float64(len(t.calls)))
-	wait := positivePart(load+1-limit, 1+spread) * service / limit
-	failing := max(0, t.failures-t.service.prior.failures)
-	return float64(t.roundTrip) + service + wait + failing*float64(failureCost)
+	return max(load+float64(t.unseen), float64(len(t.calls)))
+}
+
+// crowding returns the factor by which a load above the usual one suggests
+// that a call takes longer: where targets get equal shares, Little's law
+// makes the load proportional to the service time. This shows a slow target
+// before it has completed enough calls to report its service time.
+func crowding(load, usual, limit float64) float64 {
+	ratio := (limit + load) / (limit + usual)
+	return ratio * ratio
+}
+
+// failureRate returns the recent share of calls that failed.
+func (t *target) failureRate(at time.Duration) float64 {
+	if t.failures == 0 {
+		return 0
+	}
+	return t.failures * math.Exp(-float64(at-t.rated)/float64(failureMemory))
 }
 
 // positivePart approximates the mean of the positive part of a value with
--- a/policy/placement/outcome.go
+++ b/policy/placement/outcome.go
@@ -51,9 +51,9 @@
 	t.end(at - outcome.Elapsed)
 	switch outcome.Result {
 	case Answered:
-		t.rate(0)
+		t.rate(at, 0)
 	case Failed:
-		t.rate(1)
+		t.rate(at, 1)
 	case Unreachable:
 		t.fail(at)
 	}
@@ -63,8 +63,10 @@
 }
 
 // rate moves the failure rates of the target and its service.
-func (t *target) rate(failed float64) {
-	t.failures += failureWeight * (failed - t.failures)
+func (t *target) rate(at time.Duration, failed float64) {
+	recent := t.failureRate(at)
+	t.failures = recent + failureWeight*(failed-recent)
+	t.rated = at
 	mean := &t.service.prior.failures
 	*mean += priorWeight * (failed - *mean)
 }
