--- a/policy/placement/estimate.go
+++ b/policy/placement/estimate.go
@@ -14,10 +14,19 @@
 	initialServiceTime = 5 * time.Millisecond
 	// initialLoad is the load for each slot assumed until a report is heard.
 	initialLoad = 0.5
+	// maxLoad and maxServiceTime bound what one report adds to the means.
+	maxLoad        = 16
+	maxServiceTime = time.Minute
+	// maxStep bounds what one step of the sequence adds to the mean.
+	maxStep = 64.0
+	// maxRivals bounds the number of calls that one unseen call stands for.
+	maxRivals = 4.0
 	// believeState is the age up to which a report's state and limit bind.
 	believeState = 3 * time.Second
 	// failureWeight is the share of one outcome in the failure rate.
 	failureWeight = 1.0 / 8
+	// failureMemory is the time constant in which failures are forgotten.
+	failureMemory = 2 * time.Second
 	// failureCost is the time that a failed call counts for.
 	failureCost = time.Second
 	// firstBackoff and maxBackoff bound the time for which an unreachable
@@ -26,10 +35,12 @@
 	maxBackoff   = 5 * time.Second
 	// overdueWeight is the number of calls that the reported service time
 	// counts for beside the ages of unanswered calls.
-	overdueWeight = 4.0
+	overdueWeight = 2.0
+	// waitVariance is the variance of the load around its expectation.
+	waitVariance = 1.0
 	// serviceMemory is the time constant, in service times, after which a
 	// reported service time gives way to that of the service.
-	serviceMemory = 20
+	serviceMemory = 5
 )
 
 // prior is the mean over a service's reports: what is believed of a target
@@ -38,11 +49,25 @@
 	load        float64 // calls for each admitted slot
 	serviceTime float64 // nanoseconds
 	failures    float64 // share of calls
-	heard       bool
+	// senders is the number of entries that share a target, as the mean step
+	// of Report.Sequence between the reports heard here.
+	senders float64
+	heard   bool
 }
 
 func newPrior() prior {
-	return prior{load: initialLoad, serviceTime: float64(initialServiceTime)}
+	return prior{load: initialLoad, serviceTime: float64(initialServiceTime), senders: 1}
+}
+
+// step learns from the difference between two sequence numbers.
+func (m *prior) step(sequences uint64) {
+	m.senders += priorWeight * (min(float64(sequences), maxStep) - m.senders)
+}
+
+// rivals returns the number of calls that one unseen call of this entry
+// stands for: entries that saw the same report send at the same time.
+func (m *prior) rivals() float64 {
+	return min(m.senders, maxRivals)
 }
 
 // learn moves the means towards one report.
@@ -50,7 +75,7 @@
 	if r.Limit == 0 {
 		return
 	}
-	load := float64(r.InFlight+r.Queued) / float64(r.Limit)
+	load := min(held(r)/float64(r.Limit), maxLoad)
 	weight := priorWeight
 	if !m.heard {
 		m.heard = true
@@ -58,16 +83,23 @@
 	}
 	m.load += weight * (load - m.load)
 	if r.ServiceTime > 0 {
-		m.serviceTime += weight * (float64(r.ServiceTime) - m.serviceTime)
+		serviceTime := min(r.ServiceTime, maxServiceTime)
+		m.serviceTime += weight * (float64(serviceTime) - m.serviceTime)
 	}
 }
 
+// held returns the number of calls that the reporting owner holds.
+func held(r *model.Report) float64 {
+	return float64(r.InFlight) + float64(r.Queued)
+}
+
 // target is what the entry knows of one target.
 type target struct {
 	Target
 	service   *service
 	hash      uint64
-	near      bool
+	near      bool // in the own failure domain
+	far       bool // in another region
 	roundTrip time.Duration
 
 	known  bool
@@ -81,6 +113,7 @@
 	unseen int
 
 	failures     float64
+	rated        time.Duration
 	backoff      time.Duration
 	blockedUntil time.Duration
 	probed       time.Duration
@@ -94,6 +127,9 @@
 	if t.known && r.Process == t.report.Process && r.Sequence <= t.report.Sequence {
 		return false
 	}
+	if t.known && r.Process == t.report.Process {
+		t.service.prior.step(r.Sequence - t.report.Sequence)
+	}
 	t.known = true
 	t.heard = at
 	t.report = *r
@@ -141,8 +177,12 @@
 	t.recount()
 }
 
-// fail records that the owner could not be reached.
+// fail records that the owner could not be reached. Calls that were under
+// way together count once.
 func (t *target) fail(at time.Duration) {
+	if at < t.blockedUntil {
+		return
+	}
 	t.backoff = min(max(2*t.backoff, firstBackoff), maxBackoff)
 	t.blockedUntil = at + t.backoff
 }
@@ -183,7 +223,7 @@
 func (t *target) serviceTime(at time.Duration) float64 {
 	mean := t.service.prior.serviceTime
 	if t.known && t.report.ServiceTime > 0 {
-		own := float64(t.report.ServiceTime)
+		own := float64(min(t.report.ServiceTime, maxServiceTime))
 		trust := math.Exp(-float64(at-t.heard) / (serviceMemory * own))
 		mean += trust * (own - mean)
 	}
@@ -201,19 +241,43 @@
 func (t *target) predict(at time.Duration) float64 {
 	limit := max(t.limit(at), 1)
 	service := t.serviceTime(at)
-	load := t.service.prior.load * limit
-	spread := limit
+	usual := t.service.prior.load * limit
+	load := t.load(at, usual, service/limit)
+	service *= crowding(load, usual, limit)
+	wait := positivePart(load+1-limit, waitVariance) * service / limit
+	failing := max(0, t.failureRate(at)-t.service.prior.failures)
+	return float64(t.roundTrip) + service + wait + failing*float64(failureCost)
+}
+
+// load returns the expected number of calls that the target holds, given the
+// usual number and the time between completions, in nanoseconds, when all
+// slots are busy.
+func (t *target) load(at time.Duration, usual, completion float64) float64 {
+	load := usual
 	if t.known {
-		reported := float64(t.report.InFlight) + float64(t.report.Queued)
-		turnover := service * max(1, reported/limit)
+		reported := held(&t.report)
+		turnover := completion * max(1, float64(t.report.Limit), reported)
 		trust := math.Exp(-float64(at-t.heard) / turnover)
 		load += trust * (reported - load)
-		spread *= 1 - trust*trust
 	}
-	load = max(load+float64(t.unseen), float64(len(t.calls)))
-	wait := positivePart(load+1-limit, 1+spread) * service / limit
-	failing := max(0, t.failures-t.service.prior.failures)
-	return float64(t.roundTrip) + service + wait + failing*float64(failureCost)
+	return max(load+t.service.prior.rivals()*float64(t.unseen), float64(len(t.calls)))
+}
+
+// crowding returns the factor by which a load above the usual one suggests
+// that a call takes longer: where targets get equal shares, Little's law
+// makes the load proportional to the service time. This shows a slow target
+// before it has completed enough calls to report its service time.
+func crowding(load, usual, limit float64) float64 {
+	ratio := (limit + load) / (limit + usual)
+	return ratio * ratio
+}
+
+// failureRate returns the recent share of calls that failed.
+func (t *target) failureRate(at time.Duration) float64 {
+	if t.failures == 0 {
+		return 0
+	}
+	return t.failures * math.Exp(-float64(at-t.rated)/float64(failureMemory))
 }
 
 // positivePart approximates the mean of the positive part of a value with
