--- a/policy/admission/latency.go
+++ b/policy/admission/latency.go
@@ -21,16 +21,24 @@
 	newcomerWeight = 0.25
 	// slackRatio is the ratio of a latency to the expected one up to which it
 	// is no evidence of a cold target.
-	slackRatio = 3.0
+	slackRatio = 4.0
 	// maxRatio bounds the evidence of one completion.
 	maxRatio = 16.0
 	// minThreshold and thresholdPerVariance set the evidence that is needed;
 	// the more the latencies spread, the more it is.
 	minThreshold         = 10.0
 	thresholdPerVariance = 6.0
+	// coldThreshold is the part of that evidence that a cold target needs to
+	// step back, which costs less than a false turn to cold.
+	coldThreshold = 0.5
+	// sameRatio is the mean ratio to the baseline up to which a target answers
+	// as it did when warm.
+	sameRatio = 1.5
 	// assumedVariance is the variance of the logarithm of the latency before
 	// enough samples are known; that of an exponential distribution.
 	assumedVariance = 1.64
+	// followGain is the share of a proven limit's mean in what is normal.
+	followGain = 0.25
 	// rebaseSamples is the number of completions at the trickle after which a
 	// target that stays slow is taken as it is.
 	rebaseSamples = 64
@@ -38,6 +46,7 @@
 
 var (
 	logSlack = math.Log(slackRatio)
+	logSame  = math.Log(sameRatio)
 	logMax   = math.Log(maxRatio)
 )
 
@@ -174,19 +183,28 @@
 // slow reports whether the mean at the present limit is above the slack.
 func (d *detector) slow() bool { return d.known && d.level.mean > logSlack }
 
+// asWarm reports whether the target answers as it did when it was warm.
+func (d *detector) asWarm() bool {
+	return d.trusted() && d.offset == 0 && d.level.mean <= logSame
+}
+
 // adopt makes the mean at the present limit the normal one.
 func (d *detector) adopt() {
 	d.known = true
 	d.offset += d.level.mean
-	d.level.mean = 0
-	d.score = 0
+	d.nextLevel()
 }
 
-// compareWithBest keeps the lowest mean that a limit of this cold start had
-// as the normal one, unless the warm target's baseline is known.
-func (d *detector) compareWithBest() {
-	if !d.known || (!d.trusted() && d.level.mean < 0) {
+// passLevel ends the samples of a limit that has proven itself. Unless the
+// warm target's baseline is what counts, what is normal follows the target as
+// it warms up.
+func (d *detector) passLevel() {
+	if !d.known {
 		d.adopt()
+		return
+	}
+	if d.offset != 0 || !d.trusted() {
+		d.offset += followGain * d.level.mean
 	}
 	d.nextLevel()
 }
--- a/policy/admission/learn.go
+++ b/policy/admission/learn.go
@@ -66,18 +66,20 @@
 // widenCold takes the next step of a cold start once the present limit has
 // proven itself at good latency.
 func (o *Owner) widenCold() {
-	if o.limit.limit == trickle && o.latency.level.count >= rebaseSamples && o.latency.slow() {
-		o.latency.adopt()
-	}
 	if !o.limit.proven() {
 		return
 	}
 	if o.latency.slow() {
-		o.limit.proof = 0
+		o.repeatLevel()
 		return
 	}
-	o.latency.compareWithBest()
-	o.limit.widen()
+	fast := o.latency.asWarm() && o.limit.wall == 0
+	o.latency.passLevel()
+	if fast {
+		o.limit.double()
+	} else {
+		o.limit.widen()
+	}
 	if o.limit.full() {
 		o.ramped()
 	}
@@ -85,7 +87,7 @@
 
 func (o *Owner) ramped() {
 	o.send(eventRamped)
-	o.limit.caution = 0
+	o.limit.forgive()
 	o.circuit.reset()
 	o.latency.settle()
 }
@@ -93,27 +95,32 @@
 // watch returns the target to the trickle when its latency says that it is
 // cold.
 func (o *Owner) watch(now time.Time) {
-	if !o.latency.known || o.latency.score+o.pending(now) < o.latency.threshold() {
+	if !o.latency.known {
 		return
 	}
-	switch o.State() {
-	case model.TargetWarm:
+	evidence, threshold := o.latency.score+o.pending(now), o.latency.threshold()
+	switch state := o.State(); {
+	case state == model.TargetWarm && evidence >= threshold:
 		o.becomeCold(now, eventTurnedCold)
-	case model.TargetCold:
+	case state == model.TargetCold && evidence >= coldThreshold*threshold:
 		o.repeatLevel()
 	}
 }
 
-// repeatLevel answers a cold target that got slow: it goes back to the trickle
-// or, when it is there, starts its proof again.
+// repeatLevel answers a cold target that got slow: it steps back or, at
+// the trickle, starts its proof
+// again. One that stays slow at the trickle is taken as it is.
 func (o *Owner) repeatLevel() {
-	if o.limit.limit == trickle {
-		o.limit.proof = 0
-		o.latency.score = 0
+	if o.limit.limit > trickle {
+		o.limit.setback()
+		o.latency.nextLevel()
 		return
 	}
-	o.limit.setback()
-	o.latency.nextLevel()
+	o.limit.proof = 0
+	o.latency.score = 0
+	if o.latency.level.count >= rebaseSamples {
+		o.latency.adopt()
+	}
 }
 
 // pending returns the evidence of the calls in flight that started in the
--- a/policy/admission/lifecycle.go
+++ b/policy/admission/lifecycle.go
@@ -135,6 +135,7 @@
 // becomeCold returns the target to the trickle.
 func (o *Owner) becomeCold(now time.Time, e chart.Event) {
 	o.send(e)
+	o.limit.forgive()
 	o.limit.open(trickle)
 	o.latency.restart()
 	o.outcomes.clear()
--- a/policy/admission/limit.go
+++ b/policy/admission/limit.go
@@ -18,15 +18,18 @@
 	percent        = 100
 )
 
-// limiter holds the number of calls that may be in flight. It widens by one
-// on proven completions and never on time alone. Each change starts an epoch;
+// limiter holds the number of calls that may be in flight. It widens on
+// proven completions and never on time alone. Each change starts an epoch;
 // only calls that started in the present epoch count.
 type limiter struct {
-	slots   int
-	limit   int
-	epoch   uint64
-	proof   float64
-	caution float64 // factor on the proof, from 1 to maxCaution
+	slots int
+	limit int
+	epoch uint64
+	proof float64
+	// wall is the limit at which the last setback came. The step up to it
+	// needs caution times the proof; caution goes from 1 to maxCaution.
+	wall    int
+	caution float64
 }
 
 func (l *limiter) setSlots(slots int) {
@@ -48,10 +51,18 @@
 
 func (l *limiter) full() bool { return l.limit >= l.slots }
 
-// setback returns to the trickle and asks for more proof than before.
+// setback halves the limit, and asks for more proof than before at the step up
+// to the present one.
 func (l *limiter) setback() {
+	l.wall = l.limit
 	l.caution = min(2*max(l.caution, 1), maxCaution)
-	l.open(trickle)
+	l.open(l.limit / 2)
+}
+
+// forgive forgets the setbacks.
+func (l *limiter) forgive() {
+	l.wall = 0
+	l.caution = 1
 }
 
 // shed narrows the limit after the target turned work away, once for all the
@@ -74,7 +85,20 @@
 // proven reports whether the limit may widen.
 func (l *limiter) proven() bool {
 	needed := float64(max(minProof, proofPerSlot*l.limit))
-	return l.proof >= needed*max(l.caution, 1)
+	if l.limit+1 >= l.wall {
+		needed *= max(l.caution, 1)
+	}
+	return l.proof >= needed
+}
+
+// widen takes one step up.
+func (l *limiter) widen() {
+	if l.limit >= l.wall {
+		l.forgive()
+	}
+	l.open(l.limit + 1)
 }
 
-func (l *limiter) widen() { l.open(l.limit + 1) }
+// double widens faster; for a target that answers as it did when warm and had
+// no setback since.
+func (l *limiter) double() { l.open(2 * l.limit) }
