--- a/policy/admission/circuit.go
+++ b/policy/admission/circuit.go
@@ -54,7 +54,6 @@
 // close lets calls through again.
 func (c *circuit) close() {
 	c.completions = 0
-	c.crashes = 0
 }
 
 // reset restores full trust.
--- /dev/null
+++ b/policy/admission/events_test.go
@@ -0,0 +1,278 @@
+package admission
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"zinniafall/policy/model"
+	"zinniafall/policy/problem"
+	"zinniafall/policy/settings"
+)
+
+var start = time.Unix(1000, 0)
+
+// warmOwner returns an owner whose warm target has all its slots open.
+func warmOwner(slots int) *Owner {
+	o := New(Options{})
+	o.Announce(start, Announcement{Instance: "one", Slots: slots, Lease: time.Minute})
+	o.limit.open(slots)
+	return o
+}
+
+// fill starts calls 1 to n of different accounts at the start time.
+func fill(o *Owner, n int) {
+	for i := range n {
+		o.Offer(start, Call{Ticket: Ticket(i + 1), Account: model.Account(fmt.Sprint("account", i%4))})
+	}
+}
+
+// finishAll ends the calls 1 to n alike and returns the releases.
+func finishAll(o *Owner, now time.Time, n int, result Result) (releases []Release) {
+	for i := range n {
+		releases = append(releases, o.Finish(now, Ticket(i+1), Outcome{result, 5 * time.Millisecond})...)
+	}
+	return releases
+}
+
+// TestEvents brings each event about at a target of four slots that runs four
+// calls while a fifth waits.
+func TestEvents(t *testing.T) {
+	const waiting, later = 5, 6
+	soon := start.Add(10 * time.Millisecond)
+	tests := []struct {
+		name  string
+		event func(o *Owner) []Release
+		at    time.Time
+		state model.TargetState
+		limit int
+		// queued is the refusal of the waiting call: "" when it starts and
+		// "waits" when it goes on waiting.
+		queued problem.Kind
+		// offered is the refusal of a call that is offered afterwards.
+		offered problem.Kind
+	}{
+		{name: "a call completes", event: func(o *Owner) []Release { return o.Finish(soon, 1, Outcome{Completed, time.Millisecond}) },
+			state: model.TargetWarm, limit: 4},
+		{name: "a call fails", event: func(o *Owner) []Release { return o.Finish(soon, 1, Outcome{Failed, time.Millisecond}) },
+			state: model.TargetWarm, limit: 4},
+		{name: "a call in flight is abandoned", event: func(o *Owner) []Release { return o.Abandon(soon, 1) },
+			state: model.TargetWarm, limit: 4, queued: "waits"},
+		{name: "the target sheds load", event: func(o *Owner) []Release { return o.Finish(soon, 1, Outcome{Shed, time.Millisecond}) },
+			state: model.TargetWarm, limit: 2, queued: "waits"},
+		{name: "all calls in flight are shed", event: func(o *Owner) []Release { return finishAll(o, soon, 4, Shed) },
+			state: model.TargetWarm, limit: 2},
+		{name: "one crash", event: func(o *Owner) []Release { return o.Finish(soon, 1, Outcome{Crashed, time.Millisecond}) },
+			state: model.TargetCold, limit: 1, queued: "waits"},
+		{name: "two crashes", event: func(o *Owner) []Release { return finishAll(o, soon, 2, Crashed) },
+			state: model.TargetFailing, queued: problem.Overloaded, offered: problem.Overloaded},
+		{name: "the target drains", event: func(o *Owner) []Release { return o.Drain(soon) },
+			state: model.TargetDraining, queued: problem.Draining, offered: problem.Draining},
+		{name: "the target renews while it drains", event: func(o *Owner) []Release {
+			return append(o.Drain(soon), o.Announce(soon, Announcement{Instance: "one", Slots: 4})...)
+		}, state: model.TargetDraining, queued: problem.Draining, offered: problem.Draining},
+		{name: "the target withdraws", event: func(o *Owner) []Release { return o.Gone(soon) },
+			state: model.TargetAbsent, queued: problem.NoTarget, offered: problem.NoTarget},
+		{name: "the announcement lapses", event: func(o *Owner) []Release { return o.Tick(start.Add(time.Minute)) }, at: start.Add(time.Minute),
+			state: model.TargetAbsent, queued: problem.NoTarget, offered: problem.NoTarget},
+		{name: "a paused node wakes after the announcement lapsed", event: func(*Owner) []Release { return nil }, at: start.Add(time.Hour),
+			state: model.TargetAbsent, queued: "waits", offered: problem.NoTarget},
+		{name: "the domain goes out", event: func(o *Owner) []Release { return o.SetDomainOut(soon, true) },
+			state: model.TargetWarm, limit: 4, queued: problem.DomainOut, offered: problem.DomainOut},
+		{name: "the domain goes out and comes back", event: func(o *Owner) []Release {
+			return append(o.SetDomainOut(soon, true), o.SetDomainOut(soon, false)...)
+		}, state: model.TargetCold, limit: 1, queued: problem.DomainOut},
+		{name: "the node stops", event: func(o *Owner) []Release { return o.SetStopping(soon) },
+			state: model.TargetWarm, limit: 4, queued: problem.Draining, offered: problem.Draining},
+		{name: "the node is cut off", event: func(o *Owner) []Release { return o.SetFresh(soon, false) },
+			state: model.TargetWarm, limit: 4, queued: problem.NotFresh, offered: problem.NotFresh},
+		{name: "the node is cut off and heals", event: func(o *Owner) []Release {
+			return append(o.SetFresh(soon, false), o.SetFresh(soon, true)...)
+		}, state: model.TargetWarm, limit: 4, queued: problem.NotFresh},
+		{name: "a new process announces itself as warm", event: func(o *Owner) []Release {
+			return o.Announce(soon, Announcement{Instance: "two", Slots: 4})
+		}, state: model.TargetCold, limit: 1, queued: "waits"},
+		{name: "a renewal says cold", event: func(o *Owner) []Release {
+			return o.Announce(soon, Announcement{Instance: "one", Slots: 4, Cold: true})
+		}, state: model.TargetCold, limit: 1, queued: "waits"},
+		{name: "a renewal names fewer connections than slots", event: func(o *Owner) []Release {
+			return o.Announce(soon, Announcement{Instance: "one", Slots: 400, Connections: 3})
+		}, state: model.TargetWarm, limit: 3, queued: "waits"},
+		{name: "the wait gets too long", event: func(o *Owner) []Release { return o.Tick(start.Add(DefaultMaxWait)) },
+			state: model.TargetWarm, limit: 4, queued: problem.Overloaded},
+		{name: "nothing completes", event: func(o *Owner) []Release {
+			o.latency.known = true
+			for i := range o.running {
+				o.running[i].flow.State.latency = latencyHistory{0, trustedHistory, logSeconds(time.Millisecond)}
+			}
+			return o.Tick(start.Add(90 * time.Millisecond))
+		}, state: model.TargetCold, limit: 1, queued: "waits"},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			o := warmOwner(4)
+			fill(o, 4)
+			qt.Assert(t, o.Offer(start, Call{Ticket: waiting, Account: "account4"}).Verdict, qt.Equals, Wait)
+			releases := test.event(o)
+			at := soon
+			if !test.at.IsZero() {
+				at = test.at
+			}
+			d := o.Offer(at, Call{Ticket: later, Account: "account5"})
+			qt.Assert(t, o.State(), qt.Equals, test.state)
+			qt.Assert(t, o.limit.limit, qt.Equals, test.limit)
+			qt.Assert(t, kindOf(d.Refusal), qt.Equals, test.offered)
+			if test.queued == "waits" {
+				qt.Assert(t, releases, qt.HasLen, 0)
+				return
+			}
+			qt.Assert(t, releases, qt.HasLen, 1)
+			qt.Assert(t, releases[0].Ticket, qt.Equals, Ticket(waiting))
+			qt.Assert(t, kindOf(releases[0].Refusal), qt.Equals, test.queued)
+		})
+	}
+}
+
+func kindOf(p *problem.Error) problem.Kind {
+	if p == nil {
+		return ""
+	}
+	return p.Kind
+}
+
+// TestOffer offers a call to a target of two slots.
+func TestOffer(t *testing.T) {
+	tests := []struct {
+		name    string
+		running []Call
+		call    Call
+		verdict Verdict
+		kind    problem.Kind
+	}{
+		{name: "idle", verdict: Start},
+		{name: "expired", call: Call{Deadline: start}, verdict: Refuse, kind: problem.DeadlineExceeded},
+		{name: "no slot", running: []Call{{Account: "a"}, {Account: "b"}}, verdict: Wait},
+		{name: "no slot before the deadline", running: []Call{{Account: "a"}, {Account: "b"}},
+			call: Call{Deadline: start.Add(6 * time.Millisecond)}, verdict: Refuse, kind: problem.Overloaded},
+		{name: "no time to finish", running: []Call{{Account: "a"}},
+			call: Call{Deadline: start.Add(4 * time.Millisecond)}, verdict: Refuse, kind: problem.DeadlineExceeded},
+		{name: "little time but nothing in flight", call: Call{Deadline: start.Add(time.Millisecond)}, verdict: Start},
+		{name: "account limit", running: []Call{{Account: "limited"}}, call: Call{Account: "limited"}, verdict: Wait},
+		{name: "account limit and a deadline", running: []Call{{Account: "limited"}},
+			call: Call{Account: "limited", Deadline: start.Add(6 * time.Millisecond)}, verdict: Refuse, kind: problem.AccountLimit},
+		{name: "isolated", running: []Call{{Account: "a"}}, call: Call{Isolated: true}, verdict: Start},
+		{name: "second isolated", running: []Call{{Account: "a", Isolated: true}}, call: Call{Isolated: true}, verdict: Wait},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			o := warmOwner(2)
+			o.SetAccounts(func(a model.Account) settings.Account {
+				if a == "limited" {
+					return settings.Account{Concurrency: 1}
+				}
+				return settings.Account{}
+			})
+			for i, c := range test.running {
+				c.Ticket = Ticket(i + 1)
+				qt.Assert(t, o.Offer(start, c).Verdict, qt.Equals, Start)
+			}
+			test.call.Ticket = 9
+			d := o.Offer(start, test.call)
+			qt.Assert(t, d.Verdict, qt.Equals, test.verdict)
+			qt.Assert(t, kindOf(d.Refusal), qt.Equals, test.kind)
+			if d.Refusal != nil {
+				qt.Assert(t, d.Refusal.Run, qt.Equals, model.RunNo)
+				qt.Assert(t, d.Refusal.RetryAfter > 0, qt.Equals, test.kind != problem.DeadlineExceeded)
+			}
+		})
+	}
+}
+
+// serve runs n calls one after the other and returns the time after them.
+func serve(o *Owner, now time.Time, n int, account model.Account, result Result, service time.Duration) time.Time {
+	for range n {
+		ticket := Ticket(now.UnixNano())
+		if o.Offer(now, Call{Ticket: ticket, Account: account}).Verdict == Start {
+			now = now.Add(service)
+			o.Finish(now, ticket, Outcome{result, service})
+		}
+		now = now.Add(time.Millisecond)
+	}
+	return now
+}
+
+func TestTimeAloneWidensNothing(t *testing.T) {
+	o := New(Options{})
+	o.Announce(start, Announcement{Instance: "one", Slots: 12, Cold: true, Lease: 2 * time.Hour})
+	o.Tick(start.Add(time.Hour))
+	qt.Assert(t, o.limit.limit, qt.Equals, trickle)
+	now := serve(o, start.Add(time.Hour), minProof*claimCaution, "a", Failed, 5*time.Millisecond)
+	qt.Assert(t, o.limit.limit <= trickle, qt.IsTrue)
+	o.Announce(now, Announcement{Instance: "two", Slots: 12, Cold: true})
+	serve(o, now, minProof*claimCaution, "a", Completed, 5*time.Millisecond)
+	qt.Assert(t, o.limit.limit, qt.Equals, trickle+1)
+}
+
+// TestFailFast checks that a target that fails at once is left alone, tried
+// ever more rarely, and trusted again only after a cold start.
+func TestFailFast(t *testing.T) {
+	o := warmOwner(4)
+	now := serve(o, start, failuresToTrip, "a", Failed, time.Microsecond)
+	qt.Assert(t, o.State(), qt.Equals, model.TargetFailing)
+	qt.Assert(t, o.Report(now).Limit, qt.Equals, uint16(0))
+	for _, probation := range []time.Duration{DefaultProbation, 2 * DefaultProbation, 4 * DefaultProbation} {
+		qt.Assert(t, o.circuit.remaining(now) > probation*9/10, qt.IsTrue)
+		now = o.circuit.until
+		o.Tick(now)
+		qt.Assert(t, o.State(), qt.Equals, model.TargetCold)
+		now = serve(o, now, 10, "a", Failed, time.Microsecond)
+		qt.Assert(t, o.State(), qt.Equals, model.TargetFailing)
+	}
+	now = serve(o, o.circuit.until, minProof, "a", Completed, time.Millisecond)
+	qt.Assert(t, o.limit.limit, qt.Equals, trickle+1)
+	qt.Assert(t, o.circuit.onProbation, qt.IsFalse)
+}
+
+func TestOneAccountsFailuresDoNotCondemnTheTarget(t *testing.T) {
+	o := warmOwner(4)
+	now := start
+	for range 20 {
+		now = serve(o, now, 5, "broken", Failed, time.Millisecond)
+		now = serve(o, now, 1, "sound", Completed, time.Millisecond)
+	}
+	qt.Assert(t, o.State(), qt.Equals, model.TargetWarm)
+}
+
+// TestHopelessEstimateRecovers checks that an account whose estimate is far
+// too high gets calls again, also while others keep the target busy.
+func TestHopelessEstimateRecovers(t *testing.T) {
+	o := warmOwner(4)
+	o.Offer(start, Call{Ticket: 1, Account: "other"})
+	now := serve(o, start, 8, "a", Completed, 5*time.Second)
+	for i := range 100 {
+		c := Call{Ticket: Ticket(100 + i), Account: "a", Deadline: now.Add(100 * time.Millisecond)}
+		if o.Offer(now, c).Verdict == Start {
+			return
+		}
+	}
+	t.Fatal("no call of the account starts")
+}
+
+func TestMeasureBudgetHoldsAcrossRestarts(t *testing.T) {
+	allowed := 0
+	for restart := range 50 {
+		o := New(Options{MeasureRate: 2})
+		for tick := range 40 {
+			if o.AllowMeasure(start.Add(time.Duration(restart*40+tick) * 10 * time.Millisecond)) {
+				allowed++
+			}
+		}
+	}
+	qt.Assert(t, allowed <= 40, qt.IsTrue, qt.Commentf("%d requests in 20 s at 2 a second", allowed))
+	o := New(Options{})
+	o.SetMeasureRate(100)
+	o.AllowMeasure(start)
+	qt.Assert(t, o.AllowMeasure(start.Add(10*time.Millisecond)), qt.IsTrue)
+}
--- a/policy/admission/latency.go
+++ b/policy/admission/latency.go
@@ -24,13 +24,16 @@
 	slackRatio = 4.0
 	// maxRatio bounds the evidence of one completion.
 	maxRatio = 16.0
+	// maxPendingRatio bounds the evidence of one call that is in flight or was
+	// given up.
+	maxPendingRatio = 64.0
 	// minThreshold and thresholdPerVariance set the evidence that is needed;
 	// the more the latencies spread, the more it is.
 	minThreshold         = 10.0
 	thresholdPerVariance = 6.0
 	// coldThreshold is the part of that evidence that a cold target needs to
 	// step back, which costs less than a false turn to cold.
-	coldThreshold = 0.5
+	coldThreshold = 0.35
 	// sameRatio is the mean ratio to the baseline up to which a target answers
 	// as it did when warm.
 	sameRatio = 1.5
@@ -48,6 +51,8 @@
 	logSlack = math.Log(slackRatio)
 	logSame  = math.Log(sameRatio)
 	logMax   = math.Log(maxRatio)
+
+	logMaxPending = math.Log(maxPendingRatio)
 )
 
 // moments is a running mean and variance.
@@ -169,7 +174,7 @@
 		return 0
 	}
 	x, weight := d.ratio(h, age)
-	return max(0, weight*(min(x, logMax)-logSlack))
+	return max(0, weight*(min(x, logMaxPending)-logSlack))
 }
 
 func (d *detector) threshold() float64 {
--- a/policy/admission/learn.go
+++ b/policy/admission/learn.go
@@ -107,9 +107,9 @@
 	}
 }
 
-// repeatLevel answers a cold target that got slow: it steps back or, at
-// the trickle, starts its proof
-// again. One that stays slow at the trickle is taken as it is.
+// repeatLevel answers a cold target that got slow: it steps back or, at the
+// trickle, starts its proof again. One that stays slow at the trickle is taken
+// as it is.
 func (o *Owner) repeatLevel() {
 	if o.limit.limit > trickle {
 		o.limit.setback()
--- a/policy/admission/lifecycle.go
+++ b/policy/admission/lifecycle.go
@@ -46,10 +46,10 @@
 		o.becomeWarm()
 	case o.State() == model.TargetAbsent, known != a.Instance:
 		o.becomeCold(now, eventAnnouncedCold)
-	case a.Cold && !o.saidCold && o.chart.Can(eventTurnedCold):
+	case a.Cold && !o.limit.claimed && o.chart.Can(eventTurnedCold):
 		o.becomeCold(now, eventTurnedCold)
 	}
-	o.saidCold = a.Cold
+	o.limit.claimed = a.Cold
 	return o.settle(now)
 }
 
--- a/policy/admission/limit.go
+++ b/policy/admission/limit.go
@@ -11,8 +11,13 @@
 	// lowOccupancyProof is what a completion counts when the limit was not
 	// nearly used up at its start.
 	lowOccupancyProof = 0.25
-	// maxCaution bounds the factor by which setbacks raise the proof.
-	maxCaution = 8
+	// claimCaution is the factor on the proof while the target says that it is
+	// cold. Its word may be late or wrong, so it slows the ramp and no more.
+	claimCaution = 4
+	// cautionStep is the factor by which a setback raises the proof, up to
+	// maxCaution.
+	cautionStep = 4
+	maxCaution  = 16
 	// backoffPercent is what remains of the limit after the target shed load.
 	backoffPercent = 70
 	percent        = 100
@@ -27,9 +32,12 @@
 	epoch uint64
 	proof float64
 	// wall is the limit at which the last setback came. The step up to it
-	// needs caution times the proof; caution goes from 1 to maxCaution.
+	// needs caution times the proof; caution is at most
+	// maxCaution.
 	wall    int
 	caution float64
+	// claimed is true while the target says that it is cold.
+	claimed bool
 }
 
 func (l *limiter) setSlots(slots int) {
@@ -55,14 +63,14 @@
 // to the present one.
 func (l *limiter) setback() {
 	l.wall = l.limit
-	l.caution = min(2*max(l.caution, 1), maxCaution)
+	l.caution = min(cautionStep*max(l.caution, 1), maxCaution)
 	l.open(l.limit / 2)
 }
 
 // forgive forgets the setbacks.
 func (l *limiter) forgive() {
 	l.wall = 0
-	l.caution = 1
+	l.caution = 0
 }
 
 // shed narrows the limit after the target turned work away, once for all the
@@ -84,11 +92,14 @@
 
 // proven reports whether the limit may widen.
 func (l *limiter) proven() bool {
-	needed := float64(max(minProof, proofPerSlot*l.limit))
+	factor := 1.0
+	if l.claimed {
+		factor = claimCaution
+	}
 	if l.limit+1 >= l.wall {
-		needed *= max(l.caution, 1)
+		factor = max(factor, l.caution)
 	}
-	return l.proof >= needed
+	return l.proof >= factor*float64(max(minProof, proofPerSlot*l.limit))
 }
 
 // widen takes one step up.
--- a/policy/admission/owner.go
+++ b/policy/admission/owner.go
@@ -30,7 +30,6 @@
 	now time.Time
 
 	instance string
-	saidCold bool // whether the last announcement said cold
 	leaseEnd time.Time
 	gates    gates
 
--- /dev/null
+++ b/policy/admission/property_test.go
@@ -0,0 +1,280 @@
+package admission
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"slices"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"zinniafall/policy/model"
+	"zinniafall/policy/settings"
+)
+
+// checker drives an owner with random events and knows what must hold.
+type checker struct {
+	*rapid.T
+	now     time.Time
+	owner   *Owner
+	next    Ticket
+	waiting map[Ticket]Call
+	running map[Ticket]Call
+	ended   map[Ticket]bool
+	// The checker's own view of what closes the owner.
+	out, stopping, stale, leaving bool
+	present                       bool
+	instance                      int
+	slots                         int
+	leaseEnd                      time.Time
+}
+
+const (
+	checkedConcurrency = 2
+	checkedConnections = 5
+)
+
+func newChecker(t *rapid.T) *checker {
+	c := &checker{
+		T: t, now: time.Unix(1000, 0), owner: New(Options{QueueLength: 8, MaxWait: 200 * time.Millisecond}),
+		waiting: map[Ticket]Call{}, running: map[Ticket]Call{}, ended: map[Ticket]bool{},
+	}
+	c.owner.SetAccounts(func(a model.Account) settings.Account {
+		if a == "limited" {
+			return settings.Account{Weight: 2, Concurrency: checkedConcurrency}
+		}
+		return settings.Account{}
+	})
+	return c
+}
+
+// must ends the run when a condition does not hold.
+func (c *checker) must(holds bool, format string, args ...any) {
+	c.Helper()
+	if !holds {
+		c.Fatalf(format, args...)
+	}
+}
+
+func (c *checker) open() bool {
+	return c.present && !c.out && !c.stopping && !c.stale && !c.leaving && c.now.Before(c.leaseEnd)
+}
+
+func (c *checker) offer() {
+	c.next++
+	call := Call{
+		Ticket:   c.next,
+		Account:  rapid.SampledFrom([]model.Account{"a", "b", "limited"}).Draw(c.T, "account"),
+		Isolated: rapid.IntRange(0, 4).Draw(c.T, "isolated") == 0,
+	}
+	if patience := rapid.IntRange(-1, 300).Draw(c.T, "patience"); patience < 250 {
+		call.Deadline = c.now.Add(time.Duration(patience) * time.Millisecond)
+	}
+	switch d := c.owner.Offer(c.now, call); d.Verdict {
+	case Start:
+		c.started(call)
+	case Wait:
+		c.waiting[call.Ticket] = call
+	default:
+		c.must(d.Refusal.Run == model.RunNo, "a refusal says that the call ran")
+		c.ended[call.Ticket] = true
+	}
+}
+
+// started checks a start at the moment at which it happens.
+func (c *checker) started(call Call) {
+	c.must(c.open(), "start while closed")
+	c.must(!call.expired(c.now), "start of an expired call")
+	c.must(!c.ended[call.Ticket], "ticket %d starts after its end", call.Ticket)
+	c.running[call.Ticket] = call
+	limit := c.owner.limit.limit
+	c.must(len(c.running) <= limit, "%d in flight, limit %d", len(c.running), limit)
+	c.must(limit <= min(c.slots, checkedConnections), "limit %d is beyond the slots or connections", limit)
+}
+
+func (c *checker) released(releases []Release) {
+	for _, r := range releases {
+		call, ok := c.waiting[r.Ticket]
+		c.must(ok, "release of ticket %d, which does not wait", r.Ticket)
+		delete(c.waiting, r.Ticket)
+		if r.Refusal == nil {
+			c.started(call)
+			continue
+		}
+		c.must(r.Refusal.Run == model.RunNo, "a refusal says that the call ran")
+		c.ended[r.Ticket] = true
+	}
+}
+
+// pick draws one of the tickets, or 0 when there are none.
+func pick(t *rapid.T, tickets map[Ticket]Call) Ticket {
+	if len(tickets) == 0 {
+		return 0
+	}
+	var all []Ticket
+	for ticket := range tickets {
+		all = append(all, ticket)
+	}
+	slices.Sort(all)
+	return rapid.SampledFrom(all).Draw(t, "ticket")
+}
+
+func (c *checker) finish(result Result) {
+	ticket := pick(c.T, c.running)
+	if ticket == 0 {
+		return
+	}
+	delete(c.running, ticket)
+	c.ended[ticket] = true
+	service := time.Duration(rapid.SampledFrom([]int{1, 5, 200}).Draw(c.T, "service")) * time.Millisecond
+	c.released(c.owner.Finish(c.now, ticket, Outcome{result, service}))
+	c.released(c.owner.Finish(c.now, ticket, Outcome{result, service})) // a repeated event
+}
+
+func (c *checker) abandon() {
+	if ticket := pick(c.T, c.waiting); ticket != 0 {
+		delete(c.waiting, ticket)
+		c.ended[ticket] = true
+		c.released(c.owner.Abandon(c.now, ticket))
+	}
+	if ticket := pick(c.T, c.running); ticket != 0 {
+		c.released(c.owner.Abandon(c.now, ticket))
+	}
+}
+
+func (c *checker) announce(newProcess bool) {
+	if newProcess {
+		c.instance++
+	}
+	if newProcess || !c.present {
+		c.leaving = false
+	}
+	c.present = true
+	c.slots = rapid.IntRange(1, 8).Draw(c.T, "slots")
+	lease := time.Duration(rapid.IntRange(100, 5000).Draw(c.T, "lease")) * time.Millisecond
+	c.leaseEnd = c.now.Add(lease)
+	c.released(c.owner.Announce(c.now, Announcement{
+		Instance: fmt.Sprint(c.instance), Slots: c.slots, Connections: checkedConnections,
+		Cold: rapid.Bool().Draw(c.T, "cold"), Lease: lease,
+	}))
+}
+
+// step does one random event and returns its name.
+func (c *checker) step() string {
+	event := rapid.SampledFrom([]string{
+		"offer", "offer", "offer", "offer", "completed", "completed", "completed", "completed",
+		"failed", "shed", "crashed", "abandoned", "abandon", "time", "time", "renewal",
+		"new process", "drain", "gone", "out", "in", "stale", "fresh", "stop",
+	}).Draw(c.T, "event")
+	results := map[string]Result{"completed": Completed, "failed": Failed, "shed": Shed, "crashed": Crashed, "abandoned": Abandoned}
+	if result, ok := results[event]; ok {
+		c.finish(result)
+		return event
+	}
+	switch event {
+	case "offer":
+		c.offer()
+	case "abandon":
+		c.abandon()
+	case "time":
+		c.now = c.now.Add(time.Duration(rapid.IntRange(1, 150).Draw(c.T, "ms")) * time.Millisecond)
+		c.present = c.present && c.now.Before(c.leaseEnd)
+		c.released(c.owner.Tick(c.now))
+	case "renewal", "new process":
+		c.announce(event == "new process")
+	case "drain":
+		c.leaving = c.present
+		c.released(c.owner.Drain(c.now))
+	case "gone":
+		c.present, c.leaving = false, false
+		c.released(c.owner.Gone(c.now))
+	case "out", "in":
+		c.out = event == "out"
+		c.released(c.owner.SetDomainOut(c.now, c.out))
+	case "stale", "fresh":
+		c.stale = event == "stale"
+		c.released(c.owner.SetFresh(c.now, !c.stale))
+	case "stop":
+		// Rare, because nothing starts after it.
+		if rapid.IntRange(0, 9).Draw(c.T, "really") == 0 {
+			c.stopping = true
+			c.released(c.owner.SetStopping(c.now))
+		}
+	}
+	return event
+}
+
+// check looks at what must hold after each event.
+func (c *checker) check(event string, before int) {
+	o := c.owner
+	inFlight := o.InFlight()
+	c.must(len(inFlight) == len(c.running), "%d in flight, want %d", len(inFlight), len(c.running))
+	perAccount, isolated := map[model.Account]int{}, 0
+	for _, ticket := range inFlight {
+		call, ok := c.running[ticket]
+		c.must(ok, "ticket %d is in flight but was not started", ticket)
+		perAccount[call.Account]++
+		if call.Isolated {
+			isolated++
+		}
+	}
+	c.must(isolated <= 1, "%d isolated calls at once", isolated)
+	c.must(perAccount["limited"] <= checkedConcurrency, "%d calls of the limited account at once", perAccount["limited"])
+	c.must(o.queue.Len() == len(c.waiting), "%d calls wait, want %d", o.queue.Len(), len(c.waiting))
+	widened := before > 0 && o.limit.limit > before
+	c.must(!widened || event == "completed", "%s widened the limit from %d to %d", event, before, o.limit.limit)
+	if event == "new process" {
+		c.must(c.instance == 1 || o.State() == model.TargetCold && o.limit.limit == trickle, "a new process is %v with limit %d", o.State(), o.limit.limit)
+	}
+	c.checkQueue(event, perAccount, isolated)
+}
+
+// checkQueue checks that nothing waits for which there is a slot.
+func (c *checker) checkQueue(event string, perAccount map[model.Account]int, isolated int) {
+	free := c.owner.limit.limit - len(c.running) - c.owner.reserve.size()
+	for _, call := range c.waiting {
+		c.must(c.open(), "a call waits at a closed owner")
+		c.must(event != "time" || !call.expired(c.now), "an expired call waits")
+		blocked := call.Isolated && isolated > 0 || call.Account == "limited" && perAccount["limited"] >= checkedConcurrency
+		c.must(free <= 0 || blocked, "%d slots are free and a call waits", free)
+	}
+}
+
+// TestMain fixes rapid's seed, so that each run gives the same verdict, unless
+// the command line sets one.
+func TestMain(m *testing.M) {
+	flag.Parse()
+	seed := flag.Lookup("rapid.seed")
+	if seed.Value.String() == seed.DefValue {
+		_ = flag.Set("rapid.seed", "1")
+	}
+	os.Exit(m.Run())
+}
+
+func TestRandomEvents(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		c := newChecker(rt)
+		c.announce(true)
+		for range rapid.IntRange(1, 120).Draw(rt, "steps") {
+			before := c.owner.limit.limit
+			c.check(c.step(), before)
+		}
+		c.end()
+	})
+}
+
+// end checks that every ticket ends.
+func (c *checker) end() {
+	c.now = c.now.Add(time.Second)
+	c.present = c.present && c.now.Before(c.leaseEnd)
+	c.released(c.owner.Tick(c.now))
+	c.must(len(c.waiting) == 0, "%d calls wait for ever", len(c.waiting))
+	for ticket := range c.running {
+		c.ended[ticket] = true
+		c.released(c.owner.Finish(c.now, ticket, Outcome{Completed, time.Millisecond}))
+	}
+	c.must(len(c.ended) == int(c.next), "%d of %d calls ended", len(c.ended), c.next)
+	c.must(len(c.owner.InFlight()) == 0, "calls stay in flight")
+}
