--- a/policy/admission/latency.go
+++ b/policy/admission/latency.go
@@ -32,9 +32,9 @@
 	// the more the latencies spread, the more it is.
 	minThreshold         = 10.0
 	thresholdPerVariance = 6.0
-	// coldShare is the part of that evidence that a cold target needs to
-	// step back, which costs less than a false turn to cold.
-	coldShare = 0.4
+	// coldShare is the part of that evidence at which a cold target with few
+	// slots open steps back, which costs less than a false turn to cold.
+	coldShare = 0.3
 	// sameRatio is the mean ratio to the baseline up to which a target answers
 	// as it did when warm.
 	sameRatio = 1.5
@@ -193,13 +193,16 @@
 	return doubt * max(minThreshold, thresholdPerVariance*variance)
 }
 
-// coldThreshold returns the evidence that makes a cold target step back.
-func (d *detector) coldThreshold() float64 {
+// coldThreshold returns the evidence that makes a cold target step back when
+// it has the given part of its slots open. A noisy neighbour slows all calls
+// in flight at once, so the threshold rises with their number.
+func (d *detector) coldThreshold(open float64) float64 {
 	variance := assumedVariance
 	if d.spread.count >= trustedSamples {
 		variance = d.spread.variance
 	}
-	return coldShare * max(minThreshold, thresholdPerVariance*variance)
+	share := coldShare + (1-coldShare)*open
+	return share * max(minThreshold, thresholdPerVariance*variance)
 }
 
 // slow reports whether the mean at the present limit is above the slack.
--- a/policy/admission/learn.go
+++ b/policy/admission/learn.go
@@ -103,7 +103,7 @@
 	switch state := o.State(); {
 	case state == model.TargetWarm && evidence >= o.latency.threshold():
 		o.becomeCold(now, eventTurnedCold)
-	case state == model.TargetCold && evidence >= o.latency.coldThreshold():
+	case state == model.TargetCold && evidence >= o.latency.coldThreshold(o.limit.part()):
 		o.repeatLevel()
 	}
 }
--- a/policy/admission/limit.go
+++ b/policy/admission/limit.go
@@ -57,6 +57,9 @@
 
 func (l *limiter) close() { l.set(0) }
 
+// part returns the part of the slots that is open.
+func (l *limiter) part() float64 { return float64(l.limit) / float64(max(l.slots, 1)) }
+
 func (l *limiter) full() bool { return l.limit >= l.slots }
 
 // setback steps back from a limit that is not good, and asks for more proof
