--- a/policy/admission/events_test.go
+++ b/policy/admission/events_test.go
@@ -104,6 +104,7 @@
 			state: model.TargetWarm, limit: 4, queued: problem.Overloaded},
 		{name: "nothing completes", event: func(o *Owner) []Release {
 			o.latency.known = true
+			o.latency.spread = moments{count: 10 * trustedSamples, variance: 1}
 			for i := range o.running {
 				o.running[i].flow.State.latency = latencyHistory{0, trustedHistory, logSeconds(time.Millisecond)}
 			}
--- a/policy/admission/latency.go
+++ b/policy/admission/latency.go
@@ -26,7 +26,7 @@
 	maxRatio = 16.0
 	// maxStalledRatio is the same for a call in flight at a target that has
 	// completed nothing for stalledRatio times the normal latency.
-	maxStalledRatio = 64.0
+	maxStalledRatio = 1024.0
 	stalledRatio    = 16.0
 	// minThreshold and thresholdPerVariance set the evidence that is needed;
 	// the more the latencies spread, the more it is.
@@ -248,6 +248,16 @@
 	d.nextLevel()
 }
 
+// suspectTime returns the time from which on a call of the account is evidence;
+// 0 when nothing is known to compare with.
+func (d *detector) suspectTime(h *latencyHistory) time.Duration {
+	if !d.known {
+		return 0
+	}
+	x, _ := d.ratio(h, time.Second)
+	return part(time.Second, slackRatio*math.Exp(-x))
+}
+
 // referenceTime returns the latency that is normal now; 0 if it is not known.
 func (d *detector) referenceTime() time.Duration {
 	if !d.known {
--- a/policy/admission/learn.go
+++ b/policy/admission/learn.go
@@ -127,19 +127,25 @@
 // pending returns the evidence of the calls in flight that started in the
 // present epoch.
 func (o *Owner) pending(now time.Time) float64 {
-	bound, sum := logMax, 0.0
-	if now.Sub(o.lastCompleted) > part(o.latency.referenceTime(), stalledRatio) {
-		bound = logMaxStalled
-	}
+	sum := 0.0
 	for i := range o.running {
 		r := &o.running[i]
-		if r.epoch == o.limit.epoch {
-			sum += o.latency.excess(&r.flow.State.latency, now.Sub(r.started), bound)
+		age := now.Sub(r.started)
+		if r.epoch == o.limit.epoch && age > r.suspect {
+			sum += o.latency.excess(&r.flow.State.latency, age, o.evidenceBound(now))
 		}
 	}
 	return sum
 }
 
+// evidenceBound returns the bound of the evidence of one call in flight.
+func (o *Owner) evidenceBound(now time.Time) float64 {
+	if now.Sub(o.lastCompleted) > part(o.latency.referenceTime(), stalledRatio) {
+		return logMaxStalled
+	}
+	return logMax
+}
+
 func (o *Owner) learnFailure(now time.Time, r running) {
 	o.outcomes.add(r.flow.Account(), true)
 	if o.State() == model.TargetCold {
--- a/policy/admission/lifecycle.go
+++ b/policy/admission/lifecycle.go
@@ -30,7 +30,7 @@
 }
 
 // State returns the target's state.
-func (o *Owner) State() model.TargetState { return targetStates[o.chart.State()] }
+func (o *Owner) State() model.TargetState { return o.state }
 
 // Announce records a first announcement or a renewal. A new instance starts
 // cold whatever it says. A renewal never makes a target warm; one that says
@@ -123,6 +123,7 @@
 	// A forbidden event has been counted by Options.Forbidden; the state
 	// stays as it was.
 	_ = o.chart.Send(e)
+	o.state = targetStates[o.chart.State()]
 }
 
 // becomeWarm trusts a target that was running before this owner was. Half of
--- a/policy/admission/owner.go
+++ b/policy/admission/owner.go
@@ -15,6 +15,7 @@
 type Owner struct {
 	options  Options
 	chart    *chart.Machine
+	state    model.TargetState // as the chart has it
 	accounts func(model.Account) settings.Account
 	queue    *fairqueue.Queue[queued, history]
 	running  []running
@@ -56,6 +57,9 @@
 	occupancy int    // calls in flight at the start, itself included
 	epoch     uint64 // of the limit at the start
 	isolated  bool
+	// suspect is the age from which on the call may be evidence of a cold
+	// target.
+	suspect time.Duration
 }
 
 // New returns an owner whose target has not announced itself.
@@ -118,6 +122,7 @@
 		occupancy: len(o.running) + 1,
 		epoch:     o.limit.epoch,
 		isolated:  c.Isolated,
+		suspect:   o.latency.suspectTime(&f.State.latency),
 	})
 }
 
