--- a/policy/admission/circuit.go
+++ b/policy/admission/circuit.go
@@ -24,7 +24,7 @@
 )
 
 // circuit is the breaker of a failing target. After a probation time the
-// target is cold again and gets the trickle. One failure that is not
+// target is cold again and gets one call at a time. One failure that is not
 // outweighed by completions opens the circuit again, for twice as long.
 type circuit struct {
 	first, longest time.Duration
@@ -80,8 +80,8 @@
 	return c.onProbation || c.crashes >= crashesToTrip
 }
 
-// patience returns the number of failures that open the circuit.
-func (c *circuit) patience() int {
+// failureThreshold returns the number of failures that open the circuit.
+func (c *circuit) failureThreshold() int {
 	if c.onProbation {
 		return failuresOnProbation
 	}
@@ -114,7 +114,7 @@
 // bad reports whether there are at least so many failures, and most calls
 // failed for more than half of the accounts. Judged by accounts, one of them
 // whose every request fails does not condemn the target.
-func (o *outcomes) bad(patience int) bool {
+func (o *outcomes) bad(threshold int) bool {
 	failures, accounts, failing := 0, 0, 0
 	for i := range o.kept {
 		if o.ring[i].failed {
@@ -127,7 +127,7 @@
 			}
 		}
 	}
-	return failures >= patience && 2*failing > accounts
+	return failures >= threshold && 2*failing > accounts
 }
 
 // firstOf reports whether no earlier place holds the account of place i.
--- a/policy/admission/events_test.go
+++ b/policy/admission/events_test.go
@@ -208,12 +208,12 @@
 	o := New(Options{})
 	o.Announce(start, Announcement{Instance: "one", Slots: 12, Cold: true, Lease: 2 * time.Hour})
 	o.Tick(start.Add(time.Hour))
-	qt.Assert(t, o.limit.limit, qt.Equals, trickle)
-	now := serve(o, start.Add(time.Hour), minProof*claimCaution, "a", Failed, 5*time.Millisecond)
-	qt.Assert(t, o.limit.limit <= trickle, qt.IsTrue)
+	qt.Assert(t, o.limit.limit, qt.Equals, initialLimit)
+	now := serve(o, start.Add(time.Hour), minProof*claimProofFactor, "a", Failed, 5*time.Millisecond)
+	qt.Assert(t, o.limit.limit <= initialLimit, qt.IsTrue)
 	o.Announce(now, Announcement{Instance: "two", Slots: 12, Cold: true})
-	serve(o, now, minProof*claimCaution, "a", Completed, 5*time.Millisecond)
-	qt.Assert(t, o.limit.limit, qt.Equals, trickle+1)
+	serve(o, now, minProof*claimProofFactor, "a", Completed, 5*time.Millisecond)
+	qt.Assert(t, o.limit.limit, qt.Equals, initialLimit+1)
 }
 
 // TestFailFast checks that a target that fails at once is left alone, tried
@@ -231,8 +231,8 @@
 		now = serve(o, now, 10, "a", Failed, time.Microsecond)
 		qt.Assert(t, o.State(), qt.Equals, model.TargetFailing)
 	}
-	now = serve(o, o.circuit.until, minProof, "a", Completed, time.Millisecond)
-	qt.Assert(t, o.limit.limit, qt.Equals, trickle+1)
+	serve(o, o.circuit.until, minProof, "a", Completed, time.Millisecond)
+	qt.Assert(t, o.limit.limit, qt.Equals, initialLimit+1)
 	qt.Assert(t, o.circuit.onProbation, qt.IsFalse)
 }
 
@@ -246,9 +246,9 @@
 	qt.Assert(t, o.State(), qt.Equals, model.TargetWarm)
 }
 
-// TestHopelessEstimateRecovers checks that an account whose estimate is far
+// TestWrongEstimateRecovers checks that an account whose estimate is far
 // too high gets calls again, also while others keep the target busy.
-func TestHopelessEstimateRecovers(t *testing.T) {
+func TestWrongEstimateRecovers(t *testing.T) {
 	o := warmOwner(4)
 	o.Offer(start, Call{Ticket: 1, Account: "other"})
 	now := serve(o, start, 8, "a", Completed, 5*time.Second)
--- a/policy/admission/latency.go
+++ b/policy/admission/latency.go
@@ -43,7 +43,7 @@
 	assumedVariance = 1.64
 	// followGain is the share of a proven limit's mean in what is normal.
 	followGain = 0.25
-	// rebaseSamples is the number of completions at the trickle after which a
+	// rebaseSamples is the number of completions at the initial limit after which a
 	// target that stays slow is taken as it is.
 	rebaseSamples = 64
 )
--- a/policy/admission/learn.go
+++ b/policy/admission/learn.go
@@ -74,7 +74,7 @@
 		o.repeatLevel()
 		return
 	}
-	fast := o.latency.asWarm() && o.limit.wall == 0
+	fast := o.latency.asWarm() && o.limit.failedLimit == 0
 	o.latency.passLevel()
 	if fast {
 		o.limit.double()
@@ -88,12 +88,12 @@
 
 func (o *Owner) ramped() {
 	o.send(eventRamped)
-	o.limit.forgive()
+	o.limit.clearSetbacks()
 	o.circuit.reset()
 	o.latency.settle()
 }
 
-// watch returns the target to the trickle when its latency says that it is
+// watch returns the target to the initial limit when its latency says that it is
 // cold.
 func (o *Owner) watch(now time.Time) {
 	if !o.latency.known {
@@ -109,10 +109,10 @@
 }
 
 // repeatLevel answers a cold target that got slow: it steps back or, at the
-// trickle, starts its proof again. One that stays slow at the trickle is taken
+// initial limit, starts its proof again. One that stays slow at the initial limit is taken
 // as it is.
 func (o *Owner) repeatLevel() {
-	if o.limit.limit > trickle {
+	if o.limit.limit > initialLimit {
 		o.limit.setback()
 		o.latency.nextLevel()
 		return
@@ -155,9 +155,9 @@
 }
 
 // learnShed narrows the limit: the target has too much for now. One that
-// sheds the trickle too is failing.
+// sheds at the initial limit too is failing.
 func (o *Owner) learnShed(now time.Time, r running) {
-	if o.limit.limit > trickle {
+	if o.limit.limit > initialLimit {
 		o.limit.shed(r.epoch)
 		o.latency.nextLevel()
 		return
@@ -166,7 +166,7 @@
 	o.tripIfBad(now)
 }
 
-// learnCrash returns the target to the trickle; a second crash without a
+// learnCrash returns the target to the initial limit; a second crash without a
 // completion in between opens the circuit.
 func (o *Owner) learnCrash(now time.Time, r running) {
 	if !o.trying() {
@@ -180,12 +180,12 @@
 		o.becomeCold(now, eventTurnedCold)
 		return
 	}
-	o.limit.open(trickle)
+	o.limit.open(initialLimit)
 	o.latency.nextLevel()
 }
 
 func (o *Owner) tripIfBad(now time.Time) {
-	if o.trying() && o.outcomes.bad(o.circuit.patience()) {
+	if o.trying() && o.outcomes.bad(o.circuit.failureThreshold()) {
 		o.becomeFailing(now)
 	}
 }
--- a/policy/admission/lifecycle.go
+++ b/policy/admission/lifecycle.go
@@ -34,7 +34,7 @@
 
 // Announce records a first announcement or a renewal. A new instance starts
 // cold whatever it says. A renewal never makes a target warm; one that says
-// cold again after it said warm returns the target to the trickle.
+// cold again after it said warm returns the target to the initial limit.
 func (o *Owner) Announce(now time.Time, a Announcement) []Release {
 	o.advance(now)
 	known := o.instance
@@ -77,7 +77,7 @@
 	o.advance(now)
 	back := o.gates.domainOut && !out
 	o.gates.domainOut = out
-	if back && o.State() == model.TargetWarm {
+	if back && o.trying() {
 		o.becomeCold(now, eventTurnedCold)
 	}
 	return o.settle(now)
@@ -133,11 +133,11 @@
 	o.limit.open((o.limit.slots + 1) / 2)
 }
 
-// becomeCold returns the target to the trickle.
+// becomeCold returns the target to the initial limit.
 func (o *Owner) becomeCold(now time.Time, e chart.Event) {
 	o.send(e)
-	o.limit.forgive()
-	o.limit.open(trickle)
+	o.limit.clearSetbacks()
+	o.limit.open(initialLimit)
 	o.latency.restart()
 	o.outcomes.clear()
 	o.circuit.close()
--- a/policy/admission/limit.go
+++ b/policy/admission/limit.go
@@ -2,8 +2,8 @@
 
 // The proof that a limit needs before it widens by one.
 const (
-	// trickle is the limit of a target that has proven nothing.
-	trickle = 1
+	// initialLimit is the limit of a target that has proven nothing.
+	initialLimit = 1
 	// minProof is the least number of completions at one limit.
 	minProof = 16
 	// proofPerSlot is the number of completions for each slot of the limit.
@@ -11,13 +11,13 @@
 	// lowOccupancyProof is what a completion counts when the limit was not
 	// nearly used up at its start.
 	lowOccupancyProof = 0.25
-	// claimCaution is the factor on the proof while the target says that it is
+	// claimProofFactor is the factor on the proof while the target says that it is
 	// cold. Its word may be late or wrong, so it slows the ramp and no more.
-	claimCaution = 4
-	// cautionStep is the factor by which a setback raises the proof, up to
-	// maxCaution.
-	cautionStep = 4
-	maxCaution  = 16
+	claimProofFactor = 4
+	// proofFactorStep is the factor by which a setback raises the proof, up to
+	// maxProofFactor.
+	proofFactorStep = 4
+	maxProofFactor  = 16
 	// backoffPercent is what remains of the limit after the target shed load.
 	backoffPercent = 70
 	percent        = 100
@@ -31,11 +31,11 @@
 	limit int
 	epoch uint64
 	proof float64
-	// wall is the limit at which the last setback came. The step up to it
-	// needs caution times the proof; caution is at most
-	// maxCaution.
-	wall    int
-	caution float64
+	// failedLimit is the limit at which the last setback came. The step up to it
+	// needs proofFactor times the proof; proofFactor is at most
+	// maxProofFactor.
+	failedLimit int
+	proofFactor float64
 	// claimed is true while the target says that it is cold.
 	claimed bool
 }
@@ -67,24 +67,24 @@
 // it was proven; a setback at a limit that was proven halves it.
 func (l *limiter) setback() {
 	to := l.limit - 1
-	if l.limit < l.wall {
+	if l.limit < l.failedLimit {
 		to = l.limit / 2
 	}
-	l.wall = l.limit
-	l.caution = min(cautionStep*max(l.caution, 1), maxCaution)
+	l.failedLimit = l.limit
+	l.proofFactor = min(proofFactorStep*max(l.proofFactor, 1), maxProofFactor)
 	l.open(to)
 }
 
-// forgive forgets the setbacks.
-func (l *limiter) forgive() {
-	l.wall = 0
-	l.caution = 0
+// clearSetbacks forgets the setbacks.
+func (l *limiter) clearSetbacks() {
+	l.failedLimit = 0
+	l.proofFactor = 0
 }
 
 // shed narrows the limit after the target turned work away, once for all the
 // calls that were in flight together.
 func (l *limiter) shed(epoch uint64) {
-	if epoch == l.epoch && l.limit > trickle {
+	if epoch == l.epoch && l.limit > initialLimit {
 		l.open(l.limit * backoffPercent / percent)
 	}
 }
@@ -102,18 +102,18 @@
 func (l *limiter) proven() bool {
 	factor := 1.0
 	if l.claimed {
-		factor = claimCaution
+		factor = claimProofFactor
 	}
-	if l.limit+1 >= l.wall {
-		factor = max(factor, l.caution)
+	if l.limit+1 >= l.failedLimit {
+		factor = max(factor, l.proofFactor)
 	}
 	return l.proof >= factor*float64(max(minProof, proofPerSlot*l.limit))
 }
 
 // widen takes one step up.
 func (l *limiter) widen() {
-	if l.limit >= l.wall {
-		l.forgive()
+	if l.limit >= l.failedLimit {
+		l.clearSetbacks()
 	}
 	l.open(l.limit + 1)
 }
--- a/policy/admission/owner.go
+++ b/policy/admission/owner.go
@@ -95,7 +95,7 @@
 	account := o.accounts(c.Account)
 	f := o.queue.Flow(now, c.Account, account.Weight)
 	item := queued{Call: c, concurrency: account.Concurrency, offered: now, expires: o.expiry(now, c)}
-	if o.hopeless(now, f, c) {
+	if o.cannotFinish(now, f, c) {
 		f.ForgetSome()
 		return refuse(expiredProblem())
 	}
--- a/policy/admission/property_test.go
+++ b/policy/admission/property_test.go
@@ -28,6 +28,7 @@
 	present                       bool
 	instance                      int
 	slots                         int
+	faults                        []string
 	leaseEnd                      time.Time
 }
 
@@ -36,6 +37,12 @@
 	checkedConnections = 5
 )
 
+// faults are the kinds of events of which each run mixes two into its calls.
+var faults = [][]string{
+	{}, {"failed"}, {"shed"}, {"crashed"}, {"abandoned"}, {"new process"}, {"drain", "new process"}, {"gone", "renewal"},
+	{"out", "in"}, {"stale", "fresh"}, {"stop"}, {"slow"},
+}
+
 func newChecker(t *rapid.T) *checker {
 	c := &checker{
 		T: t, now: time.Unix(1000, 0), owner: New(Options{QueueLength: 8, MaxWait: 200 * time.Millisecond}),
@@ -121,14 +128,17 @@
 	return rapid.SampledFrom(all).Draw(t, "ticket")
 }
 
-func (c *checker) finish(result Result) {
+func (c *checker) finish(result Result, slow bool) {
 	ticket := pick(c.T, c.running)
 	if ticket == 0 {
 		return
 	}
 	delete(c.running, ticket)
 	c.ended[ticket] = true
-	service := time.Duration(rapid.SampledFrom([]int{1, 5, 200}).Draw(c.T, "service")) * time.Millisecond
+	service := time.Duration(rapid.IntRange(1, 10).Draw(c.T, "service")) * time.Millisecond
+	if slow {
+		service *= 100
+	}
 	c.released(c.owner.Finish(c.now, ticket, Outcome{result, service}))
 	c.released(c.owner.Finish(c.now, ticket, Outcome{result, service})) // a repeated event
 }
@@ -163,19 +173,19 @@
 
 // step does one random event and returns its name.
 func (c *checker) step() string {
-	event := rapid.SampledFrom([]string{
-		"offer", "offer", "offer", "offer", "completed", "completed", "completed", "completed",
-		"failed", "shed", "crashed", "abandoned", "abandon", "time", "time", "renewal",
-		"new process", "drain", "gone", "out", "in", "stale", "fresh", "stop",
-	}).Draw(c.T, "event")
+	event := rapid.SampledFrom(append([]string{
+		"offer", "offer", "offer", "offer", "completed", "completed", "completed", "abandon", "time", "renewal",
+	}, c.faults...)).Draw(c.T, "event")
 	results := map[string]Result{"completed": Completed, "failed": Failed, "shed": Shed, "crashed": Crashed, "abandoned": Abandoned}
 	if result, ok := results[event]; ok {
-		c.finish(result)
+		c.finish(result, false)
 		return event
 	}
 	switch event {
 	case "offer":
 		c.offer()
+	case "slow":
+		c.finish(Completed, true)
 	case "abandon":
 		c.abandon()
 	case "time":
@@ -197,11 +207,8 @@
 		c.stale = event == "stale"
 		c.released(c.owner.SetFresh(c.now, !c.stale))
 	case "stop":
-		// Rare, because nothing starts after it.
-		if rapid.IntRange(0, 9).Draw(c.T, "really") == 0 {
-			c.stopping = true
-			c.released(c.owner.SetStopping(c.now))
-		}
+		c.stopping = true
+		c.released(c.owner.SetStopping(c.now))
 	}
 	return event
 }
@@ -224,9 +231,9 @@
 	c.must(perAccount["limited"] <= checkedConcurrency, "%d calls of the limited account at once", perAccount["limited"])
 	c.must(o.queue.Len() == len(c.waiting), "%d calls wait, want %d", o.queue.Len(), len(c.waiting))
 	widened := before > 0 && o.limit.limit > before
-	c.must(!widened || event == "completed", "%s widened the limit from %d to %d", event, before, o.limit.limit)
+	c.must(!widened || event == "completed" || event == "slow", "%s widened the limit from %d to %d", event, before, o.limit.limit)
 	if event == "new process" {
-		c.must(c.instance == 1 || o.State() == model.TargetCold && o.limit.limit == trickle, "a new process is %v with limit %d", o.State(), o.limit.limit)
+		c.must(c.instance == 1 || o.State() == model.TargetCold && o.limit.limit == initialLimit, "a new process is %v with limit %d", o.State(), o.limit.limit)
 	}
 	c.checkQueue(event, perAccount, isolated)
 }
@@ -257,6 +264,9 @@
 func TestRandomEvents(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
 		c := newChecker(rt)
+		for range 2 {
+			c.faults = append(c.faults, rapid.SampledFrom(faults).Draw(rt, "fault")...)
+		}
 		c.announce(true)
 		for range rapid.IntRange(1, 120).Draw(rt, "steps") {
 			before := c.owner.limit.limit
--- a/policy/admission/queue.go
+++ b/policy/admission/queue.go
@@ -9,9 +9,9 @@
 )
 
 const (
-	// hopelessShare is the part of the expected service time that must remain
+	// minTimeShare is the part of the expected service time that must remain
 	// until the deadline for a call to be worth starting.
-	hopelessShare = 0.5
+	minTimeShare = 0.5
 	// standingTarget is the least wait that a standing queue may cause.
 	standingTarget = 2 * time.Millisecond
 )
@@ -42,14 +42,14 @@
 	return latest
 }
 
-// hopeless reports whether the call would not finish in time even if it
+// cannotFinish reports whether the call would not finish in time even if it
 // started now. With nothing in flight the call runs all the same: otherwise an
 // estimate that is too high could turn everything away and never be corrected.
-func (o *Owner) hopeless(now time.Time, f *flow, c Call) bool {
+func (o *Owner) cannotFinish(now time.Time, f *flow, c Call) bool {
 	if c.Deadline.IsZero() || len(o.running) == 0 {
 		return false
 	}
-	return c.Deadline.Sub(now) < part(f.Estimate(), hopelessShare)
+	return c.Deadline.Sub(now) < part(f.Estimate(), minTimeShare)
 }
 
 // startable reports whether the call may take a slot now.
@@ -95,7 +95,7 @@
 	if wait > o.allowedWait(now, f) {
 		return refuse(o.tooBusy(f, q, wait))
 	}
-	if !q.Deadline.IsZero() && now.Add(wait+part(f.Estimate(), hopelessShare)).After(q.Deadline) {
+	if !q.Deadline.IsZero() && now.Add(wait+part(f.Estimate(), minTimeShare)).After(q.Deadline) {
 		return refuse(o.tooBusy(f, q, wait))
 	}
 	q.withinShare = o.withinShare(now, f)
@@ -188,7 +188,7 @@
 		if !ok {
 			break
 		}
-		if o.hopeless(now, f, q.Call) {
+		if o.cannotFinish(now, f, q.Call) {
 			f.ForgetSome()
 			out = append(out, Release{Ticket: q.Ticket, Refusal: expiredProblem()})
 			continue
--- a/policy/admission/scenario_test.go
+++ b/policy/admission/scenario_test.go
@@ -145,7 +145,7 @@
 // coldResult is what a coldRun saw.
 type coldResult struct {
 	overloaded int           // starts beyond what the target bore
-	detected   time.Duration // from the turn to the trickle
+	detected   time.Duration // from the turn to the initial limit
 	falseTurns int           // turns to cold of a warm target
 	warm       time.Duration // until the owner held the target for warm
 }
