--- a/policy/admission/events_test.go
+++ b/policy/admission/events_test.go
@@ -37,100 +37,105 @@
 	return releases
 }
 
+// happening is something that happens to an owner.
+type happening func(o *Owner) []Release
+
+var soon = start.Add(10 * time.Millisecond)
+
+func ends(n int, result Result) happening {
+	return func(o *Owner) []Release { return finishAll(o, soon, n, result) }
+}
+
+func announces(a Announcement) happening {
+	return func(o *Owner) []Release { return o.Announce(soon, a) }
+}
+
+func tick(after time.Duration) happening {
+	return func(o *Owner) []Release { return o.Tick(start.Add(after)) }
+}
+
+func domain(out bool) happening {
+	return func(o *Owner) []Release { return o.SetDomainOut(soon, out) }
+}
+
+func fresh(fresh bool) happening {
+	return func(o *Owner) []Release { return o.SetFresh(soon, fresh) }
+}
+
+func drains(o *Owner) []Release    { return o.Drain(soon) }
+func withdraws(o *Owner) []Release { return o.Gone(soon) }
+func stops(o *Owner) []Release     { return o.SetStopping(soon) }
+func abandons(o *Owner) []Release  { return o.Abandon(soon, 1) }
+
+// stalls is a target that completes nothing although its calls took 1 ms.
+func stalls(o *Owner) []Release {
+	o.latency.known = true
+	o.latency.spread = moments{count: 10 * trustedSamples, variance: 1}
+	for i := range o.running {
+		o.running[i].flow.State.latency = latencyHistory{0, trustedHistory, logSeconds(time.Millisecond)}
+	}
+	return o.Tick(start.Add(90 * time.Millisecond))
+}
+
 // TestEvents brings each event about at a target of four slots that runs four
 // calls while a fifth waits.
 func TestEvents(t *testing.T) {
-	const waiting, later = 5, 6
-	soon := start.Add(10 * time.Millisecond)
+	const waits, starts problem.Kind = "waits", ""
+	const hour = time.Hour
 	tests := []struct {
-		name  string
-		event func(o *Owner) []Release
-		at    time.Time
-		state model.TargetState
-		limit int
-		// queued is the refusal of the waiting call: "" when it starts and
-		// "waits" when it goes on waiting.
-		queued problem.Kind
-		// offered is the refusal of a call that is offered afterwards.
-		offered problem.Kind
+		name    string
+		events  []happening
+		at      time.Duration // of the call that is offered afterwards
+		state   model.TargetState
+		limit   int
+		queued  problem.Kind // refusal of the waiting call
+		offered problem.Kind // refusal of the call that is offered
 	}{
-		{name: "a call completes", event: func(o *Owner) []Release { return o.Finish(soon, 1, Outcome{Completed, time.Millisecond}) },
-			state: model.TargetWarm, limit: 4},
-		{name: "a call fails", event: func(o *Owner) []Release { return o.Finish(soon, 1, Outcome{Failed, time.Millisecond}) },
-			state: model.TargetWarm, limit: 4},
-		{name: "a call in flight is abandoned", event: func(o *Owner) []Release { return o.Abandon(soon, 1) },
-			state: model.TargetWarm, limit: 4, queued: "waits"},
-		{name: "the target sheds load", event: func(o *Owner) []Release { return o.Finish(soon, 1, Outcome{Shed, time.Millisecond}) },
-			state: model.TargetWarm, limit: 2, queued: "waits"},
-		{name: "all calls in flight are shed", event: func(o *Owner) []Release { return finishAll(o, soon, 4, Shed) },
-			state: model.TargetWarm, limit: 2},
-		{name: "one crash", event: func(o *Owner) []Release { return o.Finish(soon, 1, Outcome{Crashed, time.Millisecond}) },
-			state: model.TargetCold, limit: 1, queued: "waits"},
-		{name: "two crashes", event: func(o *Owner) []Release { return finishAll(o, soon, 2, Crashed) },
-			state: model.TargetFailing, queued: problem.Overloaded, offered: problem.Overloaded},
-		{name: "the target drains", event: func(o *Owner) []Release { return o.Drain(soon) },
-			state: model.TargetDraining, queued: problem.Draining, offered: problem.Draining},
-		{name: "the target renews while it drains", event: func(o *Owner) []Release {
-			return append(o.Drain(soon), o.Announce(soon, Announcement{Instance: "one", Slots: 4})...)
-		}, state: model.TargetDraining, queued: problem.Draining, offered: problem.Draining},
-		{name: "the target withdraws", event: func(o *Owner) []Release { return o.Gone(soon) },
-			state: model.TargetAbsent, queued: problem.NoTarget, offered: problem.NoTarget},
-		{name: "the announcement lapses", event: func(o *Owner) []Release { return o.Tick(start.Add(time.Minute)) }, at: start.Add(time.Minute),
-			state: model.TargetAbsent, queued: problem.NoTarget, offered: problem.NoTarget},
-		{name: "a paused node wakes after the announcement lapsed", event: func(*Owner) []Release { return nil }, at: start.Add(time.Hour),
-			state: model.TargetAbsent, queued: "waits", offered: problem.NoTarget},
-		{name: "the domain goes out", event: func(o *Owner) []Release { return o.SetDomainOut(soon, true) },
-			state: model.TargetWarm, limit: 4, queued: problem.DomainOut, offered: problem.DomainOut},
-		{name: "the domain goes out and comes back", event: func(o *Owner) []Release {
-			return append(o.SetDomainOut(soon, true), o.SetDomainOut(soon, false)...)
-		}, state: model.TargetCold, limit: 1, queued: problem.DomainOut},
-		{name: "the node stops", event: func(o *Owner) []Release { return o.SetStopping(soon) },
-			state: model.TargetWarm, limit: 4, queued: problem.Draining, offered: problem.Draining},
-		{name: "the node is cut off", event: func(o *Owner) []Release { return o.SetFresh(soon, false) },
-			state: model.TargetWarm, limit: 4, queued: problem.NotFresh, offered: problem.NotFresh},
-		{name: "the node is cut off and heals", event: func(o *Owner) []Release {
-			return append(o.SetFresh(soon, false), o.SetFresh(soon, true)...)
-		}, state: model.TargetWarm, limit: 4, queued: problem.NotFresh},
-		{name: "a new process announces itself as warm", event: func(o *Owner) []Release {
-			return o.Announce(soon, Announcement{Instance: "two", Slots: 4})
-		}, state: model.TargetCold, limit: 1, queued: "waits"},
-		{name: "a renewal says cold", event: func(o *Owner) []Release {
-			return o.Announce(soon, Announcement{Instance: "one", Slots: 4, Cold: true})
-		}, state: model.TargetCold, limit: 1, queued: "waits"},
-		{name: "a renewal names fewer connections than slots", event: func(o *Owner) []Release {
-			return o.Announce(soon, Announcement{Instance: "one", Slots: 400, Connections: 3})
-		}, state: model.TargetWarm, limit: 3, queued: "waits"},
-		{name: "the wait gets too long", event: func(o *Owner) []Release { return o.Tick(start.Add(DefaultMaxWait)) },
-			state: model.TargetWarm, limit: 4, queued: problem.Overloaded},
-		{name: "nothing completes", event: func(o *Owner) []Release {
-			o.latency.known = true
-			o.latency.spread = moments{count: 10 * trustedSamples, variance: 1}
-			for i := range o.running {
-				o.running[i].flow.State.latency = latencyHistory{0, trustedHistory, logSeconds(time.Millisecond)}
-			}
-			return o.Tick(start.Add(90 * time.Millisecond))
-		}, state: model.TargetCold, limit: 1, queued: "waits"},
+		{"a call completes", []happening{ends(1, Completed)}, 0, model.TargetWarm, 4, starts, ""},
+		{"a call fails", []happening{ends(1, Failed)}, 0, model.TargetWarm, 4, starts, ""},
+		{"a call in flight is abandoned", []happening{abandons}, 0, model.TargetWarm, 4, waits, ""},
+		{"the target sheds load", []happening{ends(1, Shed)}, 0, model.TargetWarm, 2, waits, ""},
+		{"all calls in flight are shed", []happening{ends(4, Shed)}, 0, model.TargetWarm, 2, starts, ""},
+		{"one crash", []happening{ends(1, Crashed)}, 0, model.TargetCold, 1, waits, ""},
+		{"two crashes", []happening{ends(2, Crashed)}, 0, model.TargetFailing, 0, problem.Overloaded, problem.Overloaded},
+		{"the target drains", []happening{drains}, 0, model.TargetDraining, 0, problem.Draining, problem.Draining},
+		{"the target renews while it drains", []happening{drains, announces(Announcement{Instance: "one", Slots: 4})}, 0, model.TargetDraining, 0, problem.Draining, problem.Draining},
+		{"another process after the drain", []happening{drains, announces(Announcement{Instance: "two", Slots: 4})}, 0, model.TargetCold, 1, problem.Draining, ""},
+		{"the target withdraws", []happening{withdraws}, 0, model.TargetAbsent, 0, problem.NoTarget, problem.NoTarget},
+		{"the announcement lapses", []happening{tick(time.Minute)}, time.Minute, model.TargetAbsent, 0, problem.NoTarget, problem.NoTarget},
+		{"a paused node wakes after the lapse", nil, hour, model.TargetAbsent, 0, waits, problem.NoTarget},
+		{"the domain goes out", []happening{domain(true)}, 0, model.TargetWarm, 4, problem.DomainOut, problem.DomainOut},
+		{"the domain comes back", []happening{domain(true), domain(false)}, 0, model.TargetCold, 1, problem.DomainOut, ""},
+		{"the node stops", []happening{stops}, 0, model.TargetWarm, 4, problem.Draining, problem.Draining},
+		{"the node is cut off", []happening{fresh(false)}, 0, model.TargetWarm, 4, problem.NotFresh, problem.NotFresh},
+		{"the node is cut off and heals", []happening{fresh(false), fresh(true)}, 0, model.TargetWarm, 4, problem.NotFresh, ""},
+		{"a new process says warm", []happening{announces(Announcement{Instance: "two", Slots: 4})}, 0, model.TargetCold, 1, waits, ""},
+		{"a renewal says cold", []happening{announces(Announcement{Instance: "one", Slots: 4, Cold: true})}, 0, model.TargetCold, 1, waits, ""},
+		{"fewer connections than slots", []happening{announces(Announcement{Instance: "one", Slots: 400, Connections: 3})}, 0, model.TargetWarm, 3, waits, ""},
+		{"the wait gets too long", []happening{tick(DefaultMaxWait)}, 0, model.TargetWarm, 4, problem.Overloaded, ""},
+		{"nothing completes", []happening{stalls}, 0, model.TargetCold, 1, waits, ""},
+		{"a crash while it drains", []happening{drains, ends(2, Crashed)}, 0, model.TargetDraining, 0, problem.Draining, problem.Draining},
+		{"a crash and a new process", []happening{ends(2, Crashed), announces(Announcement{Instance: "two", Slots: 4})}, 0, model.TargetCold, 1, problem.Overloaded, ""},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
 			o := warmOwner(4)
 			fill(o, 4)
-			qt.Assert(t, o.Offer(start, Call{Ticket: waiting, Account: "account4"}).Verdict, qt.Equals, Wait)
-			releases := test.event(o)
-			at := soon
-			if !test.at.IsZero() {
-				at = test.at
+			qt.Assert(t, o.Offer(start, Call{Ticket: 5, Account: "account4"}).Verdict, qt.Equals, Wait)
+			var releases []Release
+			for _, e := range test.events {
+				releases = append(releases, e(o)...)
 			}
-			d := o.Offer(at, Call{Ticket: later, Account: "account5"})
+			d := o.Offer(start.Add(max(test.at, 10*time.Millisecond)), Call{Ticket: 6, Account: "account5"})
 			qt.Assert(t, o.State(), qt.Equals, test.state)
 			qt.Assert(t, o.limit.limit, qt.Equals, test.limit)
 			qt.Assert(t, kindOf(d.Refusal), qt.Equals, test.offered)
-			if test.queued == "waits" {
+			if test.queued == waits {
 				qt.Assert(t, releases, qt.HasLen, 0)
 				return
 			}
 			qt.Assert(t, releases, qt.HasLen, 1)
-			qt.Assert(t, releases[0].Ticket, qt.Equals, Ticket(waiting))
+			qt.Assert(t, releases[0].Ticket, qt.Equals, Ticket(5))
 			qt.Assert(t, kindOf(releases[0].Refusal), qt.Equals, test.queued)
 		})
 	}
