--- a/policy/admission/queue.go
+++ b/policy/admission/queue.go
@@ -74,7 +74,7 @@
 	if float64(f.InFlight()+1) <= max(share, 1) || o.withinShare(now, f) {
 		return 0
 	}
-	return o.reserve.size()
+	return o.reserve.size(now)
 }
 
 // share returns the account's part of the slots among the accounts that had a
@@ -202,7 +202,7 @@
 
 func (o *Owner) observeWait(now time.Time, q queued, service time.Duration) {
 	if q.withinShare {
-		o.reserve.observe(now.Sub(q.offered), service, o.limit.limit)
+		o.reserve.observe(now, now.Sub(q.offered), service, o.limit.limit)
 	}
 }
 
