--- a/policy/admission/latency.go
+++ b/policy/admission/latency.go
@@ -8,7 +8,7 @@
 const (
 	// trustedSamples is the number of completions after which the mean of a
 	// warm target's latency is a baseline.
-	trustedSamples = 32
+	trustedSamples = 128
 	// baselineGain is the least share of a new sample in the baseline.
 	baselineGain = 1.0 / 256
 	// trustedHistory is the number of completions after which an account has
@@ -21,24 +21,39 @@
 	newcomerWeight = 0.25
 	// slackRatio is the ratio of a latency to the expected one up to which it
 	// is no evidence of a cold target.
-	slackRatio = 3.0
+	slackRatio = 4.0
 	// maxRatio bounds the evidence of one completion.
 	maxRatio = 16.0
+	// maxStalledRatio is the same for a call in flight at a target that has
+	// completed nothing for stalledRatio times the normal latency.
+	maxStalledRatio = 1024.0
+	stalledRatio    = 16.0
 	// minThreshold and thresholdPerVariance set the evidence that is needed;
 	// the more the latencies spread, the more it is.
 	minThreshold         = 10.0
 	thresholdPerVariance = 6.0
+	// coldShare is the part of that evidence at which a cold target with few
+	// slots open steps back, which costs less than a false turn to cold.
+	coldShare = 0.3
+	// sameRatio is the mean ratio to the baseline up to which a target answers
+	// as it did when warm.
+	sameRatio = 1.5
 	// assumedVariance is the variance of the logarithm of the latency before
 	// enough samples are known; that of an exponential distribution.
 	assumedVariance = 1.64
-	// rebaseSamples is the number of completions at the trickle after which a
+	// followGain is the share of a proven limit's mean in what is normal.
+	followGain = 0.25
+	// rebaseSamples is the number of completions at the initial limit after which a
 	// target that stays slow is taken as it is.
 	rebaseSamples = 64
 )
 
 var (
 	logSlack = math.Log(slackRatio)
+	logSame  = math.Log(sameRatio)
 	logMax   = math.Log(maxRatio)
+
+	logMaxStalled = math.Log(maxStalledRatio)
 )
 
 // moments is a running mean and variance.
@@ -74,6 +89,8 @@
 	// baseline it is the normal log latency.
 	offset float64
 	known  bool // whether there is something to compare with
+	// seeded is true when the baseline began with a proven cold start.
+	seeded bool
 	// generation of the baseline; the histories of earlier ones are void.
 	generation int
 }
@@ -93,7 +110,8 @@
 	d.score = 0
 }
 
-func (d *detector) trusted() bool { return d.baseline.count >= trustedSamples }
+// trusted reports whether the baseline can be compared with.
+func (d *detector) trusted() bool { return d.seeded || d.baseline.count >= trustedSamples }
 
 // ratio returns the logarithm of the latency's ratio to the expected one, and
 // the weight that it has as evidence.
@@ -146,7 +164,7 @@
 // learnCut takes in a call that the caller gave up: it took at least so long.
 func (d *detector) learnCut(h *latencyHistory, latency time.Duration) {
 	if d.known {
-		d.score += d.excess(h, latency)
+		d.score += d.excess(h, latency, logMax)
 	}
 }
 
@@ -154,39 +172,64 @@
 	d.score = max(0, d.score+weight*(min(x, logMax)-logSlack))
 }
 
-// excess returns the evidence of a call that has taken so long and goes on.
-func (d *detector) excess(h *latencyHistory, age time.Duration) float64 {
+// excess returns the evidence, up to a bound, of a call that has taken so long
+// and goes on.
+func (d *detector) excess(h *latencyHistory, age time.Duration, bound float64) float64 {
 	if age <= 0 {
 		return 0
 	}
 	x, weight := d.ratio(h, age)
-	return max(0, weight*(min(x, logMax)-logSlack))
+	return max(0, weight*(min(x, bound)-logSlack))
 }
 
+// threshold returns the evidence that makes a warm target cold. Until the
+// spread of the latencies is known well it is up to twice as high.
 func (d *detector) threshold() float64 {
+	variance, doubt := assumedVariance, 2.0
+	if d.spread.count >= trustedSamples {
+		variance = d.spread.variance
+		doubt = 1 + trustedSamples/float64(d.spread.count)
+	}
+	return doubt * max(minThreshold, thresholdPerVariance*variance)
+}
+
+// coldThreshold returns the evidence that makes a cold target step back when
+// it has the given part of its slots open. A noisy neighbour slows all calls
+// in flight at once, so the threshold rises with their number.
+func (d *detector) coldThreshold(open float64) float64 {
 	variance := assumedVariance
 	if d.spread.count >= trustedSamples {
 		variance = d.spread.variance
 	}
-	return max(minThreshold, thresholdPerVariance*variance)
+	share := coldShare + (1-coldShare)*open
+	return share * max(minThreshold, thresholdPerVariance*variance)
 }
 
 // slow reports whether the mean at the present limit is above the slack.
 func (d *detector) slow() bool { return d.known && d.level.mean > logSlack }
 
+// asWarm reports whether the target answers as it did when it was warm.
+func (d *detector) asWarm() bool {
+	return d.trusted() && d.offset == 0 && d.level.mean <= logSame
+}
+
 // adopt makes the mean at the present limit the normal one.
 func (d *detector) adopt() {
 	d.known = true
 	d.offset += d.level.mean
-	d.level.mean = 0
-	d.score = 0
+	d.nextLevel()
 }
 
-// compareWithBest keeps the lowest mean that a limit of this cold start had
-// as the normal one, unless the warm target's baseline is known.
-func (d *detector) compareWithBest() {
-	if !d.known || (!d.trusted() && d.level.mean < 0) {
+// passLevel ends the samples of a limit that has proven itself. Unless the
+// warm target's baseline is what counts, what is normal follows the target as
+// it warms up.
+func (d *detector) passLevel() {
+	if !d.known {
 		d.adopt()
+		return
+	}
+	if d.offset != 0 || !d.trusted() {
+		d.offset += followGain * d.level.mean
 	}
 	d.nextLevel()
 }
@@ -195,7 +238,7 @@
 func (d *detector) settle() {
 	if !d.trusted() {
 		d.baseline = d.previous
-		d.baseline.count = trustedSamples
+		d.seeded = true
 	}
 	if d.offset != 0 {
 		d.baseline.mean += d.offset
@@ -205,6 +248,16 @@
 	d.nextLevel()
 }
 
+// suspectTime returns the time from which on a call of the account is evidence;
+// 0 when nothing is known to compare with.
+func (d *detector) suspectTime(h *latencyHistory) time.Duration {
+	if !d.known {
+		return 0
+	}
+	x, _ := d.ratio(h, time.Second)
+	return part(time.Second, slackRatio*math.Exp(-x))
+}
+
 // referenceTime returns the latency that is normal now; 0 if it is not known.
 func (d *detector) referenceTime() time.Duration {
 	if !d.known {
--- a/policy/admission/learn.go
+++ b/policy/admission/learn.go
@@ -12,6 +12,7 @@
 	switch outcome.Result {
 	case Completed:
 		o.outcomes.add(r.flow.Account(), false)
+		o.lastCompleted = now
 		o.circuit.completed()
 		o.learnService(outcome.ServiceTime)
 		if current {
@@ -66,18 +67,20 @@
 // widenCold takes the next step of a cold start once the present limit has
 // proven itself at good latency.
 func (o *Owner) widenCold() {
-	if o.limit.limit == trickle && o.latency.level.count >= rebaseSamples && o.latency.slow() {
-		o.latency.adopt()
-	}
 	if !o.limit.proven() {
 		return
 	}
 	if o.latency.slow() {
-		o.limit.proof = 0
+		o.repeatLevel()
 		return
 	}
-	o.latency.compareWithBest()
-	o.limit.widen()
+	fast := o.latency.asWarm() && o.limit.failedLimit == 0
+	o.latency.passLevel()
+	if fast {
+		o.limit.double()
+	} else {
+		o.limit.widen()
+	}
 	if o.limit.full() {
 		o.ramped()
 	}
@@ -85,35 +88,40 @@
 
 func (o *Owner) ramped() {
 	o.send(eventRamped)
-	o.limit.caution = 0
+	o.limit.clearSetbacks()
 	o.circuit.reset()
 	o.latency.settle()
 }
 
-// watch returns the target to the trickle when its latency says that it is
+// watch returns the target to the initial limit when its latency says that it is
 // cold.
 func (o *Owner) watch(now time.Time) {
-	if !o.latency.known || o.latency.score+o.pending(now) < o.latency.threshold() {
+	if !o.latency.known {
 		return
 	}
-	switch o.State() {
-	case model.TargetWarm:
+	evidence := o.latency.score + o.pending(now)
+	switch state := o.State(); {
+	case state == model.TargetWarm && evidence >= o.latency.threshold():
 		o.becomeCold(now, eventTurnedCold)
-	case model.TargetCold:
+	case state == model.TargetCold && evidence >= o.latency.coldThreshold(o.limit.part()):
 		o.repeatLevel()
 	}
 }
 
-// repeatLevel answers a cold target that got slow: it goes back to the trickle
-// or, when it is there, starts its proof again.
+// repeatLevel answers a cold target that got slow: it steps back or, at the
+// initial limit, starts its proof again. One that stays slow at the initial limit is taken
+// as it is.
 func (o *Owner) repeatLevel() {
-	if o.limit.limit == trickle {
-		o.limit.proof = 0
-		o.latency.score = 0
+	if o.limit.limit > initialLimit {
+		o.limit.setback()
+		o.latency.nextLevel()
 		return
 	}
-	o.limit.setback()
-	o.latency.nextLevel()
+	o.limit.proof = 0
+	o.latency.score = 0
+	if o.latency.level.count >= rebaseSamples {
+		o.latency.adopt()
+	}
 }
 
 // pending returns the evidence of the calls in flight that started in the
@@ -122,13 +130,22 @@
 	sum := 0.0
 	for i := range o.running {
 		r := &o.running[i]
-		if r.epoch == o.limit.epoch {
-			sum += o.latency.excess(&r.flow.State.latency, now.Sub(r.started))
+		age := now.Sub(r.started)
+		if r.epoch == o.limit.epoch && age > r.suspect {
+			sum += o.latency.excess(&r.flow.State.latency, age, o.evidenceBound(now))
 		}
 	}
 	return sum
 }
 
+// evidenceBound returns the bound of the evidence of one call in flight.
+func (o *Owner) evidenceBound(now time.Time) float64 {
+	if now.Sub(o.lastCompleted) > part(o.latency.referenceTime(), stalledRatio) {
+		return logMaxStalled
+	}
+	return logMax
+}
+
 func (o *Owner) learnFailure(now time.Time, r running) {
 	o.outcomes.add(r.flow.Account(), true)
 	if o.State() == model.TargetCold {
@@ -138,9 +155,9 @@
 }
 
 // learnShed narrows the limit: the target has too much for now. One that
-// sheds the trickle too is failing.
+// sheds at the initial limit too is failing.
 func (o *Owner) learnShed(now time.Time, r running) {
-	if o.limit.limit > trickle {
+	if o.limit.limit > initialLimit {
 		o.limit.shed(r.epoch)
 		o.latency.nextLevel()
 		return
@@ -149,7 +166,7 @@
 	o.tripIfBad(now)
 }
 
-// learnCrash returns the target to the trickle; a second crash without a
+// learnCrash returns the target to the initial limit; a second crash without a
 // completion in between opens the circuit.
 func (o *Owner) learnCrash(now time.Time, r running) {
 	if !o.trying() {
@@ -163,12 +180,12 @@
 		o.becomeCold(now, eventTurnedCold)
 		return
 	}
-	o.limit.open(trickle)
+	o.limit.open(initialLimit)
 	o.latency.nextLevel()
 }
 
 func (o *Owner) tripIfBad(now time.Time) {
-	if o.trying() && o.outcomes.bad(o.circuit.patience()) {
+	if o.trying() && o.outcomes.bad(o.circuit.failureThreshold()) {
 		o.becomeFailing(now)
 	}
 }
--- a/policy/admission/lifecycle.go
+++ b/policy/admission/lifecycle.go
@@ -30,11 +30,11 @@
 }
 
 // State returns the target's state.
-func (o *Owner) State() model.TargetState { return targetStates[o.chart.State()] }
+func (o *Owner) State() model.TargetState { return o.state }
 
 // Announce records a first announcement or a renewal. A new instance starts
 // cold whatever it says. A renewal never makes a target warm; one that says
-// cold again after it said warm returns the target to the trickle.
+// cold again after it said warm returns the target to the initial limit.
 func (o *Owner) Announce(now time.Time, a Announcement) []Release {
 	o.advance(now)
 	known := o.instance
@@ -46,10 +46,10 @@
 		o.becomeWarm()
 	case o.State() == model.TargetAbsent, known != a.Instance:
 		o.becomeCold(now, eventAnnouncedCold)
-	case a.Cold && !o.saidCold && o.chart.Can(eventTurnedCold):
+	case a.Cold && !o.limit.claimed && o.chart.Can(eventTurnedCold):
 		o.becomeCold(now, eventTurnedCold)
 	}
-	o.saidCold = a.Cold
+	o.limit.claimed = a.Cold
 	return o.settle(now)
 }
 
@@ -77,7 +77,7 @@
 	o.advance(now)
 	back := o.gates.domainOut && !out
 	o.gates.domainOut = out
-	if back && o.State() == model.TargetWarm {
+	if back && o.trying() {
 		o.becomeCold(now, eventTurnedCold)
 	}
 	return o.settle(now)
@@ -123,6 +123,7 @@
 	// A forbidden event has been counted by Options.Forbidden; the state
 	// stays as it was.
 	_ = o.chart.Send(e)
+	o.state = targetStates[o.chart.State()]
 }
 
 // becomeWarm trusts a target that was running before this owner was. Half of
@@ -132,10 +133,11 @@
 	o.limit.open((o.limit.slots + 1) / 2)
 }
 
-// becomeCold returns the target to the trickle.
+// becomeCold returns the target to the initial limit.
 func (o *Owner) becomeCold(now time.Time, e chart.Event) {
 	o.send(e)
-	o.limit.open(trickle)
+	o.limit.clearSetbacks()
+	o.limit.open(initialLimit)
 	o.latency.restart()
 	o.outcomes.clear()
 	o.circuit.close()
--- a/policy/admission/limit.go
+++ b/policy/admission/limit.go
@@ -2,8 +2,8 @@
 
 // The proof that a limit needs before it widens by one.
 const (
-	// trickle is the limit of a target that has proven nothing.
-	trickle = 1
+	// initialLimit is the limit of a target that has proven nothing.
+	initialLimit = 1
 	// minProof is the least number of completions at one limit.
 	minProof = 16
 	// proofPerSlot is the number of completions for each slot of the limit.
@@ -11,22 +11,33 @@
 	// lowOccupancyProof is what a completion counts when the limit was not
 	// nearly used up at its start.
 	lowOccupancyProof = 0.25
-	// maxCaution bounds the factor by which setbacks raise the proof.
-	maxCaution = 8
+	// claimProofFactor is the factor on the proof while the target says that it is
+	// cold. Its word may be late or wrong, so it slows the ramp and no more.
+	claimProofFactor = 4
+	// proofFactorStep is the factor by which a setback raises the proof, up to
+	// maxProofFactor.
+	proofFactorStep = 4
+	maxProofFactor  = 16
 	// backoffPercent is what remains of the limit after the target shed load.
 	backoffPercent = 70
 	percent        = 100
 )
 
-// limiter holds the number of calls that may be in flight. It widens by one
-// on proven completions and never on time alone. Each change starts an epoch;
+// limiter holds the number of calls that may be in flight. It widens on
+// proven completions and never on time alone. Each change starts an epoch;
 // only calls that started in the present epoch count.
 type limiter struct {
-	slots   int
-	limit   int
-	epoch   uint64
-	proof   float64
-	caution float64 // factor on the proof, from 1 to maxCaution
+	slots int
+	limit int
+	epoch uint64
+	proof float64
+	// failedLimit is the limit at which the last setback came. The step up to it
+	// needs proofFactor times the proof; proofFactor is at most
+	// maxProofFactor.
+	failedLimit int
+	proofFactor float64
+	// claimed is true while the target says that it is cold.
+	claimed bool
 }
 
 func (l *limiter) setSlots(slots int) {
@@ -46,18 +57,34 @@
 
 func (l *limiter) close() { l.set(0) }
 
+// part returns the part of the slots that is open.
+func (l *limiter) part() float64 { return float64(l.limit) / float64(max(l.slots, 1)) }
+
 func (l *limiter) full() bool { return l.limit >= l.slots }
 
-// setback returns to the trickle and asks for more proof than before.
+// setback steps back from a limit that is not good, and asks for more proof
+// than before at the next step up to it. The limit goes back by one to where
+// it was proven; a setback at a limit that was proven halves it.
 func (l *limiter) setback() {
-	l.caution = min(2*max(l.caution, 1), maxCaution)
-	l.open(trickle)
+	to := l.limit - 1
+	if l.limit < l.failedLimit {
+		to = l.limit / 2
+	}
+	l.failedLimit = l.limit
+	l.proofFactor = min(proofFactorStep*max(l.proofFactor, 1), maxProofFactor)
+	l.open(to)
+}
+
+// clearSetbacks forgets the setbacks.
+func (l *limiter) clearSetbacks() {
+	l.failedLimit = 0
+	l.proofFactor = 0
 }
 
 // shed narrows the limit after the target turned work away, once for all the
 // calls that were in flight together.
 func (l *limiter) shed(epoch uint64) {
-	if epoch == l.epoch && l.limit > trickle {
+	if epoch == l.epoch && l.limit > initialLimit {
 		l.open(l.limit * backoffPercent / percent)
 	}
 }
@@ -73,8 +100,24 @@
 
 // proven reports whether the limit may widen.
 func (l *limiter) proven() bool {
-	needed := float64(max(minProof, proofPerSlot*l.limit))
-	return l.proof >= needed*max(l.caution, 1)
+	factor := 1.0
+	if l.claimed {
+		factor = claimProofFactor
+	}
+	if l.limit+1 >= l.failedLimit {
+		factor = max(factor, l.proofFactor)
+	}
+	return l.proof >= factor*float64(max(minProof, proofPerSlot*l.limit))
+}
+
+// widen takes one step up.
+func (l *limiter) widen() {
+	if l.limit >= l.failedLimit {
+		l.clearSetbacks()
+	}
+	l.open(l.limit + 1)
 }
 
-func (l *limiter) widen() { l.open(l.limit + 1) }
+// double widens faster; for a target that answers as it did when warm and had
+// no setback since.
+func (l *limiter) double() { l.open(2 * l.limit) }
--- a/policy/admission/owner.go
+++ b/policy/admission/owner.go
@@ -15,6 +15,7 @@
 type Owner struct {
 	options  Options
 	chart    *chart.Machine
+	state    model.TargetState // as the chart has it
 	accounts func(model.Account) settings.Account
 	queue    *fairqueue.Queue[queued, history]
 	running  []running
@@ -24,13 +25,14 @@
 	latency  detector
 	outcomes outcomes
 	service  time.Duration // recent mean of the completed calls
-	circuit  circuit
+	// lastCompleted is the time of the last completion.
+	lastCompleted time.Time
+	circuit       circuit
 
 	// now is the time of the event that is being handled.
 	now time.Time
 
 	instance string
-	saidCold bool // whether the last announcement said cold
 	leaseEnd time.Time
 	gates    gates
 
@@ -55,6 +57,9 @@
 	occupancy int    // calls in flight at the start, itself included
 	epoch     uint64 // of the limit at the start
 	isolated  bool
+	// suspect is the age from which on the call may be evidence of a cold
+	// target.
+	suspect time.Duration
 }
 
 // New returns an owner whose target has not announced itself.
@@ -90,7 +95,7 @@
 	account := o.accounts(c.Account)
 	f := o.queue.Flow(now, c.Account, account.Weight)
 	item := queued{Call: c, concurrency: account.Concurrency, offered: now, expires: o.expiry(now, c)}
-	if o.hopeless(now, f, c) {
+	if o.cannotFinish(now, f, c) {
 		f.ForgetSome()
 		return refuse(expiredProblem())
 	}
@@ -117,6 +122,7 @@
 		occupancy: len(o.running) + 1,
 		epoch:     o.limit.epoch,
 		isolated:  c.Isolated,
+		suspect:   o.latency.suspectTime(&f.State.latency),
 	})
 }
 
