--- a/node/server/configuration.go
+++ b/node/server/configuration.go
@@ -5,7 +5,9 @@
 	"encoding/binary"
 	"io"
 	"math/rand/v2"
+	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/samber/oops"
@@ -39,6 +41,8 @@
 	applier *configuration.Applier
 	cancel  context.CancelFunc
 	done    chan struct{}
+	// watching is true while this node is one of its domain's watchers.
+	watching atomic.Bool
 
 	mu      sync.Mutex
 	changed chan struct{}
@@ -93,9 +97,7 @@
 func (d *configurationDuty) polled(poll configuration.Poll) {
 	if poll.Reachable {
 		d.server.judge.confirmed(time.Since(poll.Began), poll.Confirmed)
-		return
 	}
-	d.server.judge.failed()
 }
 
 // await waits until at least the revision is applied.
@@ -117,10 +119,9 @@
 
 // membersChanged decides whether this node watches the store.
 func (d *configurationDuty) membersChanged(snapshot *membership.Snapshot) {
-	watching := false
-	for _, node := range freshness.Watchers(snapshot.Members, d.server.settings.Node.FailureDomain, watchersPerDomain) {
-		watching = watching || node == d.server.self
-	}
+	watchers := freshness.Watchers(snapshot.Members, d.server.settings.Node.FailureDomain, watchersPerDomain)
+	watching := slices.Contains(watchers, d.server.self)
+	d.watching.Store(watching)
 	d.applier.SetWatching(watching)
 }
 
--- a/node/server/control.go
+++ b/node/server/control.go
@@ -28,8 +28,8 @@
 		}
 		now := time.Now()
 		s.owner.SetFresh(s.judge.fresh())
-		if payload, ok := s.judge.due(); ok {
-			s.overlay.Flood(membership.TopicBeacon, payload, true)
+		if s.configuration.watching.Load() {
+			s.speak(now)
 		}
 		if now.Sub(expired) >= expirePause {
 			expired = now
@@ -37,3 +37,10 @@
 		}
 	}
 }
+
+// speak floods the beacon of a watcher when one is due.
+func (s *Server) speak(now time.Time) {
+	if payload, ok := s.judge.due(); ok {
+		s.overlay.FloodBorn(now, membership.TopicBeacon, payload, true)
+	}
+}
--- a/node/server/judge.go
+++ b/node/server/judge.go
@@ -38,8 +38,7 @@
 func (j *judge) fresh() bool {
 	j.mu.Lock()
 	defer j.mu.Unlock()
-	standing := j.judge.Standing(j.clock())
-	return standing.Fresh || !standing.CutOff
+	return j.judge.Standing(j.clock()).Fresh
 }
 
 // beacon takes in a watcher's beacon.
@@ -50,7 +49,7 @@
 		return b, false
 	}
 	j.mu.Lock()
-	j.judge.Heard(j.clock(), b, message.Age)
+	j.judge.Heard(j.clock(), b, message.Born)
 	j.mu.Unlock()
 	j.poke()
 	return b, true
@@ -76,11 +75,12 @@
 	j.poke()
 }
 
-func (j *judge) failed() {
+// acknowledged reports whether enough failure domains know the revision, so
+// that no node that does not apply it can stay fresh.
+func (j *judge) acknowledged(revision model.Revision) bool {
 	j.mu.Lock()
-	j.judge.Failed(j.clock())
-	j.mu.Unlock()
-	j.poke()
+	defer j.mu.Unlock()
+	return j.judge.Acknowledged(j.clock(), revision)
 }
 
 func (j *judge) applied(revision model.Revision, domains []model.Domain) {
--- a/node/server/server.go
+++ b/node/server/server.go
@@ -148,7 +148,9 @@
 		return oops.In("node").Wrap(err)
 	}
 	s.suspects = newSuspects(s.process, s.floodNotice)
-	s.judge = newJudge(freshness.Options{Self: s.self, Domain: s.settings.Node.FailureDomain})
+	s.judge = newJudge(freshness.Options{
+		Self: s.self, Domain: s.settings.Node.FailureDomain, Seed: uint64(s.incarnation),
+	})
 	s.configuration = newConfigurationDuty(s)
 	s.owner = owner.Start(owner.Options{
 		Process: s.process, Revision: s.revision, Accounts: s.account, OnState: s.targetState,
@@ -205,7 +207,7 @@
 			Domain: s.settings.Node.FailureDomain, Region: s.settings.Node.Region,
 		},
 		Contacts: s.settings.Peers.Known, Transport: s.control,
-		OnFlood: s.flooded, OnChange: s.membersChanged, OnPause: s.judge.poke,
+		OnFlood: s.flooded, OnChange: s.membersChanged, OnPause: s.judge.poke, OnSuperseded: s.superseded,
 	})
 	s.configuration.start()
 	s.goDuty(s.controlDuty)
--- a/node/server/stop.go
+++ b/node/server/stop.go
@@ -35,6 +35,13 @@
 	klog.Info("node: The node has stopped.")
 }
 
+// superseded ends a process whose address a later process has.
+func (s *Server) superseded() {
+	klog.Error("node: Another process has this node's address. Give each node a peers.advertise of its own.")
+	s.owner.SetStopping()
+	s.stopping.Store(true)
+}
+
 // closeCallers stops accepting callers. Kept-open connections are told to go
 // away by the means of their protocol and closed when their calls end.
 func (s *Server) closeCallers(ctx context.Context) <-chan struct{} {
--- a/node/server/survey.go
+++ b/node/server/survey.go
@@ -1,6 +1,7 @@
 package server
 
 import (
+	"slices"
 	"sync"
 
 	"zinniafall/policy/model"
@@ -15,7 +16,9 @@
 }
 
 // inForce tells which members apply the revision or a higher one, and which
-// were not heard to. The first question for a revision starts a survey.
+// were not heard to. Before the revision is acknowledged no node counts, since
+// one that is cut off may still go by an older one. The first question for a
+// revision starts a survey.
 func (s *Server) inForce(revision model.Revision) (in, missing []model.NodeAddr) {
 	s.surveys.mu.Lock()
 	if s.surveys.number == 0 || s.surveys.revision != revision {
@@ -25,5 +28,8 @@
 	number := s.surveys.number
 	s.surveys.mu.Unlock()
 	result := s.overlay.SurveyResult(number)
+	if !s.judge.acknowledged(revision) {
+		return nil, slices.Concat(result.InForce, result.Silent)
+	}
 	return result.InForce, result.Silent
 }
