Let the fault matrix pass through admit and queue

Cause: a scene that fills the slots kept its targets from answering other calls afterwards, and a failed wait left packets held. Change: occupying calls wait on their own gate; held packets are released at the end of a test whatever happens; the first configuration may be committed by a node that hears nobody, since it names the failure domains.

--- a/node/server/matrix_scene_test.go
+++ b/node/server/matrix_scene_test.go
@@ -19,6 +19,8 @@
 const (
 	// mainPath is the path of the call that a cell follows.
 	mainPath = "/pay"
+	// occupyPath begins the paths of calls that fill slots.
+	occupyPath = "/occupy/"
 	// sceneTimeoutMs is the deadline of the followed call.
 	sceneTimeoutMs = "1500"
 	// sceneAnswer is the length in bytes of the followed call's answer.
@@ -67,6 +69,8 @@
 	runs     map[string]int
 	lastRun  map[*cell]time.Time
 	behavior map[*cell]http.HandlerFunc
+	// occupied, when not nil, keeps calls of occupyPath at their targets.
+	occupied chan struct{}
 	inFlight map[*cell]int
 	most     map[*cell]int
 }
@@ -102,8 +106,11 @@
 	}
 	s.stopAt(pointRunning, r)
 	s.mu.Lock()
-	behavior := s.behavior[c]
+	behavior, occupied := s.behavior[c], s.occupied
 	s.mu.Unlock()
+	if occupied != nil && strings.HasPrefix(r.URL.Path, occupyPath) {
+		<-occupied
+	}
 	if behavior != nil {
 		behavior(w, r)
 		return
--- a/node/server/matrix_test.go
+++ b/node/server/matrix_test.go
@@ -61,9 +61,10 @@
 	}},
 	{"to the owner", func(s *scene, key string, inject func()) got {
 		release := s.links.hold()
+		s.t.Cleanup(release)
 		answer := make(chan got, 1)
 		go func() { answer <- s.pay(s.cells[1], key, strings.NewReader(testBody), nil) }()
-		s.eventually(func() bool { return s.cells[1].entry.Calls() > 0 })
+		s.eventually(func() bool { return s.cells[1].entry.Calls() > 0 || len(answer) > 0 })
 		done := make(chan struct{})
 		go func() {
 			defer close(done)
@@ -143,19 +144,14 @@
 func (s *scene) occupy(slots int) (release func()) {
 	open := make(chan struct{})
 	var calls sync.WaitGroup
-	for _, c := range s.cells {
-		s.behave(c, func(w http.ResponseWriter, r *http.Request) {
-			if strings.HasPrefix(r.URL.Path, "/occupy") {
-				<-open
-			}
-			_, _ = io.WriteString(w, wholeAnswer(r.URL.Path, testBody))
-		})
-	}
+	s.mu.Lock()
+	s.occupied = open
+	s.mu.Unlock()
 	for i := range slots {
 		calls.Add(1)
 		go func() {
 			defer calls.Done()
-			s.cells[i%len(s.cells)].call(ask{method: http.MethodPost, path: fmt.Sprintf("/occupy/%d", i)})
+			s.cells[i%len(s.cells)].call(ask{method: http.MethodPost, path: fmt.Sprintf("%s%d", occupyPath, i)})
 		}()
 	}
 	s.eventually(func() bool {
@@ -167,10 +163,10 @@
 		}
 		return running >= slots/2
 	})
-	return func() {
+	return sync.OnceFunc(func() {
 		close(open)
 		calls.Wait()
-	}
+	})
 }
 
 // pausingTransport injects the fault when half of the answer was read.
--- a/node/server/operators.go
+++ b/node/server/operators.go
@@ -49,8 +49,11 @@
 // Placement tells in which failure domains services have targets.
 func (v operatorView) Placement() config.Placement { return v.server.placement() }
 
-// MayCommit is false while the node is cut off from half of the domains.
-func (v operatorView) MayCommit() bool { return v.server.judge.mayCommit() }
+// MayCommit is false while the node is cut off from half of the domains. The
+// first configuration names the domains, so that it may always be committed.
+func (v operatorView) MayCommit() bool {
+	return v.server.revision() == 0 || v.server.judge.mayCommit()
+}
 
 // Quarantined lists the requests that are refused.
 func (v operatorView) Quarantined() []operatorapi.Quarantined {
--- a/node/server/relay_test.go
+++ b/node/server/relay_test.go
@@ -35,12 +35,12 @@
 	defer l.mu.Unlock()
 	held := make(chan struct{})
 	l.held = held
-	return func() {
+	return sync.OnceFunc(func() {
 		l.mu.Lock()
 		l.held = nil
 		l.mu.Unlock()
 		close(held)
-	}
+	})
 }
 
 // pass waits for the release of held packets and reports whether a packet may
