Size subsets by the calls in flight

Cause: an entry that spread its calls over 20 services of 9 targets heard of each target about twice a second, so that all its reports were old. Change: the subset of a service has 10 targets for each call that the entry has in flight there on average, at least 3 and at most 16. When no member takes a call, the subset is doubled.

--- a/policy/placement/choose.go
+++ b/policy/placement/choose.go
@@ -40,6 +40,10 @@
 	}
 	p.touch(svc, at)
 	t := p.pick(at, svc, &q)
+	for t == nil && len(svc.members) < len(svc.ranked) && svc.demand.widen(p.options.SubsetSize) {
+		p.resize(at)
+		t = p.pick(at, svc, &q)
+	}
 	if t == nil {
 		return "", p.refuse(at, svc)
 	}
--- a/policy/placement/outcome.go
+++ b/policy/placement/outcome.go
@@ -49,6 +49,7 @@
 	}
 	at := p.since(now)
 	t.end(at - outcome.Elapsed)
+	t.service.demand.busy += outcome.Elapsed
 	switch outcome.Result {
 	case Answered:
 		t.rate(at, 0)
--- a/policy/placement/placement.go
+++ b/policy/placement/placement.go
@@ -21,8 +21,10 @@
 // round trip is saved while nearby targets are fast enough. Other regions are
 // tried when the best prediction exceeds the round trip to them.
 //
-// An entry uses a subset of each large service, chosen by rendezvous hashing,
-// which bounds the number of connections.
+// An entry uses a subset of each service, chosen by rendezvous hashing, which
+// bounds the number of connections. The subset is the smaller the fewer calls
+// the entry has in flight at the service: reports come with answers, and many
+// targets that answer rarely are all unknown.
 package placement
 
 import (
@@ -74,9 +76,13 @@
 	Region model.Region
 	// Seed of all random choices.
 	Seed uint64
-	// SubsetSize is the number of targets of one service that this entry
-	// uses; default 16.
+	// SubsetSize bounds the number of targets of one service that this
+	// entry uses; default 16. It uses fewer of a service that it calls
+	// rarely.
 	SubsetSize int
+	// MinSubset is the number of targets that it uses of a service that it
+	// calls rarely, and of each service at first; default 3.
+	MinSubset int
 	// MaxPeers bounds the nodes that this entry sends to, over the services
 	// in use; default 512. Subsets shrink to two targets a service, and no
 	// further, to stay within it.
@@ -102,6 +108,7 @@
 // Defaults of Options.
 const (
 	defaultSubsetSize      = 16
+	defaultMinSubset       = 3
 	defaultMaxPeers        = 512
 	defaultChoices         = 4
 	defaultPeerRoundTrip   = 300 * time.Microsecond
@@ -115,6 +122,7 @@
 func (o Options) withDefaults() Options {
 	setDefault(&o.Policy, Predicted)
 	setDefault(&o.SubsetSize, defaultSubsetSize)
+	setDefault(&o.MinSubset, defaultMinSubset)
 	setDefault(&o.MaxPeers, defaultMaxPeers)
 	setDefault(&o.Choices, defaultChoices)
 	setDefault(&o.PeerRoundTrip, defaultPeerRoundTrip)
@@ -173,6 +181,7 @@
 	prior              prior
 	used               bool
 	lastUsed           time.Duration
+	demand             demand
 }
 
 // New returns a placer without targets.
@@ -195,7 +204,7 @@
 	at := p.since(now)
 	svc := p.services[name]
 	if svc == nil {
-		svc = &service{name: name, prior: newPrior()}
+		svc = &service{name: name, prior: newPrior(), demand: demand{size: p.options.MinSubset}}
 		p.services[name] = svc
 		p.order = append(p.order, svc)
 	}
--- a/policy/placement/sim_test.go
+++ b/policy/placement/sim_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math"
 	"math/rand/v2"
+	"slices"
 	"sort"
 	"time"
 
@@ -27,6 +28,9 @@
 var (
 	newEngland = deployment{"new-england", 4, 12, []int{6, 4, 4}}
 	perth      = deployment{"perth", 3, 6, []int{6, 4, 3}}
+	// rareCalls spreads the calls of each entry over 20 services, so that it
+	// hears of each target rarely.
+	rareCalls = deployment{"rare-calls", 10, 12, slices.Repeat([]int{9}, 20)}
 )
 
 const (
--- a/policy/placement/subset.go
+++ b/policy/placement/subset.go
@@ -15,8 +15,7 @@
 	// idleAfter is the time without calls after which a service gives up its
 	// share of the peers.
 	idleAfter = 10 * time.Minute
-	// minSubset is the number of targets of a service in use below which a
-	// subset never shrinks.
+	// minSubset is the least that MaxPeers shrinks a subset to.
 	minSubset = 2
 	// nearShare is the inverse of the share of a subset that is taken from
 	// the entry's own failure domain.
@@ -94,8 +93,8 @@
 	return lists[0]
 }
 
-// resize gives each service in use its subset: as large as SubsetSize and
-// MaxPeers allow.
+// resize gives each service its subset, as large as its demand asks for and
+// MaxPeers allows.
 func (p *Placer) resize(at time.Duration) {
 	inUse := 0
 	for _, svc := range p.order {
@@ -109,7 +108,7 @@
 		size--
 	}
 	for _, svc := range p.order {
-		svc.setMembers(size)
+		svc.setMembers(min(size, svc.demand.size))
 	}
 }
 
@@ -118,7 +117,7 @@
 	peers := 0
 	for _, svc := range p.order {
 		if svc.used {
-			peers += min(size, len(svc.ranked))
+			peers += min(size, svc.demand.size, len(svc.ranked))
 		}
 	}
 	return peers
@@ -149,7 +148,8 @@
 // touch marks a service as in use.
 func (p *Placer) touch(svc *service, at time.Duration) {
 	svc.lastUsed = at
-	if svc.used {
+	changed := svc.demand.assess(at, p.options.MinSubset, p.options.SubsetSize)
+	if svc.used && !changed {
 		return
 	}
 	svc.used = true
