--- a/policy/admission/latency.go
+++ b/policy/admission/latency.go
@@ -13,12 +13,16 @@
 	baselineGain = 1.0 / 256
 	// trustedHistory is the number of completions after which an account has
 	// a baseline of its own.
-	trustedHistory = 16
+	trustedHistory = 64
 	// historyGain is the least share of a new sample in an account's baseline.
 	historyGain = 1.0 / 64
 	// newcomerWeight is the weight of the evidence of an account that has no
 	// baseline of its own: its calls may just be expensive ones.
 	newcomerWeight = 0.25
+	// newcomerSamples is the number of its completions that may be evidence
+	// against a warm target, so that one account with expensive calls does not
+	// make it cold while the account's baseline is being learned.
+	newcomerSamples = 4
 	// slackRatio is the ratio of a latency to the expected one up to which it
 	// is no evidence of a cold target.
 	slackRatio = 4.0
@@ -89,6 +93,7 @@
 	// baseline it is the normal log latency.
 	offset float64
 	known  bool // whether there is something to compare with
+	cold   bool // whether the target is cold
 	// seeded is true when the baseline began with a proven cold start.
 	seeded bool
 	// generation of the baseline; the histories of earlier ones are void.
@@ -101,6 +106,7 @@
 	d.nextLevel()
 	d.offset = 0
 	d.known = d.trusted()
+	d.cold = true
 }
 
 // nextLevel starts the samples of another limit.
@@ -121,12 +127,19 @@
 	case h.generation == d.generation && h.count >= trustedHistory:
 		return x - h.mean, 1
 	case d.trusted():
-		return x - d.baseline.mean, newcomerWeight
+		return x - d.baseline.mean, d.newcomerWeight(h)
 	default:
 		return x, 1
 	}
 }
 
+func (d *detector) newcomerWeight(h *latencyHistory) float64 {
+	if !d.cold && h.generation == d.generation && h.count >= newcomerSamples {
+		return 0
+	}
+	return newcomerWeight
+}
+
 // learnWarm takes a completion of a warm target in.
 func (d *detector) learnWarm(h *latencyHistory, latency time.Duration) {
 	x, weight := d.ratio(h, latency)
@@ -245,6 +258,7 @@
 		d.generation++
 	}
 	d.offset = 0
+	d.cold = false
 	d.nextLevel()
 }
 
