--- a/policy/admission/latency.go
+++ b/policy/admission/latency.go
@@ -47,15 +47,19 @@
 	assumedVariance = 1.64
 	// followGain is the share of a proven limit's mean in what is normal.
 	followGain = 0.25
+	// maxFollowRatio is the ratio to the fastest limit up to which what is
+	// normal follows slower ones.
+	maxFollowRatio = 2.0
 	// rebaseSamples is the number of completions at the initial limit after which a
 	// target that stays slow is taken as it is.
 	rebaseSamples = 64
 )
 
 var (
-	logSlack = math.Log(slackRatio)
-	logSame  = math.Log(sameRatio)
-	logMax   = math.Log(maxRatio)
+	logSlack  = math.Log(slackRatio)
+	logFollow = math.Log(maxFollowRatio)
+	logSame   = math.Log(sameRatio)
+	logMax    = math.Log(maxRatio)
 
 	logMaxStalled = math.Log(maxStalledRatio)
 )
@@ -92,8 +96,10 @@
 	// offset is the log ratio to the baseline that is normal now; without a
 	// baseline it is the normal log latency.
 	offset float64
-	known  bool // whether there is something to compare with
-	cold   bool // whether the target is cold
+	// best is the lowest mean of a proven limit, on the scale of offset.
+	best  float64
+	known bool // whether there is something to compare with
+	cold  bool // whether the target is cold
 	// seeded is true when the baseline began with a proven cold start.
 	seeded bool
 	// generation of the baseline; the histories of earlier ones are void.
@@ -230,6 +236,7 @@
 func (d *detector) adopt() {
 	d.known = true
 	d.offset += d.level.mean
+	d.best = d.offset
 	d.nextLevel()
 }
 
@@ -242,7 +249,8 @@
 		return
 	}
 	if d.offset != 0 || !d.trusted() {
-		d.offset += followGain * d.level.mean
+		d.best = min(d.best, d.offset+d.level.mean)
+		d.offset = min(d.offset+followGain*d.level.mean, d.best+logFollow)
 	}
 	d.nextLevel()
 }
