--- a/policy/admission/events_test.go
+++ b/policy/admission/events_test.go
@@ -112,6 +112,7 @@
 		{"a new process says warm", []happening{announces(Announcement{Instance: "two", Slots: 4})}, 0, model.TargetCold, 1, waits, ""},
 		{"a renewal says cold", []happening{announces(Announcement{Instance: "one", Slots: 4, Cold: true})}, 0, model.TargetCold, 1, waits, ""},
 		{"fewer connections than slots", []happening{announces(Announcement{Instance: "one", Slots: 400, Connections: 3})}, 0, model.TargetWarm, 3, waits, ""},
+		{"the old process's connections break", []happening{announces(Announcement{Instance: "two", Slots: 4}), ends(4, Crashed)}, 0, model.TargetCold, 1, starts, ""},
 		{"the wait gets too long", []happening{tick(DefaultMaxWait)}, 0, model.TargetWarm, 4, problem.Overloaded, ""},
 		{"nothing completes", []happening{stalls}, 0, model.TargetCold, 1, waits, ""},
 		{"a crash while it drains", []happening{drains, ends(2, Crashed)}, 0, model.TargetDraining, 0, problem.Draining, problem.Draining},
--- a/policy/admission/latency.go
+++ b/policy/admission/latency.go
@@ -50,8 +50,8 @@
 	// maxFollowRatio is the ratio to the fastest limit up to which what is
 	// normal follows slower ones.
 	maxFollowRatio = 2.0
-	// rebaseSamples is the number of completions at the initial limit after which a
-	// target that stays slow is taken as it is.
+	// rebaseSamples is the number of completions at the initial limit after
+	// which a target that stays slow is taken as it is.
 	rebaseSamples = 64
 )
 
--- a/policy/admission/learn.go
+++ b/policy/admission/learn.go
@@ -8,6 +8,9 @@
 
 // learn takes in what the end of a call says of the target.
 func (o *Owner) learn(now time.Time, r running, outcome Outcome) {
+	if r.trial != o.trial {
+		return
+	}
 	current := r.epoch == o.limit.epoch
 	switch outcome.Result {
 	case Completed:
@@ -93,8 +96,8 @@
 	o.latency.settle()
 }
 
-// watch returns the target to the initial limit when its latency says that it is
-// cold.
+// watch returns the target to the initial limit when its latency says that it
+// is cold.
 func (o *Owner) watch(now time.Time) {
 	if !o.latency.known {
 		return
@@ -109,8 +112,8 @@
 }
 
 // repeatLevel answers a cold target that got slow: it steps back or, at the
-// initial limit, starts its proof again. One that stays slow at the initial limit is taken
-// as it is.
+// initial limit, starts its proof again. One that stays slow there is taken as
+// it is.
 func (o *Owner) repeatLevel() {
 	if o.limit.limit > initialLimit {
 		o.limit.setback()
--- a/policy/admission/lifecycle.go
+++ b/policy/admission/lifecycle.go
@@ -33,12 +33,16 @@
 func (o *Owner) State() model.TargetState { return o.state }
 
 // Announce records a first announcement or a renewal. A new instance starts
-// cold whatever it says. A renewal never makes a target warm; one that says
+// cold whatever it says, and so does one that comes back after it was gone. A
+// renewal never makes a target warm; one that says
 // cold again after it said warm returns the target to the initial limit.
 func (o *Owner) Announce(now time.Time, a Announcement) []Release {
 	o.advance(now)
 	known := o.instance
 	o.instance = a.Instance
+	if known != a.Instance {
+		o.trial++
+	}
 	o.leaseEnd = now.Add(orDefault(a.Lease, o.options.Lease))
 	o.limit.setSlots(min(max(a.Slots, 1), orDefault(a.Connections, o.options.Connections)))
 	switch {
--- a/policy/admission/limit.go
+++ b/policy/admission/limit.go
@@ -11,8 +11,8 @@
 	// lowOccupancyProof is what a completion counts when the limit was not
 	// nearly used up at its start.
 	lowOccupancyProof = 0.25
-	// claimProofFactor is the factor on the proof while the target says that it is
-	// cold. Its word may be late or wrong, so it slows the ramp and no more.
+	// claimProofFactor is the factor on the proof while the target says that it
+	// is cold. Its word may be late or wrong, so it slows the ramp and no more.
 	claimProofFactor = 4
 	// proofFactorStep is the factor by which a setback raises the proof, up to
 	// maxProofFactor.
@@ -31,9 +31,8 @@
 	limit int
 	epoch uint64
 	proof float64
-	// failedLimit is the limit at which the last setback came. The step up to it
-	// needs proofFactor times the proof; proofFactor is at most
-	// maxProofFactor.
+	// failedLimit is the limit at which the last setback came. The step up to
+	// it needs proofFactor times the proof.
 	failedLimit int
 	proofFactor float64
 	// claimed is true while the target says that it is cold.
--- a/policy/admission/owner.go
+++ b/policy/admission/owner.go
@@ -33,6 +33,9 @@
 	now time.Time
 
 	instance string
+	// trial counts the processes and the ends of probations. How a call of an
+	// earlier trial ends says nothing of the target now.
+	trial    uint64
 	leaseEnd time.Time
 	gates    gates
 
@@ -56,6 +59,7 @@
 	started   time.Time
 	occupancy int    // calls in flight at the start, itself included
 	epoch     uint64 // of the limit at the start
+	trial     uint64
 	isolated  bool
 	// suspect is the age from which on the call may be evidence of a cold
 	// target.
@@ -121,6 +125,7 @@
 		started:   now,
 		occupancy: len(o.running) + 1,
 		epoch:     o.limit.epoch,
+		trial:     o.trial,
 		isolated:  c.Isolated,
 		suspect:   o.latency.suspectTime(&f.State.latency),
 	})
--- a/policy/admission/reserve.go
+++ b/policy/admission/reserve.go
@@ -25,7 +25,7 @@
 // of the calls and on the load, so it is set by feedback: each late start of a
 // call within its account's share raises it, each prompt one lowers it, in a
 // proportion that makes lateTarget of the starts late. Against an account with
-// short calls it stays at zero and every slot is used. It also falls with time.
+// short calls it stays small. It also falls with time.
 type reserve struct {
 	slots   float64
 	updated time.Time
--- a/policy/admission/scenario_test.go
+++ b/policy/admission/scenario_test.go
@@ -96,6 +96,18 @@
 	}
 }
 
+// TestReserveFallsWithTime checks that few calls of the others do not keep
+// slots free for ever.
+func TestReserveFallsWithTime(t *testing.T) {
+	var r reserve
+	for range 20 {
+		r.observe(start, serviceMean, serviceMean, 12)
+	}
+	qt.Assert(t, r.size(start), qt.Equals, 4)
+	r.observe(start.Add(4*reserveTime), 0, serviceMean, 12)
+	qt.Assert(t, r.size(start.Add(4*reserveTime)), qt.Equals, 0)
+}
+
 func TestWeightsShareASaturatedTarget(t *testing.T) {
 	w := warmWorld(12, 1)
 	w.owner.SetAccounts(weights)
--- a/policy/admission/tick.go
+++ b/policy/admission/tick.go
@@ -35,6 +35,7 @@
 		return
 	}
 	if state == model.TargetFailing && o.circuit.remaining(now) == 0 {
+		o.trial++
 		o.becomeCold(now, eventTurnedCold)
 	}
 	o.watch(now)
