--- a/policy/admission/lifecycle.go
+++ b/policy/admission/lifecycle.go
@@ -40,7 +40,7 @@
 	o.advance(now)
 	known := o.instance
 	o.instance = a.Instance
-	if known != a.Instance {
+	if known != a.Instance || o.State() == model.TargetAbsent {
 		o.trial++
 	}
 	o.leaseEnd = now.Add(orDefault(a.Lease, o.options.Lease))
--- a/policy/admission/scenario_test.go
+++ b/policy/admission/scenario_test.go
@@ -233,14 +233,17 @@
 	}
 	for _, noise := range []float64{1, 3, 5} {
 		for seed := range uint64(3) {
-			w := warmWorld(12, seed)
-			w.arrivals(0.3*capacity(12), 5*time.Second, callsOf("a"))
-			w.after(2*time.Second, func() { w.arrivals(0.4/20*capacity(12), time.Second, expensive) })
-			w.after(4*time.Second, func() { w.arrivals(0.4/20*capacity(12), time.Second, expensive) })
-			w.neighbour(noise)
-			w.runFor(5 * time.Second)
-			qt.Assert(t, w.owner.State(), qt.Equals, model.TargetWarm, qt.Commentf("noise %v", noise))
-			qt.Assert(t, w.owner.limit.epoch, qt.Equals, uint64(2), qt.Commentf("noise %v", noise))
+			for _, usual := range []time.Duration{2 * time.Second, 5 * time.Second} {
+				w := warmWorld(12, seed)
+				w.arrivals(0.3*capacity(12), usual, callsOf("a"))
+				for _, at := range []time.Duration{2 * time.Second, 4 * time.Second} {
+					w.after(at, func() { w.arrivals(0.4/20*capacity(12), time.Second, expensive) })
+				}
+				w.neighbour(noise)
+				w.runFor(5 * time.Second)
+				qt.Assert(t, w.owner.State(), qt.Equals, model.TargetWarm, qt.Commentf("noise %v", noise))
+				qt.Assert(t, w.owner.limit.epoch, qt.Equals, uint64(2), qt.Commentf("noise %v", noise))
+			}
 		}
 	}
 }
