--- a/policy/admission/latency.go
+++ b/policy/admission/latency.go
@@ -13,12 +13,16 @@
 	baselineGain = 1.0 / 256
 	// trustedHistory is the number of completions after which an account has
 	// a baseline of its own.
-	trustedHistory = 16
+	trustedHistory = 64
 	// historyGain is the least share of a new sample in an account's baseline.
 	historyGain = 1.0 / 64
 	// newcomerWeight is the weight of the evidence of an account that has no
 	// baseline of its own: its calls may just be expensive ones.
 	newcomerWeight = 0.25
+	// newcomerSamples is the number of its completions that may be evidence
+	// against a warm target, so that one account with expensive calls does not
+	// make it cold while the account's baseline is being learned.
+	newcomerSamples = 4
 	// slackRatio is the ratio of a latency to the expected one up to which it
 	// is no evidence of a cold target.
 	slackRatio = 4.0
@@ -43,15 +47,19 @@
 	assumedVariance = 1.64
 	// followGain is the share of a proven limit's mean in what is normal.
 	followGain = 0.25
-	// rebaseSamples is the number of completions at the initial limit after which a
-	// target that stays slow is taken as it is.
+	// maxFollowRatio is the ratio to the fastest limit up to which what is
+	// normal follows slower ones.
+	maxFollowRatio = 2.0
+	// rebaseSamples is the number of completions at the initial limit after
+	// which a target that stays slow is taken as it is.
 	rebaseSamples = 64
 )
 
 var (
-	logSlack = math.Log(slackRatio)
-	logSame  = math.Log(sameRatio)
-	logMax   = math.Log(maxRatio)
+	logSlack  = math.Log(slackRatio)
+	logFollow = math.Log(maxFollowRatio)
+	logSame   = math.Log(sameRatio)
+	logMax    = math.Log(maxRatio)
 
 	logMaxStalled = math.Log(maxStalledRatio)
 )
@@ -88,7 +96,10 @@
 	// offset is the log ratio to the baseline that is normal now; without a
 	// baseline it is the normal log latency.
 	offset float64
-	known  bool // whether there is something to compare with
+	// best is the lowest mean of a proven limit, on the scale of offset.
+	best  float64
+	known bool // whether there is something to compare with
+	cold  bool // whether the target is cold
 	// seeded is true when the baseline began with a proven cold start.
 	seeded bool
 	// generation of the baseline; the histories of earlier ones are void.
@@ -101,6 +112,7 @@
 	d.nextLevel()
 	d.offset = 0
 	d.known = d.trusted()
+	d.cold = true
 }
 
 // nextLevel starts the samples of another limit.
@@ -121,12 +133,19 @@
 	case h.generation == d.generation && h.count >= trustedHistory:
 		return x - h.mean, 1
 	case d.trusted():
-		return x - d.baseline.mean, newcomerWeight
+		return x - d.baseline.mean, d.newcomerWeight(h)
 	default:
 		return x, 1
 	}
 }
 
+func (d *detector) newcomerWeight(h *latencyHistory) float64 {
+	if !d.cold && h.generation == d.generation && h.count >= newcomerSamples {
+		return 0
+	}
+	return newcomerWeight
+}
+
 // learnWarm takes a completion of a warm target in.
 func (d *detector) learnWarm(h *latencyHistory, latency time.Duration) {
 	x, weight := d.ratio(h, latency)
@@ -217,6 +236,7 @@
 func (d *detector) adopt() {
 	d.known = true
 	d.offset += d.level.mean
+	d.best = d.offset
 	d.nextLevel()
 }
 
@@ -229,7 +249,8 @@
 		return
 	}
 	if d.offset != 0 || !d.trusted() {
-		d.offset += followGain * d.level.mean
+		d.best = min(d.best, d.offset+d.level.mean)
+		d.offset = min(d.offset+followGain*d.level.mean, d.best+logFollow)
 	}
 	d.nextLevel()
 }
@@ -245,6 +266,7 @@
 		d.generation++
 	}
 	d.offset = 0
+	d.cold = false
 	d.nextLevel()
 }
 
