--- a/policy/membership/fault_test.go
+++ b/policy/membership/fault_test.go
@@ -215,3 +215,29 @@
 	c.Assert(p.age(1_000_000, 1_100_000), qt.Equals, unknownAge)
 	c.Assert(p.known(), qt.IsFalse)
 }
+
+// TestStormIsPaced lets many joiners ask one node for all of its 2,200 records
+// and ping it all the time.
+func TestStormIsPaced(t *testing.T) {
+	c := qt.New(t)
+	const limit = 13_000
+	now := time.Unix(1000, 0)
+	v := largeView(now)
+	start := v.Stats().BytesOut
+	for tick := range 100 {
+		now = now.Add(tickInterval)
+		for i := range 220 {
+			p := &packet{Incarnation: 2, Sent: uint64(tick + 1), Ask: true, NeedRecord: true, Join: &joinPart{Of: 1}}
+			if tick > 0 {
+				p.Join = nil
+			}
+			_, err := v.Receive(now, address(i*10+3), p.encode())
+			c.Assert(err, qt.IsNil)
+		}
+		v.Tick(now)
+	}
+	sent := v.Stats().BytesOut - start
+	c.Logf("%d bytes in 10 s", sent)
+	c.Assert(sent < 10*limit, qt.IsTrue)
+	c.Assert(sent > 5*limit, qt.IsTrue)
+}
--- a/policy/membership/view_test.go
+++ b/policy/membership/view_test.go
@@ -116,6 +116,7 @@
 		n.run(1001500*time.Microsecond, nil)
 		c.Assert(f.view.TakePause() > 9*time.Second, qt.IsTrue)
 		c.Assert(f.view.CaughtUp(), qt.IsFalse)
+		c.Assert(f.view.votes, qt.HasLen, 0, qt.Commentf("it must not blame others for its own pause"))
 		took := n.run(time.Minute, n.agreed)
 		c.Logf("%d nodes: agreed %v after waking", size, took)
 		c.Assert(took < time.Second, qt.IsTrue)
