--- a/policy/freshness/freshness_test.go
+++ b/policy/freshness/freshness_test.go
@@ -15,6 +15,7 @@
 	four  = []model.Domain{"ne-a", "ne-b", "ne-c", "ne-d"}
 	three = []model.Domain{"perth-north", "perth-south", "perth-east"}
 	one   = []model.Domain{"only"}
+	ten   = []model.Domain{"d0", "d1", "d2", "d3", "d4", "d5", "d6", "d7", "d8", "d9"}
 )
 
 func after(d time.Duration) time.Time { return start.Add(d) }
@@ -117,7 +118,7 @@
 // TestOutageLeavesNoGap runs watchers through the loss and the return of the
 // store and counts the beacons.
 func TestOutageLeavesNoGap(t *testing.T) {
-	for _, domains := range [][]model.Domain{one, three, four} {
+	for _, domains := range [][]model.Domain{one, three, four, ten} {
 		t.Run(string(domains[0]), func(t *testing.T) {
 			c := qt.New(t)
 			const step = 20 * time.Millisecond
