--- a/policy/membership/clock.go
+++ b/policy/membership/clock.go
@@ -14,6 +14,8 @@
 	// clockWindow is how long a measured clock bound is used before newer ones
 	// replace it, so that drift stays below a few milliseconds.
 	clockWindow = 10 * time.Second
+	// longPause is the pause after which drift makes old bounds useless.
+	longPause = time.Minute
 	// clockSlack is how far in the future a packet may seem to have been sent
 	// before the bound is discarded.
 	clockSlack = 20 * time.Millisecond
@@ -74,9 +76,11 @@
 	return max(to.Sub(from), to.Round(0).Sub(from.Round(0)))
 }
 
-// observeTime notices a pause of this process.
+// observeTime notices a pause of this process. Bounds of peers' clocks are
+// forgotten when the monotonic clock stopped meanwhile, or has drifted.
 func (v *View) observeTime(now time.Time) {
 	passed := gap(v.lastCall, now)
+	stopped := passed > now.Sub(v.lastCall)+clockSlack
 	v.lastCall = now
 	if passed <= v.options.PauseAfter {
 		return
@@ -89,7 +93,9 @@
 	for _, l := range v.links {
 		l.heard = now
 		l.nextPing = now
-		l.clock.reset()
+		if passed > longPause || stopped {
+			l.clock.reset()
+		}
 	}
 }
 
--- a/policy/membership/sync.go
+++ b/policy/membership/sync.go
@@ -18,8 +18,10 @@
 	fastSync = time.Second
 	// joinContacts is the number of contacts asked at once.
 	joinContacts = 4
-	// joinRetry is the time between two tries to join.
-	joinRetry = 3 * time.Second
+	// joinRetry is the time between two tries to join after a contact has
+	// answered, firstRetry before.
+	joinRetry  = 3 * time.Second
+	firstRetry = 300 * time.Millisecond
 )
 
 // Join starts joining through contacts, which come from the settings or from
@@ -53,6 +55,9 @@
 		return
 	}
 	v.nextJoin = now.Add(joinRetry)
+	if len(v.links) == 0 {
+		v.nextJoin = now.Add(firstRetry)
+	}
 	asked := min(joinContacts, len(v.contacts))
 	first := v.random.IntN(len(v.contacts))
 	for i := range asked {
