Shorten commits at large sizes and on a slow store

Cause: a commit deleted old parts before it wrote new ones and compiled the configuration in force once more than needed. Keys can be retired one generation at a time. Connections to the store are 8.

--- a/node/configuration/applier.go
+++ b/node/configuration/applier.go
@@ -11,6 +11,7 @@
 
 import (
 	"context"
+	"errors"
 	"math/rand/v2"
 	"sync"
 	"sync/atomic"
@@ -265,7 +266,8 @@
 }
 
 func (a *Applier) countRefusal(err error) {
-	if _, invalid := err.(*config.InvalidError); invalid {
+	var invalid *config.InvalidError
+	if errors.As(err, &invalid) {
 		a.counters.invalid.Inc()
 	} else {
 		a.counters.incomplete.Inc()
--- a/node/configuration/commit.go
+++ b/node/configuration/commit.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"crypto/rand"
+	"sync"
 	"time"
 
+	"github.com/samber/oops"
 	"golang.org/x/sync/errgroup"
 	"k8s.io/klog/v2"
 
@@ -84,7 +86,9 @@
 }
 
 func (r *runner) write(ctx context.Context, action config.WriteParts) config.CommitAction {
-	deleted := r.applier.deleteParts(ctx, action.Deletes)
+	var deleted []string
+	var deleting sync.WaitGroup
+	deleting.Go(func() { deleted = r.applier.deleteParts(ctx, action.Deletes) })
 	group, groupCtx := errgroup.WithContext(ctx)
 	group.SetLimit(storeReads)
 	for _, put := range action.Puts {
@@ -94,7 +98,9 @@
 			return err
 		})
 	}
-	if err := group.Wait(); err != nil {
+	err := group.Wait()
+	deleting.Wait()
+	if err != nil {
 		return r.commit.Failed(action, failureOf(err))
 	}
 	return r.commit.Written(deleted)
@@ -142,16 +148,27 @@
 	return config.FailedWithoutEffect
 }
 
-// deleteParts deletes parts as far as the store answers, and returns those
-// that are gone.
+// deleteParts deletes parts, a few at once, as far as the store answers, and
+// returns those that are gone.
 func (a *Applier) deleteParts(ctx context.Context, keys []string) []string {
+	gone := make([]bool, len(keys))
+	group, ctx := errgroup.WithContext(ctx)
+	group.SetLimit(storeReads)
+	for i, key := range keys {
+		group.Go(func() error {
+			err := a.options.Store.Delete(ctx, key)
+			gone[i] = err == nil
+			return err
+		})
+	}
+	if err := group.Wait(); err != nil {
+		klog.V(1).Infof("configuration: deleting unused parts: %v", err)
+	}
 	var deleted []string
-	for _, key := range keys {
-		if err := a.options.Store.Delete(ctx, key); err != nil {
-			klog.V(1).Infof("configuration: deleting an unused part: %v", err)
-			return deleted
+	for i, key := range keys {
+		if gone[i] {
+			deleted = append(deleted, key)
 		}
-		deleted = append(deleted, key)
 	}
 	return deleted
 }
@@ -161,7 +178,7 @@
 func (a *Applier) readCurrent(ctx context.Context) (config.Current, []byte, error) {
 	entry, err := a.options.Store.Get(ctx, config.HeadKey)
 	if err != nil || !entry.Found {
-		return config.Current{Index: entry.Index}, nil, err
+		return config.Current{Index: entry.Index}, nil, oops.In("configuration").Wrapf(err, "reading the head")
 	}
 	head, err := config.DecodeHead(entry.Value)
 	if err != nil {
@@ -179,11 +196,15 @@
 	a.mu.Unlock()
 	contents, err := a.readParts(ctx, missing)
 	if err != nil {
-		return config.Current{}, nil, err
+		return config.Current{}, nil, oops.In("configuration").With("revision", head.Revision).Wrapf(err, "reading the parts of a head")
 	}
 	for i, part := range missing {
 		held[part.Sum] = contents[i]
 	}
 	doc, err := config.Assemble(head, held)
-	return config.Current{Head: head, Index: entry.Index, Document: doc}, entry.Value, err
+	now := config.Current{Head: head, Index: entry.Index, Document: doc}
+	if snapshot := a.Current(); snapshot.Revision == head.Revision {
+		now.Snapshot = snapshot
+	}
+	return now, entry.Value, err
 }
--- a/node/configuration/fetch.go
+++ b/node/configuration/fetch.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"github.com/samber/oops"
 	"golang.org/x/sync/errgroup"
 	"k8s.io/klog/v2"
 
@@ -151,7 +152,7 @@
 	a.counters.peerFetches.Inc()
 	raw, err := a.options.Peers.FetchConfiguration(ctx, node, before)
 	if err != nil {
-		return err
+		return oops.In("configuration").With("node", node).Wrapf(err, "fetching from a node")
 	}
 	if len(raw) == 0 {
 		return errNothingNewer
--- a/node/platform/client.go
+++ b/node/platform/client.go
@@ -17,7 +17,7 @@
 type Options struct {
 	// URL of the service, such as "http://192.0.2.7:8500"; required.
 	URL string
-	// Transport carries the calls; the default is a pool of 4 connections.
+	// Transport carries the calls; the default is a pool of 8 connections.
 	Transport http.RoundTripper
 	// Timeout of one try of a call; the default is 2 s.
 	Timeout time.Duration
@@ -43,7 +43,7 @@
 	defaultRetryDelay = 100 * time.Millisecond
 	defaultRetryRate  = 2
 	retryBurst        = 4
-	maxConnections    = 4
+	maxConnections    = 8
 	// maxAnswer bounds an answer: a value in base64 and its envelope.
 	maxAnswer = 2 * MaxValue
 )
--- a/operator/accounts.go
+++ b/operator/accounts.go
@@ -48,6 +48,12 @@
 	key.Flag("replace", "Let the account's other keys end at once.").BoolVar(&replace)
 	keyFlags := addChangeFlagsWithoutID(key) // a repeat would draw another key
 	key.Action(action(func() error { return c.accountKey(keyed, replace, keyFlags) }))
+
+	var retired string
+	retire := account.Command("retire-keys", "End all keys of an account but the latest.")
+	retire.Arg("name", "Name of the account.").Required().StringVar(&retired)
+	retireFlags := addChangeFlags(retire)
+	retire.Action(action(func() error { return c.retireKeys(retired, retireFlags) }))
 }
 
 func (f *accountFlags) create(now *config.Document, change *config.Change) error {
@@ -127,3 +133,16 @@
 		return nil
 	})
 }
+
+// retireKeys ends all keys of an account but the latest.
+func (c *CLI) retireKeys(name string, flags *changeFlags) error {
+	return c.edit(flags, func(now *config.Document, change *config.Change) error {
+		account, err := accountOf(now, name)
+		if err != nil {
+			return err
+		}
+		account.KeyHashes = account.KeyHashes[max(0, len(account.KeyHashes)-1):]
+		setAccount(change, name, account)
+		return nil
+	})
+}
--- a/policy/config/decide.go
+++ b/policy/config/decide.go
@@ -15,6 +15,24 @@
 	Index uint64
 	// Document of the head.
 	Document *Document
+	// Snapshot of the document, when it is at hand.
+	Snapshot *settings.Snapshot
+}
+
+// snapshot compiles the document unless that was done before. An invalid
+// document counts as none.
+func (c Current) snapshot() *settings.Snapshot {
+	if c.Snapshot != nil {
+		return c.Snapshot
+	}
+	if c.Document == nil {
+		return new(settings.Snapshot)
+	}
+	snapshot, invalid := Compile(c.Revision(), c.Document)
+	if len(invalid) > 0 {
+		return new(settings.Snapshot)
+	}
+	return snapshot
 }
 
 // Revision is the head's revision, 0 when there is none.
@@ -81,10 +99,7 @@
 		outcome.Result, outcome.Problems = ResultRefused, sorted(problems)
 		return nil, outcome
 	}
-	old, invalid := Compile(now.Revision(), before)
-	if len(invalid) > 0 {
-		old = new(settings.Snapshot)
-	}
+	old := now.snapshot()
 	outcome.Plan = NewPlan(before, after, old, snapshot)
 	outcome.Plan.Stranded = Stranded(placement, old, snapshot)
 	switch {
--- a/policy/config/follow.go
+++ b/policy/config/follow.go
@@ -213,7 +213,7 @@
 	if err != nil {
 		return Current{}, err
 	}
-	return Current{Head: f.head, Document: doc}, nil
+	return Current{Head: f.head, Document: doc, Snapshot: f.snapshot}, nil
 }
 
 // Content returns a part's bytes when they are held here.
