Fail the random test on an event that the chart forbids

Cause: a forbidden event of the configuration chart was counted but not tested. Change: the follower of the random test fails the test on one.

--- a/policy/config/commit_test.go
+++ b/policy/config/commit_test.go
@@ -9,6 +9,7 @@
 	qt "github.com/frankban/quicktest"
 	"pgregory.net/rapid"
 
+	"zinniafall/policy/chart"
 	"zinniafall/policy/model"
 )
 
@@ -298,7 +299,7 @@
 func TestCommitsUnderRandomFaults(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		s := started()
-		follower := NewFollower(nil)
+		follower := NewFollower(func(err *chart.ForbiddenError) { t.Fatal(err) })
 		type running struct {
 			commit *Commit
 			action CommitAction
