Close the store stand-in's listener itself

Cause: Close could come before the server's goroutine had registered the listener, which then went on accepting for a moment; the test of a refused connection failed now and then. Change: Close closes the listener first. Conclusion: the fault was in the stand-in, not in the client.

--- a/standin/store/store.go
+++ b/standin/store/store.go
@@ -111,6 +111,8 @@
 	}
 	s.mu.Unlock()
 	if s.server != nil {
+		// The server knows its listener only once its goroutine has begun.
+		_ = s.listener.Close()
 		_ = s.server.Close()
 	}
 }
