--- a/policy/config/config_test.go
+++ b/policy/config/config_test.go
@@ -37,7 +37,7 @@
   "services": {"permits": {"template": "booking"}}
 }`
 
-// lenoxHash is the SHA-256 of "lenox-key".
+// lenoxHash stands for the SHA-256 of a key.
 const lenoxHash = "0c2c4f0bd0a0f9a6c5a2b0dbb0dcea79e1bb1c77bcd0aaa7e3f5c1d6a9ad9cc2"
 
 func parsed(c testing.TB, text string) *Document {
