Grow a subset at once when calls pile up

Cause: a node that alone took all callers placed the calls of its first second on three targets and overloaded them for seconds. Change: more than two calls in flight for each member double the subset.

--- a/policy/placement/compare_test.go
+++ b/policy/placement/compare_test.go
@@ -44,6 +44,7 @@
 			b.Run(fmt.Sprintf("%s/%v", d.name, load), func(b *testing.B) { compare(b, d, load, 10*time.Second) })
 		}
 	}
+	b.Run(oneEntry.name+"/0.8", func(b *testing.B) { compare(b, oneEntry, 0.8, 5*time.Second) })
 	b.Run(rareCalls.name+"/0.5", func(b *testing.B) { compare(b, rareCalls, 0.5, 2*time.Second) })
 }
 
--- a/policy/placement/demand.go
+++ b/policy/placement/demand.go
@@ -9,6 +9,9 @@
 	// targetsPerCall is the number of targets in a subset for each call that
 	// the entry has in flight on average.
 	targetsPerCall = 10
+	// pileUp is the number of calls in flight for each member above which a
+	// subset grows at once.
+	pileUp = 2
 	// demandPeriod is the time over which the calls in flight are averaged.
 	demandPeriod = time.Second
 	// demandWeight is the share of one period in the average.
@@ -18,15 +21,20 @@
 // demand sizes the subset of one service.
 type demand struct {
 	size     int
+	calls    int           // calls in flight now
 	busy     time.Duration // time spent in calls that ended in this period
 	began    time.Duration // start of this period
 	inFlight float64       // average number of calls in flight
 	measured bool
 }
 
-// assess ends a period that is over and reports whether the size changed. The
-// size shrinks only by half or more, since each change costs connections.
+// assess reports whether the size changed. It grows at once when calls pile
+// up, else at the end of a period. It shrinks only by half or more, since each
+// change costs connections.
 func (d *demand) assess(at time.Duration, least, most int) bool {
+	if d.calls > pileUp*d.size && d.widen(most) {
+		return true
+	}
 	length := at - d.began
 	if length < demandPeriod {
 		return false
--- a/policy/placement/estimate.go
+++ b/policy/placement/estimate.go
@@ -14,8 +14,12 @@
 	initialServiceTime = 5 * time.Millisecond
 	// initialLoad is the load for each slot assumed until a report is heard.
 	initialLoad = 0.5
-	// maxLoad and maxServiceTime bound what one report adds to the means.
-	maxLoad        = 16
+	// maxLoad bounds the load for each slot that one report adds to the mean.
+	maxLoad = 16
+	// maxSlowdown bounds the service time that one report adds to the mean,
+	// as a multiple of that mean.
+	maxSlowdown = 16
+	// maxServiceTime bounds the service time believed of one target.
 	maxServiceTime = time.Minute
 	// maxStep bounds what one step of the sequence adds to the mean.
 	maxStep = 64.0
@@ -76,15 +80,15 @@
 		return
 	}
 	load := min(held(r)/float64(r.Limit), maxLoad)
+	serviceTime := min(float64(r.ServiceTime), maxSlowdown*m.serviceTime)
 	weight := priorWeight
 	if !m.heard {
 		m.heard = true
 		weight = 1
 	}
 	m.load += weight * (load - m.load)
-	if r.ServiceTime > 0 {
-		serviceTime := min(r.ServiceTime, maxServiceTime)
-		m.serviceTime += weight * (float64(serviceTime) - m.serviceTime)
+	if serviceTime > 0 {
+		m.serviceTime += weight * (serviceTime - m.serviceTime)
 	}
 }
 
@@ -157,6 +161,7 @@
 	t.calls = append(t.calls, at)
 	t.callsSum += at
 	t.unseen++
+	t.service.demand.calls++
 }
 
 // end removes the unanswered call that was sent closest to the given time.
@@ -174,6 +179,7 @@
 	t.callsSum -= t.calls[closest]
 	t.calls[closest] = t.calls[last]
 	t.calls = t.calls[:last]
+	t.service.demand.calls--
 	t.recount()
 }
 
--- a/policy/placement/placement.go
+++ b/policy/placement/placement.go
@@ -218,6 +218,9 @@
 		t.service = svc
 	}
 	for node, t := range before {
+		if svc.targets[node] != t {
+			svc.demand.calls -= len(t.calls)
+		}
 		if svc.targets[node] == nil && p.nodes[node] == t {
 			delete(p.nodes, node)
 		}
--- a/policy/placement/placement_test.go
+++ b/policy/placement/placement_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"slices"
 	"testing"
 	"time"
@@ -102,6 +103,7 @@
 			w.end("a", 0, Answered)
 			w.Sent(w.now, permits, "a")
 			w.now = w.now.Add(200 * time.Millisecond)
+			w.hear(9, 6, "a")
 			w.hear(9, 6, busy...)
 		}},
 		{"sent since the report", 0, 0.02, func(w *world) {
@@ -121,6 +123,18 @@
 			w.change("a", func(r *model.Report) { r.State = model.TargetDraining })
 		}},
 		{"admits nothing", 0, 0, func(w *world) { w.change("a", func(r *model.Report) { r.Limit = 0 }) }},
+		{"admitted nothing long ago", 0.02, 0.25, func(w *world) {
+			w.change("a", func(r *model.Report) { r.Limit = 0 })
+			w.now = w.now.Add(believeState)
+			w.hear(9, 6, busy...)
+		}},
+		{"absurd service time long ago", 0.02, 0.25, func(w *world) {
+			w.change("a", func(r *model.Report) { r.ServiceTime = math.MaxInt64 })
+			w.now = w.now.Add(time.Hour)
+			for step := range uint64(100) {
+				w.hear(9+step, 6, busy...)
+			}
+		}},
 		{"cold", 0.005, 0.02, func(w *world) {
 			w.change("a", func(r *model.Report) { r.State = model.TargetCold; r.Limit = 1 })
 		}},
@@ -148,6 +162,15 @@
 	qt.Assert(t, w.share(nil, "a", "b") <= 0.02, qt.IsTrue)
 }
 
+func TestOtherRegionIsUsedWhenOwnIsSlow(t *testing.T) {
+	w := newWorld(Predicted, 1, 2)
+	w.targets[5].Region = "elsewhere"
+	w.SetTargets(w.now, permits, w.targets)
+	qt.Assert(t, w.share(nil, "f"), qt.Equals, 0.0)
+	w.hear(2, 120, "a", "b", "c", "d", "e")
+	qt.Assert(t, w.share(nil, "f"), qt.Equals, 1.0)
+}
+
 func TestRefusals(t *testing.T) {
 	w := newWorld(Predicted, 1, 3)
 	all := []model.NodeAddr{"a", "b", "c", "d", "e", "f"}
@@ -200,6 +223,9 @@
 	w.share(nil, "a")
 	counts := map[model.NodeAddr]int{}
 	total := 0
+	qt.Assert(t, w.Probes(w.now), qt.HasLen, 0)
+	w.now = w.now.Add(freshReport)
+	qt.Assert(t, w.Probes(w.now), qt.HasLen, 0)
 	for step := range 6000 {
 		w.now = w.now.Add(10 * time.Millisecond)
 		w.hear(uint64(step+2), 6, "b", "c")
@@ -235,6 +261,7 @@
 func TestSubsetsChangeByOneAndKeepToTheBound(t *testing.T) {
 	now := time.Unix(1, 0)
 	targets := fleet("node-", 300)
+	chosen := map[model.NodeAddr]int{}
 	for _, entry := range targets {
 		p := fleetEntry(entry, defaultSubsetSize)
 		p.SetTargets(now, permits, targets)
@@ -242,6 +269,10 @@
 		qt.Assert(t, err == nil, qt.IsTrue)
 		before := p.Peers()
 		qt.Assert(t, len(before), qt.Equals, defaultSubsetSize)
+		for _, node := range before {
+			chosen[node]++
+			qt.Assert(t, chosen[node] <= 3*defaultSubsetSize, qt.IsTrue)
+		}
 		p.SetTargets(now, permits, targets[1:])
 		kept := slices.DeleteFunc(p.Peers(), func(n model.NodeAddr) bool { return !slices.Contains(before, n) })
 		qt.Assert(t, len(kept) >= defaultSubsetSize-1, qt.IsTrue)
@@ -257,7 +288,7 @@
 }
 
 // TestSubsetFollowsDemand calls a service rarely, then often, then with its
-// members refusing.
+// members refusing, then with many calls at once.
 func TestSubsetFollowsDemand(t *testing.T) {
 	now := time.Unix(1, 0)
 	targets := fleet("node-", 300)
@@ -281,6 +312,11 @@
 		p.Heard(now, node, r)
 	}
 	qt.Assert(t, call(1, 0), qt.Equals, 2*defaultMinSubset)
+	for range 100 {
+		node, _ := p.Choose(now, Query{Service: permits})
+		p.Sent(now, permits, node)
+	}
+	qt.Assert(t, len(p.Peers()), qt.Equals, defaultSubsetSize)
 }
 
 // TestChoicesAreUsable drives random events and checks that no choice is
--- a/policy/placement/sim_test.go
+++ b/policy/placement/sim_test.go
@@ -23,14 +23,17 @@
 	domains  int
 	slots    int
 	services []int // targets of each service
+	entries  int   // nodes that callers connect to; 0 means all
 }
 
 var (
-	newEngland = deployment{"new-england", 4, 12, []int{6, 4, 4}}
-	perth      = deployment{"perth", 3, 6, []int{6, 4, 3}}
+	newEngland = deployment{"new-england", 4, 12, []int{6, 4, 4}, 0}
+	perth      = deployment{"perth", 3, 6, []int{6, 4, 3}, 0}
+	// oneEntry lets all callers connect to one node.
+	oneEntry = deployment{"one-entry", 4, 12, []int{6, 4, 4}, 1}
 	// rareCalls spreads the calls of each entry over 20 services, so that it
 	// hears of each target rarely.
-	rareCalls = deployment{"rare-calls", 10, 12, slices.Repeat([]int{9}, 20)}
+	rareCalls = deployment{"rare-calls", 10, 12, slices.Repeat([]int{9}, 20), 0}
 )
 
 const (
@@ -134,6 +137,7 @@
 	policy    Policy
 	random    *rand.Rand
 	nodes     []*fakeTarget
+	entries   int
 	services  [][]*fakeTarget
 	latencies *hdrhistogram.Histogram
 }
@@ -184,6 +188,10 @@
 			lists[i] = append(lists[i], t)
 		}
 	}
+	s.entries = len(s.nodes)
+	if d.entries > 0 {
+		s.entries = d.entries
+	}
 	for _, node := range s.nodes {
 		for i, list := range lists {
 			node.placer.SetTargets(s.clock(), serviceName(i), list)
@@ -207,7 +215,7 @@
 		if s.now > s.end {
 			return
 		}
-		entry := s.nodes[connection%uint64(len(s.nodes))]
+		entry := s.nodes[connection%uint64(s.entries)]
 		s.place(&fakeCall{service: service, entry: entry, arrived: s.now, work: work}, connection)
 		s.arrive(service, arrivals, gap)
 	})
