Test a service whose targets are all cold

Cause: no test covered the choice among cold targets alone. Change: TestAllTargetsCold; two mutations of the rule turn it red.

--- a/policy/placement/placement_test.go
+++ b/policy/placement/placement_test.go
@@ -162,6 +162,20 @@
 	qt.Assert(t, w.share(nil, "a", "b") <= 0.02, qt.IsTrue)
 }
 
+func TestAllTargetsCold(t *testing.T) {
+	w := newWorld(Predicted, 1, 0)
+	for _, target := range w.targets {
+		w.change(target.Node, func(r *model.Report) {
+			r.State, r.Limit = model.TargetCold, 1
+			if target.Node != "f" {
+				r.InFlight = 1
+			}
+		})
+	}
+	qt.Assert(t, w.share(nil, "a", "b", "c", "d", "e", "f"), qt.Equals, 1.0)
+	qt.Assert(t, w.share(nil, "f") >= 0.5, qt.IsTrue)
+}
+
 func TestOtherRegionIsUsedWhenOwnIsSlow(t *testing.T) {
 	w := newWorld(Predicted, 1, 2)
 	w.targets[5].Region = "elsewhere"
