Tell members the target's last state and show no revisions that are not known

Cause: trying separate processes (store, three nodes, three targets) with a node frozen across a domain out left its target absent for good: two changes of the target's state in a row were written by two goroutines in either order. The status listed revision 0 for every member. A target that announced itself after the configuration kept the default measuring budget. Change: the record is filled with what holds when it is written; the status leaves members' revisions out; the budget follows an announcement; reports are numbered one by one as they are handed out, which placement counts on; stand-ins run as commands, and settings name operators' tokens as `token` prints them.

--- a/cmd/zinniafall/main.go
+++ b/cmd/zinniafall/main.go
@@ -11,5 +11,6 @@
 func main() {
 	cli := operator.New(os.Stdout, os.Stderr)
 	demo.AddCommand(cli.App, os.Stdout, os.Stderr)
+	demo.AddStandIns(cli.App, os.Stdout)
 	os.Exit(cli.Run(os.Args[1:]))
 }
--- a/demo/fleet.go
+++ b/demo/fleet.go
@@ -115,7 +115,7 @@
 		"node": {"failure_domain": %q, "region": %q},
 		"callers": {"listen": "127.0.0.1:0"},
 		"peers": {"listen": %q, "known": %s},
-		"operators": {"listen": "127.0.0.1:0", "tokens": [{"name": "demo", "hash": %q}]},
+		"operators": {"listen": "127.0.0.1:0", "tokens": [{"name": "demo", "token_sha256": %q}]},
 		"target": {"listen": "127.0.0.1:0"},
 		"store": {"url": %q},
 		"fleet": {"secrets": [%q]},
--- a/node/operatorapi/wire.go
+++ b/node/operatorapi/wire.go
@@ -90,11 +90,10 @@
 
 // Member is a node as the asked node knows it.
 type Member struct {
-	Node     model.NodeAddr `json:"node"`
-	Domain   model.Domain   `json:"domain"`
-	Service  model.Service  `json:"service,omitempty"`
-	State    string         `json:"state"`
-	Revision model.Revision `json:"revision"`
+	Node    model.NodeAddr `json:"node"`
+	Domain  model.Domain   `json:"domain"`
+	Service model.Service  `json:"service,omitempty"`
+	State   string         `json:"state"`
 }
 
 // Status is the answer to GET /v1/status.
--- a/node/owner/duty.go
+++ b/node/owner/duty.go
@@ -84,7 +84,6 @@
 	owner     *Owner
 	decisions *admission.Owner
 	waiting   map[admission.Ticket]chan admission.Release
-	sequence  uint64
 	state     model.TargetState
 }
 
@@ -122,10 +121,9 @@
 // publish makes the report visible and tells of a changed state.
 func (d *duty) publish(now time.Time) {
 	report := d.decisions.Report(now)
-	d.sequence++
-	report.Sequence = d.sequence
 	report.Process = d.owner.opts.Process
 	d.owner.mu.Lock()
+	report.Sequence = d.owner.report.Sequence
 	d.owner.report = report
 	d.owner.mu.Unlock()
 	if report.State != d.state {
--- a/node/owner/owner.go
+++ b/node/owner/owner.go
@@ -68,15 +68,25 @@
 	<-o.done
 }
 
-// Report returns the present statement about the target.
+// Report returns the next statement about the target. Each one that is handed
+// out has a sequence of its own, so that an entry can tell from the steps how
+// many others are told.
 func (o *Owner) Report() model.Report {
 	o.mu.Lock()
+	o.report.Sequence++
 	report := o.report
 	o.mu.Unlock()
 	report.Revision = o.opts.Revision()
 	return report
 }
 
+// Load returns the present figures of the target for this node's own use.
+func (o *Owner) Load() model.Report {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.report
+}
+
 // Running is a call that holds a slot until Finish.
 type Running struct {
 	owner  *Owner
--- a/node/server/configuration.go
+++ b/node/server/configuration.go
@@ -176,10 +176,7 @@
 // configurationChanged makes the parts of the node follow the snapshot.
 func (s *Server) configurationChanged(snapshot *settings.Snapshot) {
 	s.owner.SetDomainOut(s.domainOut())
-	service, _ := s.target.identity()
-	if rate := snapshot.Services[service].MeasureRate; rate > 0 {
-		s.owner.SetMeasureRate(rate)
-	}
+	s.followMeasureRate()
 	domains := make([]model.Domain, 0, len(snapshot.Domains))
 	for domain := range snapshot.Domains {
 		domains = append(domains, domain)
@@ -189,6 +186,13 @@
 	s.placeTargets(s.overlay.Snapshot())
 }
 
+// followMeasureRate gives the owner the budget of the target's service.
+func (s *Server) followMeasureRate() {
+	if rate := s.configuration.current().Services[s.target.service()].MeasureRate; rate > 0 {
+		s.owner.SetMeasureRate(rate)
+	}
+}
+
 // Commit makes an operator's change the next configuration.
 func (s *Server) Commit(ctx context.Context, change config.Change) config.Outcome {
 	return s.configuration.applier.Commit(ctx, change, s.placement())
--- a/node/server/fixture_test.go
+++ b/node/server/fixture_test.go
@@ -105,7 +105,7 @@
 		"node": {"failure_domain": %q, "region": "test"},
 		"callers": {"listen": "127.0.0.1:0"},
 		"peers": {"listen": %q, "advertise": %q, "known": %s},
-		"operators": {"listen": "127.0.0.1:0", "tokens": [{"name": "kim", "hash": %q}]},
+		"operators": {"listen": "127.0.0.1:0", "tokens": [{"name": "kim", "token_sha256": %q}]},
 		"target": {"listen": "127.0.0.1:0"},
 		"store": {"url": %q},
 		"fleet": {"secrets": [%q]}
--- a/node/server/hooks.go
+++ b/node/server/hooks.go
@@ -7,7 +7,6 @@
 	"zinniafall/node/peer"
 	"zinniafall/node/target"
 	"zinniafall/policy/calltoken"
-	"zinniafall/policy/membership"
 	"zinniafall/policy/model"
 	"zinniafall/policy/problem"
 	"zinniafall/policy/settings"
@@ -63,16 +62,14 @@
 }
 
 // targetState makes a changed state of the target known. Whether it is cold
-// or failing rides on reports; members only learn whether it takes work.
+// or failing rides on reports; members only learn whether it takes work. The
+// record is filled with what holds when it is written, so that two changes in
+// a row leave the later one, whichever is written last.
 func (s *Server) targetState(state model.TargetState) {
-	shared := sharedState(state)
-	if s.overlay == nil || !s.target.changeShared(shared) {
+	if s.overlay == nil || !s.target.changeShared(sharedState(state)) {
 		return
 	}
-	service, slots := s.target.identity()
-	go s.overlay.UpdateSelf(func(m *membership.Member) {
-		m.Target, m.Service, m.Slots = shared, service, slots
-	})
+	go s.overlay.UpdateSelf(s.target.fill)
 }
 
 func sharedState(state model.TargetState) model.TargetState {
--- a/node/server/matrix_test.go
+++ b/node/server/matrix_test.go
@@ -135,7 +135,7 @@
 func (s *scene) queued() int {
 	waiting := 0
 	for _, c := range s.cells {
-		waiting += int(c.owner.Report().Queued)
+		waiting += int(c.owner.Load().Queued)
 	}
 	return waiting
 }
--- a/node/server/path_test.go
+++ b/node/server/path_test.go
@@ -266,7 +266,7 @@
 				defer close(stopped)
 				owner.Stop(context.Background())
 			}()
-			f.eventually(func() bool { return owner.owner.Report().State == model.TargetDraining && other.Targets() == 0 })
+			f.eventually(func() bool { return owner.owner.Load().State == model.TargetDraining && other.Targets() == 0 })
 			close(release)
 			g := <-answer
 			qt.Assert(t, g.err, qt.IsNil)
@@ -355,3 +355,17 @@
 		})
 	}
 }
+
+func TestTargetThatComesAndGoesIsKnownAsItIs(t *testing.T) {
+	f := newTestFleet(t)
+	owner := f.add("a", echo)
+	other := f.add("b", nil)
+	f.ready()
+	for i := range 100 {
+		owner.owner.Gone()
+		f.announce(owner, fmt.Sprintf("process-%d", i))
+	}
+	f.eventually(func() bool { return owner.owner.Load().State != model.TargetAbsent })
+	f.eventually(func() bool { return other.Targets() == 1 && owner.Targets() == 1 })
+	f.eventually(func() bool { return other.call(ask{method: "GET", path: "/"}).status == http.StatusOK })
+}
--- a/node/server/stop.go
+++ b/node/server/stop.go
@@ -62,7 +62,7 @@
 	logged := time.Now()
 	for {
 		own, others := s.entry.Calls(), s.served.Load()
-		inFlight := s.owner.Report().InFlight
+		inFlight := s.owner.Load().InFlight
 		if own == 0 && others == 0 && inFlight == 0 {
 			return
 		}
--- a/node/server/target.go
+++ b/node/server/target.go
@@ -16,6 +16,7 @@
 
 	"zinniafall/node/target"
 	"zinniafall/policy/admission"
+	"zinniafall/policy/membership"
 	"zinniafall/policy/model"
 	"zinniafall/policy/problem"
 )
@@ -94,10 +95,20 @@
 	return h.runner, h.announce.Service
 }
 
-func (h *targetHolder) identity() (model.Service, uint16) {
+// service returns the service of the announced target.
+func (h *targetHolder) service() model.Service {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return h.announce.Service, uint16(h.announce.Slots)
+	return h.announce.Service
+}
+
+// fill writes what members know of the target into the node's record.
+func (h *targetHolder) fill(m *membership.Member) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	m.Target = h.shared
+	m.Service = h.announce.Service
+	m.Slots = uint16(h.announce.Slots)
 }
 
 // changeShared notes the state that members know and reports whether it is new.
@@ -156,6 +167,7 @@
 		return
 	}
 	s.target.set(a)
+	s.followMeasureRate()
 	s.owner.Announce(admission.Announcement{
 		Instance: a.Instance, Slots: a.Slots, Connections: a.Connections, Cold: a.Cold,
 		Lease: time.Duration(a.LeaseMs) * time.Millisecond,
--- a/node/static/static.go
+++ b/node/static/static.go
@@ -66,7 +66,7 @@
 	// Name is recorded as the author of changes.
 	Name string `json:"name"`
 	// Hash is the hexadecimal SHA-256 of the token.
-	Hash string `json:"hash"`
+	Hash string `json:"token_sha256"`
 }
 
 // Store names the platform's key-value service.
--- a/node/static/static_test.go
+++ b/node/static/static_test.go
@@ -16,7 +16,7 @@
 		"node":      map[string]any{"failure_domain": "ne-a", "region": "new-england"},
 		"callers":   map[string]any{"listen": "192.0.2.1:80"},
 		"peers":     map[string]any{"listen": "192.0.2.1:7400", "known": []any{"192.0.2.2:7400"}},
-		"operators": map[string]any{"listen": "192.0.2.1:7401", "tokens": []any{map[string]any{"name": "kim", "hash": strings.Repeat("0", 64)}}},
+		"operators": map[string]any{"listen": "192.0.2.1:7401", "tokens": []any{map[string]any{"name": "kim", "token_sha256": strings.Repeat("0", 64)}}},
 		"target":    map[string]any{"listen": "127.0.0.1:7402"},
 		"store":     map[string]any{"url": "http://192.0.2.9:8500"},
 		"fleet":     map[string]any{"secrets": []any{base64.StdEncoding.EncodeToString(make([]byte, 32))}},
--- a/operator/reading.go
+++ b/operator/reading.go
@@ -123,9 +123,9 @@
 		t.row("revision", fmt.Sprint(status.Revision))
 		t.row("may commit", fmt.Sprint(status.MayCommit))
 		t.row()
-		t.row("NODE", "DOMAIN", "SERVICE", "STATE", "REVISION")
+		t.row("NODE", "DOMAIN", "SERVICE", "STATE")
 		for _, m := range status.Members {
-			t.row(string(m.Node), string(m.Domain), string(m.Service), m.State, fmt.Sprint(m.Revision))
+			t.row(string(m.Node), string(m.Domain), string(m.Service), m.State)
 		}
 	})
 }
