Find the fleet through a contact list in the store; let callers go before a stop

Cause: a node whose known peers had all been replaced started a fleet of its own (seen in a rolling replacement of all nodes), and a stop closed kept-open connections before their callers were told. Change: watchers keep a bounded list of nodes in the store; a node reads it at its start, for one second at most, and again while it is alone; answers of a stopping node ask callers to leave the connection before it closes. Conclusion: membership outlives all peers that a node was told of.

--- a/node/server/http.go
+++ b/node/server/http.go
@@ -26,7 +26,7 @@
 // serveHTTP starts the three HTTP servers.
 func (s *Server) serveHTTP() {
 	s.callers = &http.Server{
-		Handler:           s.entry,
+		Handler:           http.HandlerFunc(s.serveCaller),
 		ReadHeaderTimeout: s.settings.HeaderTimeout(),
 		IdleTimeout:       callerIdle,
 		MaxHeaderBytes:    s.settings.Limits.HeaderBytes,
@@ -41,6 +41,16 @@
 	s.goServe("operators", s.operators, s.listeners.operators)
 }
 
+// serveCaller hands a call to the entry. While the node stops, each answer asks
+// the caller to leave the kept-open connection: HTTP/1.1 by its header, HTTP/2
+// by the GOAWAY frame that net/http makes of it.
+func (s *Server) serveCaller(w http.ResponseWriter, r *http.Request) {
+	if s.stopping.Load() {
+		w.Header().Set("Connection", "close")
+	}
+	s.entry.ServeHTTP(w, r)
+}
+
 func (s *Server) goServe(part string, server *http.Server, listener net.Listener) {
 	s.goDuty(func() {
 		if err := server.Serve(listener); err != http.ErrServerClosed {
--- a/node/server/server.go
+++ b/node/server/server.go
@@ -206,12 +206,13 @@
 			Process: s.process, Incarnation: s.incarnation,
 			Domain: s.settings.Node.FailureDomain, Region: s.settings.Node.Region,
 		},
-		Contacts: s.settings.Peers.Known, Transport: s.control,
+		Contacts: s.firstContacts(), Transport: s.control,
 		OnFlood: s.flooded, OnChange: s.membersChanged, OnPause: s.judge.poke, OnSuperseded: s.superseded,
 	})
 	s.configuration.start()
 	s.goDuty(s.controlDuty)
 	s.goDuty(s.probeDuty)
+	s.goDuty(s.contactsDuty)
 	s.goDuty(s.measureDuty)
 	s.serveHTTP()
 }
--- a/node/server/stop.go
+++ b/node/server/stop.go
@@ -9,7 +9,7 @@
 
 const (
 	// leaveSpread is the time for the news that a node leaves to reach the
-	// other entries, during which its owner still takes work.
+	// other entries and its callers, during which it still takes work.
 	leaveSpread = 1500 * time.Millisecond
 	// drainPoll is the pause between looks at what still runs.
 	drainPoll = 20 * time.Millisecond
@@ -25,8 +25,8 @@
 	klog.Info("node: A graceful stop has begun.")
 	s.stopping.Store(true)
 	s.overlay.Leave()
-	callersDone := s.closeCallers(ctx)
 	sleep(ctx, leaveSpread)
+	callersDone := s.closeCallers(ctx)
 	s.owner.SetStopping()
 	s.entry.Close()
 	s.awaitIdle(ctx)
--- /dev/null
+++ b/policy/contacts/contacts_test.go
@@ -0,0 +1,59 @@
+package contacts
+
+import (
+	"fmt"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"zinniafall/policy/model"
+)
+
+func all(model.NodeAddr) bool { return true }
+
+func list(n int) List {
+	var l List
+	for i := range n {
+		l.Nodes = append(l.Nodes, model.NodeAddr(fmt.Sprintf("10.0.0.%02d:1", i)))
+	}
+	return l
+}
+
+func TestUpdate(t *testing.T) {
+	gone := func(node model.NodeAddr) bool { return node != "10.0.0.00:1" }
+	cases := []struct {
+		name    string
+		before  List
+		self    model.NodeAddr
+		alive   func(model.NodeAddr) bool
+		length  int
+		changed bool
+	}{
+		{"first", List{}, "10.0.0.50:1", all, 1, true},
+		{"already on it", list(3), "10.0.0.01:1", all, 3, false},
+		{"gone node is dropped", list(3), "10.0.0.01:1", gone, 2, true},
+		{"full list stays", list(Max), "10.0.0.50:1", all, Max, false},
+		{"place of a gone node is taken", list(Max), "10.0.0.50:1", gone, Max, true},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			next, changed := c.before.Update(c.self, c.alive)
+			qt.Assert(t, next.Nodes, qt.HasLen, c.length)
+			qt.Assert(t, changed, qt.Equals, c.changed)
+			decoded, err := Decode(next.Encode())
+			qt.Assert(t, err, qt.IsNil)
+			qt.Assert(t, decoded, qt.DeepEquals, next)
+		})
+	}
+}
+
+func FuzzDecode(f *testing.F) {
+	f.Add(list(2).Encode())
+	f.Add([]byte(`{"nodes":[""]}`))
+	f.Fuzz(func(t *testing.T, raw []byte) {
+		l, err := Decode(raw)
+		if err == nil && len(l.Nodes) > Max {
+			t.Fatal("too many nodes")
+		}
+	})
+}
