Judge a quarantined request after its claim, before each attempt and at its owner

Cause: quarantine was checked once, where a call came in. A call under a request key was refused before its issuer was asked, so that a resend of a payment that had run was told unknown instead of its answer. A request that was convicted between two attempts, or that its owner knew of, still ran.

Change: the entry judges before each attempt, which for a keyed call is after Claim gave Start; a refusal releases the key. The strikes ride in the call to the owner, whose own list is asked before admission and again after the wait for a slot. The refusal carries the time until the term ends.

--- a/node/entry/call.go
+++ b/node/entry/call.go
@@ -42,6 +42,7 @@
 // place runs an unkeyed call, or a keyed one that its issuer starts.
 func (e *Entry) place(ctx context.Context, request *peer.Request, b *body, connection uint64) *execute.Reply {
 	now := time.Now()
+	request.Fingerprint = fingerprintOf(request)
 	c := &call{
 		entry: e, request: request, body: b, connection: connection,
 		deadline: now.Add(request.Timeout),
@@ -86,6 +87,9 @@
 
 // start chooses an owner and sends the call to it.
 func (c *call) start(ctx context.Context) *problem.Error {
+	if refusal := c.entry.judge(c.request); refusal != nil {
+		return refusal
+	}
 	now := time.Now()
 	node, refusal := c.choose(ctx, now)
 	if refusal != nil {
@@ -195,6 +199,9 @@
 	final := *failure
 	final.Run = step.Run
 	final.RetryAfter = step.RetryAfter
+	if failure.Kind == problem.Quarantined {
+		final.RetryAfter = failure.RetryAfter
+	}
 	reply := execute.Refuse(&final)
 	reply.Answer.Report = r.reply.Answer.Report
 	return reply
--- a/node/entry/entry.go
+++ b/node/entry/entry.go
@@ -17,6 +17,7 @@
 	"zinniafall/policy/calltoken"
 	"zinniafall/policy/model"
 	"zinniafall/policy/placement"
+	"zinniafall/policy/problem"
 	"zinniafall/policy/quarantine"
 	"zinniafall/policy/retry"
 	"zinniafall/policy/settings"
@@ -32,6 +33,10 @@
 type Suspects interface {
 	// Check returns how a request may run now.
 	Check(quarantine.Fingerprint) quarantine.Standing
+	// Refusal is the answer to a quarantined request.
+	Refusal(quarantine.Fingerprint) *problem.Error
+	// About returns the encoded notices that concern a request.
+	About(quarantine.Fingerprint) [][]byte
 	// Heard takes in an encoded notice.
 	Heard(notice []byte)
 }
--- a/node/entry/ingress.go
+++ b/node/entry/ingress.go
@@ -16,7 +16,6 @@
 	"zinniafall/policy/calltoken"
 	"zinniafall/policy/model"
 	"zinniafall/policy/problem"
-	"zinniafall/policy/quarantine"
 	"zinniafall/policy/retry"
 	"zinniafall/policy/settings"
 )
@@ -32,12 +31,8 @@
 // KeysPath is where callers ask for request keys.
 const KeysPath = "/.zinniafall/request-keys"
 
-const (
-	// maxTimeout bounds what a caller may ask for.
-	maxTimeout = 10 * time.Minute
-	// fingerprintBody is the part of a body that identifies equal requests.
-	fingerprintBody = 4 << 10
-)
+// maxTimeout bounds what a caller may ask for.
+const maxTimeout = 10 * time.Minute
 
 // connectionKey is the context key of the number of the caller's connection.
 type connectionKey struct{}
@@ -119,9 +114,6 @@
 	if refusal != nil {
 		return execute.Refuse(knownHere(r, refusal))
 	}
-	if refusal := e.judge(request); refusal != nil {
-		return execute.Refuse(knownHere(r, refusal))
-	}
 	if request.Key != "" {
 		return e.keyed(ctx, request)
 	}
@@ -129,20 +121,6 @@
 	return e.place(ctx, request, b, number)
 }
 
-// judge refuses a request that crashed targets and isolates one that may have.
-func (e *Entry) judge(request *peer.Request) *problem.Error {
-	prefix := request.Body[:min(len(request.Body), fingerprintBody)]
-	fingerprint := quarantine.Of(request.Account, request.Service, request.Method, request.URI, prefix)
-	request.Fingerprint = fingerprint
-	switch e.opts.Suspects.Check(fingerprint) {
-	case quarantine.Quarantined:
-		return problem.New(problem.Quarantined, model.RunNo, "this request crashed the targets that ran it")
-	case quarantine.Suspect:
-		request.Isolated = true
-	}
-	return nil
-}
-
 // newRequest reads what the header says about the call.
 func newRequest(snapshot *settings.Snapshot, caller calltoken.Token, r *http.Request) (*peer.Request, *problem.Error) {
 	name := serviceName(r)
--- a/node/entry/isolation.go
+++ b/node/entry/isolation.go
@@ -3,6 +3,7 @@
 import (
 	"slices"
 
+	"zinniafall/node/peer"
 	"zinniafall/policy/model"
 	"zinniafall/policy/placement"
 	"zinniafall/policy/problem"
@@ -37,3 +38,28 @@
 	}
 	return node, nil
 }
+
+// fingerprintBody is the length in bytes of the part of a body that identifies
+// equal requests.
+const fingerprintBody = 4 << 10
+
+func fingerprintOf(request *peer.Request) quarantine.Fingerprint {
+	prefix := request.Body[:min(len(request.Body), fingerprintBody)]
+	return quarantine.Of(request.Account, request.Service, request.Method, request.URI, prefix)
+}
+
+// judge refuses a request that crashed targets and isolates one that may have.
+// It is asked before each attempt, since the news of a crash may come between
+// two of them. A call under a request key is judged only after its issuer gave
+// it the right to start, so that the refusal is true of all its sendings.
+func (e *Entry) judge(request *peer.Request) *problem.Error {
+	suspects := e.opts.Suspects
+	switch suspects.Check(request.Fingerprint) {
+	case quarantine.Quarantined:
+		return suspects.Refusal(request.Fingerprint)
+	case quarantine.Suspect:
+		request.Isolated = true
+		request.Notices = suspects.About(request.Fingerprint)
+	}
+	return nil
+}
--- a/node/execute/execute.go
+++ b/node/execute/execute.go
@@ -21,6 +21,7 @@
 	"zinniafall/policy/admission"
 	"zinniafall/policy/model"
 	"zinniafall/policy/problem"
+	"zinniafall/policy/quarantine"
 )
 
 // bufferedAnswer is the length in bytes up to which an answer is read whole
@@ -68,12 +69,23 @@
 	CallToken(request *peer.Request) string
 }
 
+// Suspects knows the requests that crash targets.
+type Suspects interface {
+	// Check returns how a request may run now.
+	Check(quarantine.Fingerprint) quarantine.Standing
+	// Refusal is the answer to a quarantined request.
+	Refusal(quarantine.Fingerprint) *problem.Error
+	// Heard takes in an encoded notice.
+	Heard(notice []byte)
+}
+
 // Options configure an Executor.
 type Options struct {
-	Owner   *owner.Owner
-	Node    Node
-	Tracer  *trace.Tracer
-	Crashes *Crashes
+	Owner    *owner.Owner
+	Node     Node
+	Tracer   *trace.Tracer
+	Crashes  *Crashes
+	Suspects Suspects
 }
 
 // Executor runs calls at the target beside this node.
@@ -112,6 +124,10 @@
 		cancel()
 		return Refuse(problem.New(problem.NoTarget, model.RunNo, "no target of "+string(job.Request.Service)+" is beside this node"))
 	}
+	if refusal := x.judge(job.Request); refusal != nil {
+		cancel()
+		return Refuse(refusal)
+	}
 	running, refusal := x.admit(ctx, job, deadline)
 	if refusal != nil {
 		cancel()
@@ -121,6 +137,33 @@
 	return a.run(ctx, runner)
 }
 
+// judge takes in what the entry knows of the request and asks this node's own
+// list, which may know more.
+func (x *Executor) judge(request *peer.Request) *problem.Error {
+	for _, notice := range request.Notices {
+		x.opts.Suspects.Heard(notice)
+	}
+	switch x.opts.Suspects.Check(request.Fingerprint) {
+	case quarantine.Quarantined:
+		return x.opts.Suspects.Refusal(request.Fingerprint)
+	case quarantine.Suspect:
+		request.Isolated = true
+	}
+	return nil
+}
+
+// judgeAgain refuses a call that became suspected while it waited for its slot.
+func (x *Executor) judgeAgain(request *peer.Request) *problem.Error {
+	isolated := request.Isolated
+	if refusal := x.judge(request); refusal != nil {
+		return refusal
+	}
+	if request.Isolated && !isolated {
+		return problem.New(problem.Overloaded, model.RunNo, "a target died with this request in flight while it waited for a slot")
+	}
+	return nil
+}
+
 func (x *Executor) admit(ctx context.Context, job Job, deadline time.Time) (*owner.Running, *problem.Error) {
 	ctx, span := x.opts.Tracer.Start(ctx, trace.HopQueue)
 	defer span.End()
@@ -194,7 +237,7 @@
 	if !time.Now().Before(a.deadline) {
 		return problem.New(problem.DeadlineExceeded, model.RunNo, "the deadline passed before the call started")
 	}
-	return nil
+	return a.executor.judgeAgain(a.job.Request)
 }
 
 func (a *attempt) request(ctx context.Context) (*http.Request, error) {
--- a/node/peer/message.go
+++ b/node/peer/message.go
@@ -75,6 +75,8 @@
 	Length int64 `cbor:"17,keyasint,omitempty"`
 	// Fingerprint identifies equal requests for quarantine.
 	Fingerprint [16]byte `cbor:"18,keyasint,omitempty"`
+	// Notices are the encoded quarantine notices that concern the request.
+	Notices [][]byte `cbor:"19,keyasint,omitempty"`
 }
 
 // Answer opens the way back. An interim answer, Admitted, tells the sender to
--- a/node/server/fixture_test.go
+++ b/node/server/fixture_test.go
@@ -11,6 +11,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -176,6 +177,8 @@
 	kind   string
 	body   string
 	err    error
+	// retryAfter is the advice in the header, in seconds.
+	retryAfter int
 }
 
 // ask is one request of a caller.
@@ -213,6 +216,7 @@
 	defer func() { _ = response.Body.Close() }()
 	body, err := io.ReadAll(response.Body)
 	g := got{status: response.StatusCode, run: response.Header.Get(entry.HeaderRun), body: string(body), err: err}
+	g.retryAfter, _ = strconv.Atoi(response.Header.Get("Retry-After"))
 	if strings.HasPrefix(response.Header.Get("Content-Type"), "application/problem+json") {
 		var p struct {
 			Kind string `json:"kind"`
--- /dev/null
+++ b/node/server/keyed_test.go
@@ -0,0 +1,154 @@
+package server
+
+import (
+	"context"
+	"net/http"
+	"sync/atomic"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"zinniafall/node/peer"
+	"zinniafall/policy/model"
+	"zinniafall/policy/problem"
+	"zinniafall/policy/quarantine"
+)
+
+// payFingerprint identifies the payment of these tests.
+func payFingerprint(method, body string) quarantine.Fingerprint {
+	return quarantine.Of(testAccount, testService, method, mainPath, []byte(body))
+}
+
+// hear tells one node alone of crashes of the request, the first to the last.
+func (c *cell) hear(t testing.TB, f quarantine.Fingerprint, first, last uint64) {
+	for epoch := first; epoch <= last; epoch++ {
+		crash := quarantine.CrashOf(model.ProcessID{9}, epoch)
+		raw, err := quarantine.Notice{Crash: crash, Struck: []quarantine.Fingerprint{f}}.Encode()
+		qt.Check(t, err, qt.IsNil)
+		c.suspects.Heard(raw)
+	}
+}
+
+// counted is a handler that counts its calls.
+func counted(runs *atomic.Int64) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		runs.Add(1)
+		echo(w, r)
+	}
+}
+
+func TestQuarantineOfKeyedCallIsJudgedAfterItsClaim(t *testing.T) {
+	var runs atomic.Int64
+	f := newTestFleet(t)
+	for range 2 {
+		f.add("a", counted(&runs))
+	}
+	f.ready()
+	for i, through := range f.cells {
+		paid, fresh := f.cells[0].requestKey(t), f.cells[0].requestKey(t)
+		pay := func(key string) got {
+			return through.call(ask{method: "POST", path: mainPath, body: "fee", key: key})
+		}
+		qt.Assert(t, pay(paid).status, qt.Equals, http.StatusOK)
+		before := runs.Load()
+		for _, c := range f.cells {
+			c.hear(t, payFingerprint("POST", "fee"), uint64(2*i), uint64(2*i+1))
+		}
+		again, refused := pay(paid), pay(fresh)
+		qt.Assert(t, again.body, qt.Equals, "POST /pay fee")
+		qt.Assert(t, again.run, qt.Equals, "yes")
+		qt.Assert(t, refused.kind, qt.Equals, string(problem.Quarantined))
+		qt.Assert(t, refused.run, qt.Equals, "no")
+		qt.Assert(t, refused.retryAfter > 3000, qt.IsTrue, qt.Commentf("%d s", refused.retryAfter))
+		qt.Assert(t, runs.Load(), qt.Equals, before)
+		for _, c := range f.cells {
+			c.suspects.lift(payFingerprint("POST", "fee"))
+		}
+		qt.Assert(t, pay(fresh).run, qt.Equals, "yes")
+	}
+}
+
+func TestOwnerJudgesByItsOwnList(t *testing.T) {
+	var runs atomic.Int64
+	f := newTestFleet(t)
+	owner, other := f.add("a", counted(&runs)), f.add("b", nil)
+	f.ready()
+	owner.hear(t, payFingerprint("POST", ""), 1, 2)
+	x, err := other.transport.Open(context.Background(), owner.Node(), &peer.Request{
+		Kind: peer.KindCall, Service: testService, Account: testAccount, Method: "POST", URI: mainPath,
+		Inline: true, Timeout: testWait, Fingerprint: payFingerprint("POST", ""),
+	})
+	qt.Assert(t, err, qt.IsNil)
+	defer x.Close()
+	answer, err := x.Receive()
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, answer.Problem, qt.IsNotNil)
+	qt.Assert(t, answer.Problem.Kind, qt.Equals, problem.Quarantined)
+	qt.Assert(t, runs.Load(), qt.Equals, int64(0))
+}
+
+func TestStrikesRideInTheCall(t *testing.T) {
+	var runs atomic.Int64
+	f := newTestFleet(t)
+	owner, entry := f.add("a", counted(&runs)), f.add("b", nil)
+	f.ready()
+	entry.hear(t, payFingerprint("POST", ""), 1, 1)
+	g := entry.call(ask{method: "POST", path: mainPath})
+	qt.Assert(t, g.status, qt.Equals, http.StatusOK)
+	for _, c := range []*cell{owner, entry} {
+		f.eventually(func() bool { return len(c.suspects.entries()) == 0 })
+	}
+	entry.hear(t, payFingerprint("POST", ""), 1, 1)
+	qt.Assert(t, entry.suspects.entries(), qt.HasLen, 0)
+}
+
+func TestQuarantineIsCheckedBeforeEachAttempt(t *testing.T) {
+	var runs atomic.Int64
+	f := newTestFleet(t)
+	for range 3 {
+		f.add("a", func(w http.ResponseWriter, r *http.Request) {
+			runs.Add(1)
+			f.cells[0].hear(t, payFingerprint("GET", ""), 1, 2)
+			hangUp(w, r)
+		})
+	}
+	f.ready()
+	g := f.cells[0].call(ask{method: "GET", path: mainPath})
+	qt.Assert(t, g.kind, qt.Equals, string(problem.Quarantined))
+	qt.Assert(t, g.run, qt.Equals, "unknown")
+	qt.Assert(t, runs.Load(), qt.Equals, int64(1))
+}
+
+func TestCallSuspectedInTheQueueDoesNotRun(t *testing.T) {
+	for _, c := range []struct {
+		strikes uint64
+		kind    problem.Kind
+	}{{1, problem.Overloaded}, {2, problem.Quarantined}} {
+		t.Run(string(c.kind), func(t *testing.T) {
+			var runs atomic.Int64
+			occupied := make(chan struct{})
+			f := newTestFleet(t)
+			f.slots = 1
+			node := f.add("a", func(w http.ResponseWriter, r *http.Request) {
+				if r.URL.Path != mainPath {
+					<-occupied
+					return
+				}
+				counted(&runs)(w, r)
+			})
+			f.ready()
+			answer, first := make(chan got, 1), make(chan got, 1)
+			go func() { first <- node.call(ask{method: "POST", path: "/first"}) }()
+			f.eventually(func() bool { return node.owner.Report().InFlight == 1 })
+			go func() { answer <- node.call(ask{method: "POST", path: mainPath}) }()
+			f.eventually(func() bool { return node.owner.Report().Queued == 1 })
+			node.hear(t, payFingerprint("POST", ""), 1, c.strikes)
+			close(occupied)
+			g := <-answer
+			<-first
+			qt.Assert(t, g.kind, qt.Equals, string(c.kind))
+			qt.Assert(t, g.run, qt.Equals, "no")
+			qt.Assert(t, runs.Load(), qt.Equals, int64(0))
+		})
+	}
+}
--- a/node/server/suspects.go
+++ b/node/server/suspects.go
@@ -7,6 +7,7 @@
 	"k8s.io/klog/v2"
 
 	"zinniafall/policy/model"
+	"zinniafall/policy/problem"
 	"zinniafall/policy/quarantine"
 )
 
@@ -30,6 +31,27 @@
 	return s.list.Check(time.Now(), f)
 }
 
+// Refusal is the answer to a quarantined request.
+func (s *suspects) Refusal(f quarantine.Fingerprint) *problem.Error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.list.Refusal(time.Now(), f)
+}
+
+// About returns the encoded notices that concern a request.
+func (s *suspects) About(f quarantine.Fingerprint) [][]byte {
+	s.mu.Lock()
+	notices := s.list.About(time.Now(), f)
+	s.mu.Unlock()
+	encoded := make([][]byte, 0, len(notices))
+	for _, n := range notices {
+		if raw, err := n.Encode(); err == nil {
+			encoded = append(encoded, raw)
+		}
+	}
+	return encoded
+}
+
 // crashed tells all nodes which requests were in flight when the target died.
 func (s *suspects) crashed(epoch uint64, inFlight []quarantine.Fingerprint) []byte {
 	klog.Warningf("target: The target died with %d calls in flight.", len(inFlight))
