Strike only requests whose own connection to the target died

Cause: one dead connection struck every call in flight, although a handler that panics takes only its own connection along.

Change: each call strikes itself when its connection dies. The calls that were in flight together share the id of one crash, so that copies of a request count once. An answer that breaks off strikes only beside a lost call.

--- a/node/execute/crashes.go
+++ b/node/execute/crashes.go
@@ -9,27 +9,30 @@
 // Suspect is a call in flight, seen as a possible cause of a crash.
 type Suspect struct {
 	fingerprint quarantine.Fingerprint
-	epoch       uint64
+	// crash numbers the first lost connection that the call was in flight
+	// beside; 0 for none.
+	crash uint64
 }
 
-// Crashes notices when the target dies and which calls were in flight then.
-// Several calls lose their connections in one crash; only the first of them
-// reports it.
+// Crashes notices which calls the target's death takes along. The system that
+// ends a process closes all its connections, so a call whose connection goes
+// on was at no crash: only calls that lose their own connection are struck. A
+// handler that fails and takes one connection along is thus blamed alone. The
+// calls that were in flight together at a loss share the number of one crash,
+// so that copies of a request that die in it count once.
 type Crashes struct {
-	report    func(sequence uint64, inFlight []quarantine.Fingerprint) []byte
+	report    func(crash uint64, lost quarantine.Fingerprint) []byte
 	completed func(quarantine.Fingerprint)
 
 	mu       sync.Mutex
-	epoch    uint64
+	crashes  uint64
 	inFlight map[*Suspect]struct{}
-	// notice of the last crash, in encoded form.
-	notice []byte
 }
 
-// NewCrashes returns a tracker. The function report is called once for each
-// crash and returns the encoded notice of it; completed is called for each
-// call that ended well.
-func NewCrashes(report func(uint64, []quarantine.Fingerprint) []byte, completed func(quarantine.Fingerprint)) *Crashes {
+// NewCrashes returns a tracker. The function report is called for each call
+// that lost its connection and returns the encoded notice of it; completed is
+// called for each call that ended well.
+func NewCrashes(report func(uint64, quarantine.Fingerprint) []byte, completed func(quarantine.Fingerprint)) *Crashes {
 	return &Crashes{report: report, completed: completed, inFlight: make(map[*Suspect]struct{})}
 }
 
@@ -37,27 +40,38 @@
 func (c *Crashes) Started(fingerprint quarantine.Fingerprint) *Suspect {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	s := &Suspect{fingerprint: fingerprint, epoch: c.epoch}
+	s := &Suspect{fingerprint: fingerprint}
 	c.inFlight[s] = struct{}{}
 	return s
 }
 
-// Crashed notes that the call's connection died without an answer. It returns
-// the notice of the crash, which rides on the answer, so that the entry knows
-// of it before its caller can send the request again.
-func (c *Crashes) Crashed(s *Suspect) []byte {
+// Lost notes that the call's connection died without an answer. It returns
+// the notice of it, which rides on the answer, so that the entry knows of it
+// before its caller can send the request again.
+func (c *Crashes) Lost(s *Suspect) []byte {
 	c.mu.Lock()
-	defer c.mu.Unlock()
-	if s.epoch != c.epoch {
-		return c.notice
+	if s.crash == 0 {
+		c.crashes++
+		for other := range c.inFlight {
+			if other.crash == 0 {
+				other.crash = c.crashes
+			}
+		}
 	}
-	c.epoch++
-	fingerprints := make([]quarantine.Fingerprint, 0, len(c.inFlight))
-	for other := range c.inFlight {
-		fingerprints = append(fingerprints, other.fingerprint)
+	crash := s.crash
+	c.mu.Unlock()
+	return c.report(crash, s.fingerprint)
+}
+
+// CutOff notes that the call's connection died within its answer. That alone
+// is no sign of a crash; it is one when a call beside it was lost.
+func (c *Crashes) CutOff(s *Suspect) {
+	c.mu.Lock()
+	crash := s.crash
+	c.mu.Unlock()
+	if crash != 0 {
+		c.report(crash, s.fingerprint)
 	}
-	c.notice = c.report(c.epoch, fingerprints)
-	return c.notice
 }
 
 // Ended notes the end of a call. A nil suspect never reached the target.
--- /dev/null
+++ b/node/execute/crashes_test.go
@@ -0,0 +1,55 @@
+package execute
+
+import (
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"zinniafall/policy/quarantine"
+)
+
+// strikes records what a tracker reports.
+type strikes map[quarantine.Fingerprint][]uint64
+
+func (s strikes) report(crash uint64, lost quarantine.Fingerprint) []byte {
+	s[lost] = append(s[lost], crash)
+	return nil
+}
+
+func TestOnlyLostCallsAreStruck(t *testing.T) {
+	var a, b, c = quarantine.Fingerprint{1}, quarantine.Fingerprint{2}, quarantine.Fingerprint{3}
+	cases := []struct {
+		name string
+		// play is given three calls in flight together.
+		play func(*Crashes, []*Suspect)
+		want strikes
+	}{
+		{"one connection", func(x *Crashes, s []*Suspect) { x.Lost(s[0]) }, strikes{a: {1}}},
+		{"all connections", func(x *Crashes, s []*Suspect) { x.Lost(s[2]); x.Lost(s[0]); x.Lost(s[1]) }, strikes{a: {1}, b: {1}, c: {1}}},
+		{"cut off beside a loss", func(x *Crashes, s []*Suspect) { x.Lost(s[0]); x.CutOff(s[1]) }, strikes{a: {1}, b: {1}}},
+		{"cut off alone", func(x *Crashes, s []*Suspect) { x.CutOff(s[1]) }, strikes{}},
+		{"lost again", func(x *Crashes, s []*Suspect) {
+			x.Lost(s[0])
+			x.Ended(s[0], false)
+			x.Lost(x.Started(a))
+		}, strikes{a: {1, 2}}},
+		{"copies in one crash", func(x *Crashes, s []*Suspect) {
+			again := x.Started(a)
+			x.Lost(s[0])
+			x.Lost(again)
+		}, strikes{a: {1, 1}}},
+		{"a later call beside an earlier one", func(x *Crashes, s []*Suspect) {
+			x.Lost(s[0])
+			x.Lost(x.Started(b))
+			x.Lost(s[2])
+		}, strikes{a: {1}, b: {2}, c: {1}}},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			got := strikes{}
+			x := NewCrashes(got.report, func(quarantine.Fingerprint) {})
+			tc.play(x, []*Suspect{x.Started(a), x.Started(b), x.Started(c)})
+			qt.Assert(t, got, qt.DeepEquals, tc.want)
+		})
+	}
+}
--- a/node/execute/execute.go
+++ b/node/execute/execute.go
@@ -282,7 +282,7 @@
 		a.finish(admission.Failed)
 		return Refuse(problem.New(problem.AnswerCutOff, model.RunYes, result.Err.Error()))
 	}
-	notice := a.executor.opts.Crashes.Crashed(a.suspect)
+	notice := a.executor.opts.Crashes.Lost(a.suspect)
 	a.finish(admission.Crashed)
 	reply := Refuse(problem.New(problem.TargetFailed, model.RunUnknown, "the target closed the connection without an answer"))
 	reply.Answer.Crash = notice
@@ -318,6 +318,14 @@
 	return reply
 }
 
+// cutOff ends a call whose answer broke off.
+func (a *attempt) cutOff() {
+	if a.running != nil {
+		a.executor.opts.Crashes.CutOff(a.suspect)
+	}
+	a.finish(admission.Failed)
+}
+
 // classify tells admission what an answer says about the target.
 func classify(response *http.Response) admission.Result {
 	switch {
@@ -346,7 +354,7 @@
 	case errors.Is(err, context.Canceled), errors.Is(err, context.DeadlineExceeded):
 		b.attempt.finish(admission.Abandoned)
 	case err != nil:
-		b.attempt.finish(admission.Failed)
+		b.attempt.cutOff()
 	}
 	return n, err
 }
--- a/node/server/suspects.go
+++ b/node/server/suspects.go
@@ -52,11 +52,11 @@
 	return encoded
 }
 
-// crashed tells all nodes which requests were in flight when the target died.
-func (s *suspects) crashed(epoch uint64, inFlight []quarantine.Fingerprint) []byte {
-	klog.Warningf("target: The target died with %d calls in flight.", len(inFlight))
+// crashed tells all nodes of a request that lost its connection to the target.
+func (s *suspects) crashed(crash uint64, lost quarantine.Fingerprint) []byte {
+	klog.Warningf("target: The connection died on which request %v ran.", lost)
 	s.mu.Lock()
-	notice := s.list.Crashed(time.Now(), quarantine.CrashOf(s.process, epoch), inFlight)
+	notice := s.list.Crashed(time.Now(), quarantine.CrashOf(s.process, crash), []quarantine.Fingerprint{lost})
 	s.mu.Unlock()
 	s.flood(notice)
 	encoded, err := notice.Encode()
