Divide the retry budgets by the number of nodes

Cause: every entry kept a twentieth of the fleet's floor and burst, whatever the number of nodes, so that 2,200 entries could retry 2,200 times a second at a failing service instead of 20.

Change: a change of membership tells the entry the number of nodes, which it passes to the budgets that it has and to those that it makes later.

Conclusion: an entry grants 10 retries at once among 20 entries, 2 among 100 and 1 among 2,200 (TestEntriesShareTheBudget).

--- a/node/entry/budget.go
+++ b/node/entry/budget.go
@@ -35,11 +35,24 @@
 	b := e.budgets[service]
 	if b == nil {
 		b = &serviceBudget{Budget: retry.NewBudget(e.opts.Retry), times: hdrhistogram.New(minAnswerTime, maxAnswerTime, answerTimeDigits)}
+		if e.entries > 0 {
+			b.SetEntries(time.Now(), e.entries)
+		}
 		e.budgets[service] = b
 	}
 	return b
 }
 
+// SetEntries divides what all entries together may spend by their number.
+func (e *Entry) SetEntries(entries int) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.entries = entries
+	for _, b := range e.budgets {
+		b.SetEntries(time.Now(), entries)
+	}
+}
+
 func (b *serviceBudget) observe(elapsed time.Duration) {
 	_ = b.times.RecordValue(max(elapsed.Microseconds(), minAnswerTime))
 	if b.times.TotalCount() >= answerTimeWindow {
--- a/node/entry/entry.go
+++ b/node/entry/entry.go
@@ -80,6 +80,8 @@
 	budgets map[model.Service]*serviceBudget
 	owners  map[model.Service]isolation
 	limits  accountLimits
+	// entries is the number of nodes that share the budgets; 0 while unknown.
+	entries int
 }
 
 // New returns an entry.
--- a/node/server/fleet.go
+++ b/node/server/fleet.go
@@ -16,6 +16,7 @@
 // membersChanged gives the entry the targets that may get work.
 func (s *Server) membersChanged(snapshot *membership.Snapshot) {
 	s.forgetGone(snapshot)
+	s.entry.SetEntries(len(snapshot.Members))
 	s.placeTargets(snapshot)
 	s.configuration.membersChanged(snapshot)
 }
