Carry a keyed call to its issuer again after a lost connection

Cause: one lost connection to the issuer was told as key-issuer-gone, although the process lived and still ran the call.

Change: the call is carried again from the retry budget while time and tries are left. It is key-issuer-gone when the tries are spent or membership no longer has the process, and deadline-exceeded when the time is over; the run is unknown in each case.

--- /dev/null
+++ b/node/entry/carry.go
@@ -0,0 +1,86 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"zinniafall/node/execute"
+	"zinniafall/node/peer"
+	"zinniafall/policy/callkey"
+	"zinniafall/policy/model"
+	"zinniafall/policy/problem"
+	"zinniafall/policy/retry"
+)
+
+// carrier is a keyed call on its way to its key's issuer.
+type carrier struct {
+	entry    *Entry
+	request  peer.Request
+	key      callkey.Parsed
+	deadline time.Time
+	attempts *retry.Attempts
+}
+
+// carry sends a keyed call to its issuer, again when the connection was lost,
+// since the issuer starts it once whatever number of copies arrives.
+func (e *Entry) carry(ctx context.Context, request *peer.Request, key callkey.Parsed) *execute.Reply {
+	now := time.Now()
+	c := &carrier{entry: e, request: *request, key: key, deadline: now.Add(request.Timeout)}
+	c.request.Kind = peer.KindKeyed
+	e.mu.Lock()
+	c.attempts = e.budget(request.Service).Begin(now, retry.Call{
+		Keyed: true, Deadline: c.deadline, Allowance: request.Allowance, Hop: request.Depth,
+	})
+	e.mu.Unlock()
+	ctx, cancel := context.WithDeadline(ctx, c.deadline.Add(answerGrace))
+	reply := c.run(ctx)
+	if reply.Body == nil {
+		cancel()
+		return reply
+	}
+	reply.Body = &canceledAtEnd{ReadCloser: reply.Body, cancel: cancel}
+	return reply
+}
+
+func (c *carrier) run(ctx context.Context) *execute.Reply {
+	for {
+		reply, err := c.entry.exchange(ctx, c.key.Node, &c.request, &body{})
+		if err == nil {
+			c.answered(reply)
+			return reply
+		}
+		if ctx.Err() != nil {
+			return execute.Refuse(problem.New(problem.DeadlineExceeded, model.RunUnknown, "the issuer of the request key did not answer in time"))
+		}
+		if !c.entry.opts.Present(c.key.Node, c.key.Process) {
+			return execute.Refuse(callkey.IssuerGone(c.key))
+		}
+		step := c.next(err)
+		if step.Verdict != retry.Again {
+			return execute.Refuse(callkey.IssuerGone(c.key).After(step.RetryAfter))
+		}
+		c.request.Timeout = time.Until(c.deadline)
+	}
+}
+
+// next asks whether the call may be carried again.
+func (c *carrier) next(err error) retry.Step {
+	failure := retry.Failure{Run: model.RunUnknown, Kind: problem.OwnerUnreachable}
+	if errors.Is(err, peer.ErrNotSent) {
+		failure.Run = model.RunNo
+	}
+	c.entry.mu.Lock()
+	defer c.entry.mu.Unlock()
+	return c.attempts.Next(time.Now(), failure)
+}
+
+// answered pays for further attempts when a target answered.
+func (c *carrier) answered(reply *execute.Reply) {
+	if reply.Answer.Problem != nil {
+		return
+	}
+	c.entry.mu.Lock()
+	defer c.entry.mu.Unlock()
+	_ = c.attempts.Answered(time.Now())
+}
--- a/node/entry/entry.go
+++ b/node/entry/entry.go
@@ -60,9 +60,11 @@
 	// Behind is told of a node that applies a newer configuration.
 	Behind   func(revision model.Revision, from model.NodeAddr)
 	Suspects Suspects
-	Tokens   *calltoken.Sealer
-	Keys     []callkey.Secret
-	Limits   Limits
+	// Present reports whether the process is a member at the address.
+	Present func(model.NodeAddr, model.ProcessID) bool
+	Tokens  *calltoken.Sealer
+	Keys    []callkey.Secret
+	Limits  Limits
 	// Placement tunes the choice of targets.
 	Placement placement.Options
 	// Retry tunes further attempts.
--- a/node/entry/keyed.go
+++ b/node/entry/keyed.go
@@ -80,20 +80,7 @@
 	if key.Process == e.opts.Process {
 		return e.ServeKeyed(ctx, request)
 	}
-	carried := *request
-	carried.Kind = peer.KindKeyed
-	ctx, cancel := context.WithTimeout(ctx, request.Timeout+answerGrace)
-	reply, err := e.exchange(ctx, key.Node, &carried, &body{})
-	if err != nil {
-		cancel()
-		return execute.Refuse(callkey.IssuerGone(key))
-	}
-	if reply.Body == nil {
-		cancel()
-		return reply
-	}
-	reply.Body = &canceledAtEnd{ReadCloser: reply.Body, cancel: cancel}
-	return reply
+	return e.carry(ctx, request, key)
 }
 
 // ServeKeyed decides on a call whose key this process may have issued.
--- a/node/server/fleet.go
+++ b/node/server/fleet.go
@@ -71,6 +71,16 @@
 	s.members = present
 }
 
+// present reports whether the process is a member at the address.
+func (s *Server) present(node model.NodeAddr, process model.ProcessID) bool {
+	for _, m := range s.overlay.Snapshot().Members {
+		if m.Node == node {
+			return m.Process == process
+		}
+	}
+	return false
+}
+
 // floodNotice tells all nodes of a crash, a cleared suspect or a lift.
 func (s *Server) floodNotice(notice quarantine.Notice) {
 	payload, err := notice.Encode()
--- a/node/server/keyed_test.go
+++ b/node/server/keyed_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"testing"
 
@@ -154,3 +155,29 @@
 		})
 	}
 }
+
+func TestKeyedCallOutlivesTheConnectionToItsIssuer(t *testing.T) {
+	var runs atomic.Int64
+	open := make(chan struct{})
+	f := newTestFleet(t)
+	issuer := f.add("a", func(w http.ResponseWriter, r *http.Request) {
+		runs.Add(1)
+		<-open
+		echo(w, r)
+	})
+	release := sync.OnceFunc(func() { close(open) })
+	t.Cleanup(release)
+	other := f.add("b", nil)
+	f.ready()
+	key := issuer.requestKey(t)
+	answer := make(chan got, 1)
+	go func() { answer <- other.call(ask{method: "POST", path: mainPath, body: "fee", key: key}) }()
+	f.eventually(func() bool { return runs.Load() == 1 })
+	other.transport.Forget(issuer.Node())
+	f.eventually(func() bool { return issuer.served.Load() > 1 })
+	release()
+	g := <-answer
+	qt.Assert(t, g.kind, qt.Equals, "")
+	qt.Assert(t, g.body, qt.Equals, "POST /pay fee")
+	qt.Assert(t, runs.Load(), qt.Equals, int64(1))
+}
