--- a/node/entry/entry.go
+++ b/node/entry/entry.go
@@ -17,6 +17,7 @@
 	"zinniafall/policy/calltoken"
 	"zinniafall/policy/model"
 	"zinniafall/policy/placement"
+	"zinniafall/policy/problem"
 	"zinniafall/policy/quarantine"
 	"zinniafall/policy/retry"
 	"zinniafall/policy/settings"
@@ -32,6 +33,10 @@
 type Suspects interface {
 	// Check returns how a request may run now.
 	Check(quarantine.Fingerprint) quarantine.Standing
+	// Refusal is the answer to a quarantined request.
+	Refusal(quarantine.Fingerprint) *problem.Error
+	// About returns the encoded notices that concern a request.
+	About(quarantine.Fingerprint) [][]byte
 	// Heard takes in an encoded notice.
 	Heard(notice []byte)
 }
@@ -55,9 +60,11 @@
 	// Behind is told of a node that applies a newer configuration.
 	Behind   func(revision model.Revision, from model.NodeAddr)
 	Suspects Suspects
-	Tokens   *calltoken.Sealer
-	Keys     []callkey.Secret
-	Limits   Limits
+	// Present reports whether the process is a member at the address.
+	Present func(model.NodeAddr, model.ProcessID) bool
+	Tokens  *calltoken.Sealer
+	Keys    []callkey.Secret
+	Limits  Limits
 	// Placement tunes the choice of targets.
 	Placement placement.Options
 	// Retry tunes further attempts.
@@ -75,6 +82,8 @@
 	budgets map[model.Service]*serviceBudget
 	owners  map[model.Service]isolation
 	limits  accountLimits
+	// entries is the number of nodes that share the budgets; 0 while unknown.
+	entries int
 }
 
 // New returns an entry.
--- a/node/server/server.go
+++ b/node/server/server.go
@@ -157,7 +157,8 @@
 	})
 	s.executor = execute.New(execute.Options{
 		Owner: s.owner, Node: s, Tracer: s.tracer,
-		Crashes: execute.NewCrashes(s.suspects.crashed, s.suspects.completed),
+		Crashes:  execute.NewCrashes(s.suspects.crashed, s.suspects.completed),
+		Suspects: s.suspects,
 	})
 	s.transport, err = peer.Listen(peer.Options{
 		Self: s.self, Listen: s.settings.Peers.Listen, Identity: identity, Handler: s,
@@ -175,7 +176,7 @@
 func (s *Server) entryOptions(keys []callkey.Secret) entry.Options {
 	return entry.Options{
 		Self: s.self, Process: s.process, Peers: s.transport, Executor: s.executor, Tracer: s.tracer,
-		Snapshot: s.configuration.current, Behind: s.configuration.hear, Suspects: s.suspects,
+		Snapshot: s.configuration.current, Behind: s.configuration.hear, Suspects: s.suspects, Present: s.present,
 		Tokens: s.tokens, Keys: keys,
 		Limits: entry.Limits{BodyBytes: s.settings.Limits.BodyBytes, Calls: s.settings.Limits.Calls},
 		Placement: placement.Options{
