Offer a chosen share of capacity in the demo

The straggler now recovers before the domain is taken out, so that the phases compare like with like.

--- a/demo/demo.go
+++ b/demo/demo.go
@@ -13,6 +13,12 @@
 	Duration   time.Duration
 	// Policy of placement; empty is the nodes' default.
 	Policy string
+	// Load is the share of the deployment's capacity that all accounts offer
+	// together; 0 is the deployment's default, about a fifth.
+	Load float64
+	// ServiceTime is the mean time of a call at a target; 0 is 20 ms. A longer
+	// one lowers the deployment's capacity in calls a second.
+	ServiceTime time.Duration
 	// Progress receives the run's steps.
 	Progress io.Writer
 }
@@ -27,7 +33,7 @@
 		return nil, err
 	}
 	_, _ = fmt.Fprintf(opts.Progress, "starting %s\n", opts.Deployment)
-	f, err := startFleet(p, opts.Policy)
+	f, err := startFleet(p.with(opts), opts.Policy)
 	if err != nil {
 		return nil, err
 	}
@@ -53,18 +59,26 @@
 	ctx, cancel := context.WithDeadline(ctx, started.Add(opts.Duration))
 	defer cancel()
 	_, _ = fmt.Fprintf(opts.Progress, "%6.1fs  calls begin\n", 0.0)
-	l := newLoad(f)
+	l := newLoad(f, f.plan.load)
 	s := &script{fleet: f, out: opts.Progress}
-	played := make(chan struct{})
-	go func() {
-		defer close(played)
-		s.run(ctx, started, opts.Duration)
-	}()
-	l.run(ctx)
-	<-played
-	elapsed := time.Since(f.started)
-	r := &Result{Deployment: opts.Deployment, Policy: opts.Policy, Seconds: time.Since(started).Seconds()}
+	before := readUsage()
+	samples := f.sampleWhile(func() {
+		played := make(chan struct{})
+		go func() {
+			defer close(played)
+			s.run(ctx, started, opts.Duration)
+		}()
+		l.run(ctx)
+		<-played
+	})
+	used := readUsage().since(before)
+	r := &Result{
+		Deployment: opts.Deployment, Policy: opts.Policy, Seconds: time.Since(started).Seconds(),
+		Load: f.plan.load, Capacity: f.plan.totalCapacity(),
+	}
 	r.fill(l)
-	r.judge(f, l, s, elapsed)
+	r.judge(f, l, s, time.Since(f.started))
+	r.fillUsage(used, len(f.nodes))
+	r.fillAbsence(l, s, samples)
 	return r, nil
 }
--- a/demo/deployment.go
+++ b/demo/deployment.go
@@ -33,6 +33,10 @@
 	groups   []group
 	slots    int
 	accounts []string
+	// load is the share of capacity that is offered by default.
+	load float64
+	// serviceTime is the mean time of a call at a target.
+	serviceTime time.Duration
 	// outDomain is taken out of service during the run.
 	outDomain string
 }
@@ -40,8 +44,8 @@
 // connections is the limit of connections of each target.
 const connections = 260
 
-// serviceTime is the mean time of a call at a target.
-const serviceTime = 20 * time.Millisecond
+// defaultServiceTime is the mean time of a call at a target.
+const defaultServiceTime = 20 * time.Millisecond
 
 func planOf(d Deployment) (plan, error) {
 	switch d {
@@ -52,6 +56,7 @@
 			groups:    []group{{"calendar", 6}, {"bookings", 4}, {"permits", 4}},
 			slots:     12,
 			accounts:  []string{"amherst", "barre", "colrain", "deerfield", "easton", "framingham"},
+			load:      0.18,
 			outDomain: "ne-b",
 		}, nil
 	case Perth:
@@ -61,6 +66,7 @@
 			groups:    []group{{"trench-records", 6}, {"defect-desk", 4}, {"signoff-ledger", 3}},
 			slots:     6,
 			accounts:  []string{"alder", "brockton", "carr"},
+			load:      0.24,
 			outDomain: "perth-east",
 		}, nil
 	}
@@ -70,5 +76,26 @@
 // capacity returns the calls a second that a service bears when all its
 // targets are warm.
 func (p plan) capacity(g group) float64 {
-	return float64(g.count*p.slots) / serviceTime.Seconds()
+	return float64(g.count*p.slots) / p.serviceTime.Seconds()
+}
+
+// totalCapacity returns the calls a second that all services bear together.
+func (p plan) totalCapacity() float64 {
+	total := 0.0
+	for _, g := range p.groups {
+		total += p.capacity(g)
+	}
+	return total
+}
+
+// with returns the plan with the options' load and service time.
+func (p plan) with(opts Options) plan {
+	p.serviceTime = defaultServiceTime
+	if opts.ServiceTime > 0 {
+		p.serviceTime = opts.ServiceTime
+	}
+	if opts.Load > 0 {
+		p.load = opts.Load
+	}
+	return p
 }
--- a/demo/events.go
+++ b/demo/events.go
@@ -9,9 +9,10 @@
 
 // The steps of a run, as shares of its duration.
 const (
-	stepCold     = 0.10
-	stepStraggle = 0.25
-	stepOut      = 0.45
+	stepCold     = 0.05
+	stepStraggle = 0.15
+	stepRecover  = 0.30
+	stepOut      = 0.50
 	stepIn       = 0.75
 )
 
@@ -27,11 +28,13 @@
 
 // script makes the run's events happen and remembers when.
 type script struct {
-	fleet  *fleet
-	out    io.Writer
-	outAt  time.Time
-	inAt   time.Time
-	errors []error
+	fleet *fleet
+	out   io.Writer
+	// recoveredAt is when the straggler was well again.
+	recoveredAt time.Time
+	outAt       time.Time
+	inAt        time.Time
+	errors      []error
 	// lastWhileOut is when the last call started in the domain that was out.
 	lastWhileOut time.Time
 }
@@ -58,6 +61,11 @@
 			straggler.target.Straggle(straggleFactor)
 			return nil
 		}},
+		{share(stepRecover), "the straggler recovers", func(context.Context) error {
+			straggler.target.Straggle(1)
+			s.recoveredAt = time.Now()
+			return nil
+		}},
 		{share(stepOut), "failure domain " + s.fleet.plan.outDomain + " is taken out", func(ctx context.Context) error {
 			s.outAt = time.Now()
 			return s.fleet.setDomain(ctx, s.fleet.plan.outDomain, true)
@@ -65,7 +73,6 @@
 		{share(stepIn), "failure domain " + s.fleet.plan.outDomain + " is brought back", func(ctx context.Context) error {
 			s.noteLast()
 			s.inAt = time.Now()
-			straggler.target.Straggle(1)
 			return s.fleet.setDomain(ctx, s.fleet.plan.outDomain, false)
 		}},
 	}
--- a/demo/fleet.go
+++ b/demo/fleet.go
@@ -78,7 +78,7 @@
 
 func (f *fleet) startMember(service, domain string, seed uint64) (*member, error) {
 	t, err := target.Start("127.0.0.1:0", target.Options{
-		Service: service, Slots: f.plan.slots, Connections: connections, ServiceTime: serviceTime, Seed: seed,
+		Service: service, Slots: f.plan.slots, Connections: connections, ServiceTime: f.plan.serviceTime, Seed: seed,
 	})
 	if err != nil {
 		return nil, err
--- a/demo/load.go
+++ b/demo/load.go
@@ -2,29 +2,18 @@
 
 import (
 	"context"
-	"encoding/json"
-	"fmt"
-	"io"
 	"math/rand/v2"
 	"net/http"
 	"strconv"
-	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
-
-	"zinniafall/node/entry"
-	"zinniafall/node/execute"
-	"zinniafall/standin/target"
 )
 
 const (
-	// baseLoad is the share of capacity that all accounts offer together,
-	// without the surplus of the heavy one.
-	baseLoad = 0.12
-	// heavyFactor multiplies the share of the heavy account.
+	// heavyFactor is the load of the heavy account in multiples of another's.
 	heavyFactor = 4
 	// callTimeout is the deadline that callers give.
 	callTimeout = 2 * time.Second
@@ -57,6 +46,11 @@
 	id   string
 	kind kind
 	run  string
+	// problem names the kind of the problem; empty when the call succeeded.
+	problem string
+	due     time.Time
+	latency time.Duration
+	failed  bool
 }
 
 // account is the load of one client account.
@@ -68,6 +62,17 @@
 
 	mu      sync.Mutex
 	latency *hdrhistogram.Histogram
+	failed  int64
+}
+
+// note records the end of one call.
+func (a *account) note(latency time.Duration, failed bool) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	recordLatency(a.latency, latency)
+	if failed {
+		a.failed++
+	}
 }
 
 // load offers calls at an open loop: arrivals do not wait for answers, and a
@@ -80,37 +85,44 @@
 
 	total, failed, notRun, unknown, wrong atomic.Int64
 
-	mu       sync.Mutex
-	records  []record
-	added    *hdrhistogram.Histogram
+	mu      sync.Mutex
+	records []record
+	added   *hdrhistogram.Histogram
+	// late holds how long after its due time each call was sent.
+	late     *hdrhistogram.Histogram
 	failures map[string]int
 }
 
-func newLoad(f *fleet) *load {
+// newLoad prepares to offer the given share of the fleet's capacity.
+func newLoad(f *fleet, share float64) *load {
 	transport := &http.Transport{MaxIdleConnsPerHost: 256, MaxConnsPerHost: 512}
 	l := &load{
 		fleet: f, client: &http.Client{Transport: transport},
-		added:    hdrhistogram.New(minLatency, maxLatency, latencyDigits),
+		added:    newHistogram(),
+		late:     newHistogram(),
 		failures: make(map[string]int),
 	}
-	capacity := 0.0
-	for _, g := range f.plan.groups {
-		capacity += f.plan.capacity(g)
-	}
+	rates := accountRates(f.plan.totalCapacity()*share, len(f.plan.accounts))
 	for i, name := range f.plan.accounts {
-		rate := capacity * baseLoad / float64(len(f.plan.accounts))
-		heavy := i == 0
-		if heavy {
-			rate *= heavyFactor
-		}
 		l.accounts = append(l.accounts, &account{
-			name: name, key: accountKey(name), rate: rate, heavy: heavy,
-			latency: hdrhistogram.New(minLatency, maxLatency, latencyDigits),
+			name: name, key: accountKey(name), rate: rates[i], heavy: i == 0, latency: newHistogram(),
 		})
 	}
 	return l
 }
 
+// accountRates divides a rate among the accounts. The first one is the heavy
+// one, the others get equal parts.
+func accountRates(total float64, accounts int) []float64 {
+	part := total / float64(accounts-1+heavyFactor)
+	rates := make([]float64, accounts)
+	for i := range rates {
+		rates[i] = part
+	}
+	rates[0] = part * heavyFactor
+	return rates
+}
+
 // run offers calls until the context ends and waits for their answers.
 func (l *load) run(ctx context.Context) {
 	var generators sync.WaitGroup
@@ -142,129 +154,18 @@
 	}
 }
 
-// caller makes one call.
-type caller struct {
-	load    *load
-	account *account
-	due     time.Time
-	id      string
-	kind    kind
-	service string
-	entries []string
-}
-
-func (c *caller) draw(random *rand.Rand) {
-	g := c.load.fleet.plan.groups[random.IntN(len(c.load.fleet.plan.groups))]
-	c.service = g.service
-	if random.Float64() < shareOfWrites {
-		c.kind = plainWrite
-		if random.Float64() < shareOfKeyed {
-			c.kind = keyedWrite
-		}
-	}
-	for range resendLimit + 1 {
-		c.entries = append(c.entries, c.load.fleet.nodes[random.IntN(len(c.load.fleet.nodes))].url)
-	}
+// newHistogram returns an empty histogram of latencies.
+func newHistogram() *hdrhistogram.Histogram {
+	return hdrhistogram.New(minLatency, maxLatency, latencyDigits)
 }
 
-// answer is what came back.
-type answer struct {
-	status  int
-	run     string
-	kind    string
-	body    string
-	elapsed time.Duration
-	err     error
+// recordLatency adds a latency to the histogram; what is out of its range
+// counts as the nearest bound.
+func recordLatency(h *hdrhistogram.Histogram, latency time.Duration) {
+	_ = h.RecordValue(min(max(latency.Microseconds(), minLatency), maxLatency))
 }
 
-func (c *caller) run() {
-	key := ""
-	if c.kind == keyedWrite {
-		key = c.requestKey()
-	}
-	a := c.send(c.entries[0], key)
-	for i := 1; key != "" && a.run == "unknown" && i <= resendLimit; i++ {
-		a = c.send(c.entries[i], key)
-	}
-	c.finish(a)
-}
-
-// requestKey asks an entry for a key; without one the call goes without.
-func (c *caller) requestKey() string {
-	request, _ := http.NewRequest(http.MethodPost, c.entries[0]+entry.KeysPath, nil)
-	request.Header.Set(entry.HeaderAccountKey, c.account.key)
-	response, err := c.load.client.Do(request)
-	if err != nil {
-		return ""
-	}
-	defer func() { _ = response.Body.Close() }()
-	var issued struct {
-		Keys []string `json:"keys"`
-	}
-	if json.NewDecoder(response.Body).Decode(&issued) != nil || len(issued.Keys) == 0 {
-		return ""
-	}
-	return issued.Keys[0]
-}
-
-func (c *caller) send(base, key string) answer {
-	method, body := http.MethodGet, ""
-	if c.kind != lookup {
-		method, body = http.MethodPost, "body of "+c.id
-	}
-	request, _ := http.NewRequest(method, base+"/things/"+c.id, strings.NewReader(body))
-	request.Header.Set(entry.HeaderAccountKey, c.account.key)
-	request.Header.Set(entry.HeaderService, c.service)
-	request.Header.Set(execute.HeaderTimeout, strconv.FormatInt(callTimeout.Milliseconds(), 10))
-	request.Header.Set(target.CallHeader, c.id)
-	if key != "" {
-		request.Header.Set(entry.HeaderRequestKey, key)
-	}
-	response, err := c.load.client.Do(request)
-	if err != nil {
-		return answer{err: err, run: "unknown", kind: "connection"}
-	}
-	defer func() { _ = response.Body.Close() }()
-	text, err := io.ReadAll(response.Body)
-	if err != nil {
-		return answer{err: err, run: "unknown", kind: "cut off"}
-	}
-	elapsed, _ := strconv.ParseInt(response.Header.Get(target.ElapsedHeader), 10, 64)
-	a := answer{status: response.StatusCode, run: response.Header.Get(entry.HeaderRun), body: string(text), elapsed: time.Duration(elapsed) * time.Microsecond}
-	if a.status != http.StatusOK {
-		var p struct {
-			Kind string `json:"kind"`
-		}
-		_ = json.Unmarshal(text, &p)
-		a.kind = p.Kind
-	}
-	return a
-}
-
-// finish records what the caller was told.
-func (c *caller) finish(a answer) {
-	l := c.load
-	l.total.Add(1)
-	total := time.Since(c.due)
-	c.account.mu.Lock()
-	_ = c.account.latency.RecordValue(max(total.Microseconds(), minLatency))
-	c.account.mu.Unlock()
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.records = append(l.records, record{id: c.id, kind: c.kind, run: a.run})
-	if a.status == http.StatusOK {
-		if !strings.HasPrefix(a.body, fmt.Sprintf("%s /things/%s %s", c.service, c.id, c.id)) {
-			l.wrong.Add(1)
-		}
-		_ = l.added.RecordValue(max((total - a.elapsed).Microseconds(), minLatency))
-		return
-	}
-	l.failed.Add(1)
-	l.failures[a.kind+"/"+a.run]++
-	switch a.run {
-	case "no":
-		l.notRun.Add(1)
-	case "unknown":
-		l.unknown.Add(1)
-	}
+// quantile returns a quantile (0 to 100) in milliseconds.
+func quantile(h *hdrhistogram.Histogram, q float64) float64 {
+	return float64(h.ValueAtQuantile(q)) / 1000
 }
