Compare policies and loads in repeated runs of the demo

One run of the demo on a shared machine says little. zinniafall experiment repeats it for each policy, load and deployment, round by round, and prints the least, median and greatest value of each figure.

--- a/cmd/zinniafall/main.go
+++ b/cmd/zinniafall/main.go
@@ -5,11 +5,13 @@
 	"os"
 
 	"zinniafall/demo"
+	"zinniafall/experiment"
 	"zinniafall/operator"
 )
 
 func main() {
 	cli := operator.New(os.Stdout, os.Stderr)
 	demo.AddCommand(cli.App, os.Stdout, os.Stderr)
+	experiment.AddCommand(cli.App, os.Stdout, os.Stderr)
 	os.Exit(cli.Run(os.Args[1:]))
 }
--- /dev/null
+++ b/experiment/experiment_test.go
@@ -0,0 +1,104 @@
+package experiment
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"zinniafall/demo"
+)
+
+func TestSummarize(t *testing.T) {
+	tests := []struct {
+		name   string
+		values []float64
+		want   Summary
+	}{
+		{"none", nil, Summary{Name: "x"}},
+		{"one", []float64{4}, Summary{"x", 4, 4, 4, 1}},
+		{"odd", []float64{9, 1, 5}, Summary{"x", 1, 5, 9, 3}},
+		{"even", []float64{9, 1, 5, 7}, Summary{"x", 1, 5, 9, 4}},
+		{"one run did not see it", []float64{9, -1, 5, 7}, Summary{"x", 5, 7, 9, 3}},
+	}
+	seen := figure{"x", func(r *demo.Result) (float64, bool) { return r.AddedP50, r.AddedP50 >= 0 }}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			var results []*demo.Result
+			for _, value := range test.values {
+				results = append(results, &demo.Result{AddedP50: value})
+			}
+			qt.Check(t, summarize(seen, results), qt.Equals, test.want)
+		})
+	}
+}
+
+func TestRoundsGoThroughAllSettings(t *testing.T) {
+	var played []Setting
+	play := func(_ context.Context, o demo.Options) (*demo.Result, error) {
+		played = append(played, Setting{string(o.Deployment), o.Policy, o.Load})
+		if o.Policy == "broken" {
+			return nil, errors.New("not ready")
+		}
+		return &demo.Result{Accounts: make([]demo.AccountLatency, 1), Broken: []string{"promise"}}, nil
+	}
+	opts := Options{
+		Deployments: []string{"perth"}, Policies: []string{"fine", "broken"}, Loads: []float64{0.5, 0.8},
+		Runs: 2, Progress: io.Discard,
+	}
+	rows := run(context.Background(), opts, play)
+	round := []Setting{{"perth", "fine", 0.5}, {"perth", "broken", 0.5}, {"perth", "fine", 0.8}, {"perth", "broken", 0.8}}
+	qt.Check(t, played, qt.DeepEquals, append(round, round...))
+	qt.Assert(t, rows, qt.HasLen, 4)
+	qt.Check(t, rows[0].Runs, qt.Equals, 2)
+	qt.Check(t, rows[0].Broken, qt.DeepEquals, map[string]int{"promise": 2})
+	qt.Check(t, rows[1].Runs, qt.Equals, 0)
+	qt.Check(t, rows[1].Errors, qt.DeepEquals, []string{"not ready", "not ready"})
+
+	var out bytes.Buffer
+	WriteTable(&out, rows)
+	qt.Check(t, out.String(), qt.Contains, "perth, load 0.50")
+	qt.Check(t, out.String(), qt.Contains, "BROKEN in 2 of 2 runs of fine: promise")
+	qt.Check(t, out.String(), qt.Contains, "no result from a run of broken: not ready")
+}
+
+func TestInterruptKeepsWhatWasMeasured(t *testing.T) {
+	ctx, cancel := context.WithCancel(context.Background())
+	runs := 0
+	play := func(context.Context, demo.Options) (*demo.Result, error) {
+		if runs++; runs == 2 {
+			cancel()
+		}
+		return &demo.Result{Accounts: make([]demo.AccountLatency, 1)}, nil
+	}
+	opts := Options{Deployments: []string{"perth"}, Policies: []string{"fine"}, Loads: []float64{0.5}, Runs: 5, Progress: io.Discard}
+	rows := run(ctx, opts, play)
+	qt.Check(t, runs, qt.Equals, 2)
+	qt.Check(t, rows[0].Runs, qt.Equals, 1)
+}
+
+func TestCheck(t *testing.T) {
+	good := Options{Runs: 1, Duration: time.Second, ServiceTime: time.Millisecond, Loads: []float64{0.5}}
+	tests := []struct {
+		name string
+		edit func(*Options)
+		ok   bool
+	}{
+		{"good", func(*Options) {}, true},
+		{"no runs", func(o *Options) { o.Runs = 0 }, false},
+		{"no time", func(o *Options) { o.Duration = 0 }, false},
+		{"no service time", func(o *Options) { o.ServiceTime = 0 }, false},
+		{"no load", func(o *Options) { o.Loads = []float64{0.5, 0} }, false},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			o := good
+			test.edit(&o)
+			qt.Check(t, o.check() == nil, qt.Equals, test.ok)
+		})
+	}
+}
--- /dev/null
+++ b/experiment/table.go
@@ -0,0 +1,66 @@
+package experiment
+
+import (
+	"fmt"
+	"io"
+	"text/tabwriter"
+)
+
+// WriteTable prints a table for each deployment and load with a column for
+// each policy; a cell is min/median/max.
+func WriteTable(out io.Writer, rows []Row) {
+	for start := 0; start < len(rows); {
+		end := start + 1
+		for end < len(rows) && rows[end].sameTable(rows[start]) {
+			end++
+		}
+		writeTable(out, rows[start:end])
+		start = end
+	}
+}
+
+func (r Row) sameTable(other Row) bool {
+	return r.Deployment == other.Deployment && r.Load == other.Load
+}
+
+func writeTable(out io.Writer, rows []Row) {
+	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
+	_, _ = fmt.Fprintf(w, "%s, load %.2f", rows[0].Deployment, rows[0].Load)
+	for _, row := range rows {
+		_, _ = fmt.Fprintf(w, "\t%s (%d runs)", row.Policy, row.Runs)
+	}
+	_, _ = fmt.Fprintln(w)
+	for i := range figures {
+		_, _ = fmt.Fprint(w, figures[i].name)
+		for _, row := range rows {
+			_, _ = fmt.Fprintf(w, "\t%s", row.Figures[i].cell(row.Runs))
+		}
+		_, _ = fmt.Fprintln(w)
+	}
+	writeFailures(w, rows)
+	_, _ = fmt.Fprintln(w)
+	_ = w.Flush()
+}
+
+func writeFailures(w io.Writer, rows []Row) {
+	for _, row := range rows {
+		for promise, runs := range row.Broken {
+			_, _ = fmt.Fprintf(w, "BROKEN in %d of %d runs of %s: %s\n", runs, row.Runs, row.Policy, promise)
+		}
+		for _, text := range row.Errors {
+			_, _ = fmt.Fprintf(w, "no result from a run of %s: %s\n", row.Policy, text)
+		}
+	}
+}
+
+// cell is the summary as text; runs that lack the figure are counted.
+func (s Summary) cell(runs int) string {
+	if s.Runs == 0 {
+		return "-"
+	}
+	text := fmt.Sprintf("%.4g/%.4g/%.4g", s.Min, s.Median, s.Max)
+	if s.Runs < runs {
+		text += fmt.Sprintf(" (%d of %d)", s.Runs, runs)
+	}
+	return text
+}
