--- a/demo/caller.go
+++ b/demo/caller.go
@@ -121,18 +121,21 @@
 	l := c.load
 	total := time.Since(c.due)
 	failed := a.status != http.StatusOK
-	l.total.Add(1)
-	c.account.note(total, failed)
+	if !failed && !strings.HasPrefix(a.body, fmt.Sprintf("%s /things/%s %s", c.service, c.id, c.id)) {
+		l.wrong.Add(1)
+	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.records = append(l.records, record{
 		id: c.id, kind: c.kind, run: a.run, problem: a.kind, due: c.due, latency: total, failed: failed,
 	})
+	if c.due.Before(l.measuredFrom) {
+		return
+	}
+	l.total.Add(1)
+	c.account.note(total, failed)
 	recordLatency(l.late, c.sent.Sub(c.due))
 	if !failed {
-		if !strings.HasPrefix(a.body, fmt.Sprintf("%s /things/%s %s", c.service, c.id, c.id)) {
-			l.wrong.Add(1)
-		}
 		recordLatency(l.added, total-a.elapsed)
 		return
 	}
--- a/demo/command.go
+++ b/demo/command.go
@@ -26,6 +26,7 @@
 	policy     string
 	load       float64
 	service    time.Duration
+	warmUp     time.Duration
 	asJSON     bool
 	out, err   io.Writer
 }
@@ -40,6 +41,7 @@
 	clause.Flag("load", "The share of the targets' capacity that all accounts offer together, e.g. 0.8; 0 is the deployment's default.").Default("0").Float64Var(&c.load)
 	clause.Flag("service-time", "The mean time of a call at a target; a longer one lowers the capacity in calls a second.").
 		Default(defaultServiceTime.String()).DurationVar(&c.service)
+	clause.Flag("warm-up", "The time for which calls are offered before the measured time.").Default("0s").DurationVar(&c.warmUp)
 	clause.Flag("json", "Print one JSON object.").BoolVar(&c.asJSON)
 }
 
@@ -47,14 +49,14 @@
 	if c.duration <= 0 {
 		return &operator.ExitError{Code: operator.ExitBadInput, Message: "--duration must be over 0; write 10s"}
 	}
-	if c.load < 0 || c.service <= 0 {
-		return &operator.ExitError{Code: operator.ExitBadInput, Message: "--load must not be below 0 and --service-time must be over 0; write 0.8 and 20ms"}
+	if c.load < 0 || c.service <= 0 || c.warmUp < 0 {
+		return &operator.ExitError{Code: operator.ExitBadInput, Message: "--load and --warm-up must not be below 0 and --service-time must be over 0; write 0.8 and 20ms"}
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
 	result, err := Run(ctx, Options{
 		Deployment: Deployment(c.deployment), Duration: c.duration, Policy: c.policy,
-		Load: c.load, ServiceTime: c.service, Progress: c.err,
+		WarmUp: c.warmUp, Load: c.load, ServiceTime: c.service, Progress: c.err,
 	})
 	if errors.Is(err, context.Canceled) {
 		return &operator.ExitError{Code: operator.ExitFailed, Message: "interrupted before the calls began"}
--- a/demo/demo.go
+++ b/demo/demo.go
@@ -11,6 +11,9 @@
 type Options struct {
 	Deployment Deployment
 	Duration   time.Duration
+	// WarmUp is how long calls are offered before Duration begins. Its calls
+	// count for the promises, not for the figures.
+	WarmUp time.Duration
 	// Policy of placement; empty is the nodes' default.
 	Policy string
 	// Load is the share of the deployment's capacity that all accounts offer
@@ -55,11 +58,12 @@
 }
 
 func (f *fleet) play(ctx context.Context, opts Options) (*Result, error) {
-	started := time.Now()
+	started := time.Now().Add(opts.WarmUp)
 	ctx, cancel := context.WithDeadline(ctx, started.Add(opts.Duration))
 	defer cancel()
-	_, _ = fmt.Fprintf(opts.Progress, "%6.1fs  calls begin\n", 0.0)
+	_, _ = fmt.Fprintf(opts.Progress, "%6.1fs  calls begin\n", -opts.WarmUp.Seconds())
 	l := newLoad(f, f.plan.load)
+	l.measuredFrom = started
 	s := &script{fleet: f, out: opts.Progress}
 	before := readUsage()
 	samples := f.sampleWhile(func() {
--- a/demo/load.go
+++ b/demo/load.go
@@ -85,6 +85,9 @@
 
 	total, failed, notRun, unknown, wrong atomic.Int64
 
+	// measuredFrom is the due time from which calls count for the figures.
+	measuredFrom time.Time
+
 	mu      sync.Mutex
 	records []record
 	added   *hdrhistogram.Histogram
--- a/experiment/command.go
+++ b/experiment/command.go
@@ -32,6 +32,7 @@
 	clause.Flag("load", "The share of capacity that is offered; may be repeated.").Default("0.5", "0.8", "0.95", "1.3").Float64ListVar(&c.opts.Loads)
 	clause.Flag("runs", "Runs of each combination.").Default("5").IntVar(&c.opts.Runs)
 	clause.Flag("duration", "The time for which a run offers calls.").Default("8s").DurationVar(&c.opts.Duration)
+	clause.Flag("warm-up", "The time for which a run offers calls before it measures.").Default("5s").DurationVar(&c.opts.WarmUp)
 	clause.Flag("service-time", "The mean time of a call at a target; a longer one lowers the capacity in calls a second.").
 		Default("120ms").DurationVar(&c.opts.ServiceTime)
 	clause.Flag("json", "Print one JSON array.").BoolVar(&c.asJSON)
@@ -54,8 +55,8 @@
 
 // check reports a parameter that no run can have.
 func (o Options) check() error {
-	if o.Runs <= 0 || o.Duration <= 0 || o.ServiceTime <= 0 {
-		return fmt.Errorf("--runs, --duration and --service-time must be over 0; write 5, 8s and 120ms")
+	if o.Runs <= 0 || o.Duration <= 0 || o.ServiceTime <= 0 || o.WarmUp < 0 {
+		return fmt.Errorf("--runs, --duration and --service-time must be over 0 and --warm-up not below it; write 5, 8s, 120ms and 5s")
 	}
 	for _, load := range o.Loads {
 		if load <= 0 {
--- a/experiment/experiment.go
+++ b/experiment/experiment.go
@@ -26,6 +26,8 @@
 	Runs int
 	// Duration of each run.
 	Duration time.Duration
+	// WarmUp is how long calls are offered before Duration begins.
+	WarmUp time.Duration
 	// ServiceTime is the mean time of a call at a target; 0 is the demo's.
 	ServiceTime time.Duration
 	// Progress receives a line for each run.
@@ -100,7 +102,7 @@
 
 func (o Options) demo(s Setting) demo.Options {
 	return demo.Options{
-		Deployment: demo.Deployment(s.Deployment), Duration: o.Duration, Policy: s.Policy,
+		Deployment: demo.Deployment(s.Deployment), Duration: o.Duration, WarmUp: o.WarmUp, Policy: s.Policy,
 		Load: s.Load, ServiceTime: o.ServiceTime, Progress: io.Discard,
 	}
 }
