--- a/demo/verdict_test.go
+++ b/demo/verdict_test.go
@@ -123,6 +123,7 @@
 	}{
 		{"back at once", ramp(repeat(25, 20)...), at(0), 0.25, 400 * time.Millisecond, true},
 		{"after a second", ramp(absentThenFull...), at(0), 0.25, 1450 * time.Millisecond, true},
+		{"full before it left", ramp(append(repeat(25, 20), absentThenFull...)...), at(1500), 0.25, 950 * time.Millisecond, true},
 		{"never", ramp(repeat(10, 40)...), at(0), 0.25, 0, false},
 		{"no calls", ramp(), at(0), 0.25, 0, false},
 		{"not brought back", ramp(repeat(25, 20)...), time.Time{}, 0.25, 0, false},
