--- a/cmd/zinniafall/main.go
+++ b/cmd/zinniafall/main.go
@@ -5,6 +5,7 @@
 	"os"
 
 	"zinniafall/demo"
+	"zinniafall/experiment"
 	"zinniafall/operator"
 )
 
@@ -12,5 +13,6 @@
 	cli := operator.New(os.Stdout, os.Stderr)
 	demo.AddCommand(cli.App, os.Stdout, os.Stderr)
 	demo.AddStandIns(cli.App, os.Stdout)
+	experiment.AddCommand(cli.App, os.Stdout, os.Stderr)
 	os.Exit(cli.Run(os.Args[1:]))
 }
