Hold the slot of an abandoned call until its target can have noticed

Cause: a canceled call (a hedge that lost, a caller that left) gave its slot back at once, while the target still worked on it for a moment; a cold target that bears one call then had two. Change: the slot of a call that was abandoned at the target is held for 5 ms more. The new test in virtual time is red without the hold.

--- a/node/execute/execute.go
+++ b/node/execute/execute.go
@@ -29,6 +29,9 @@
 // answer that is cut off becomes a proper failure.
 const bufferedAnswer = 64 << 10
 
+// cancelTime is the time in which a target notices that a call was canceled.
+const cancelTime = 5 * time.Millisecond
+
 // The fields that tell a target about its call.
 const (
 	// HeaderTimeout carries what remains of the deadline, in milliseconds.
@@ -197,10 +200,22 @@
 		outcome.ServiceTime = time.Since(a.started)
 	}
 	a.executor.opts.Crashes.Ended(a.suspect, result == admission.Completed)
-	a.running.Finish(outcome)
+	a.cancel()
+	a.giveBack(outcome)
 	a.running = nil
 	a.span.End()
-	a.cancel()
+}
+
+// giveBack ends the call's hold on its slot. The target learns of an abandoned
+// call by the end of its connection and works on it until then, so that the
+// slot is held a little longer.
+func (a *attempt) giveBack(outcome admission.Outcome) {
+	running := a.running
+	if outcome.Result != admission.Abandoned || a.started.IsZero() {
+		running.Finish(outcome)
+		return
+	}
+	time.AfterFunc(cancelTime, func() { running.Finish(outcome) })
 }
 
 func (a *attempt) run(ctx context.Context, runner *target.Runner) *Reply {
--- /dev/null
+++ b/node/execute/slot_test.go
@@ -0,0 +1,57 @@
+package execute
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"zinniafall/node/owner"
+	"zinniafall/policy/admission"
+	"zinniafall/policy/model"
+	"zinniafall/policy/quarantine"
+	"zinniafall/policy/settings"
+)
+
+// TestAbandonedCallHoldsItsSlot cancels a call at a cold target, which bears
+// one call: the next one waits until the target can have noticed.
+func TestAbandonedCallHoldsItsSlot(t *testing.T) {
+	cases := []struct {
+		name    string
+		started bool
+		result  admission.Result
+		held    uint16
+	}{
+		{"abandoned at the target", true, admission.Abandoned, 1},
+		{"abandoned before it started", false, admission.Abandoned, 0},
+		{"completed", true, admission.Completed, 0},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				o := owner.Start(owner.Options{
+					Revision: func() model.Revision { return 1 },
+					Accounts: func(model.Account) settings.Account { return settings.Account{Weight: 1} },
+				})
+				defer o.Stop()
+				o.SetFresh(true)
+				o.Announce(admission.Announcement{Instance: "i", Slots: 1, Cold: true, Lease: time.Minute})
+				running, refusal := o.Admit(context.Background(), owner.Ask{Deadline: time.Now().Add(time.Second)})
+				qt.Assert(t, refusal == nil, qt.IsTrue)
+				crashes := NewCrashes(func(uint64, quarantine.Fingerprint) []byte { return nil }, func(quarantine.Fingerprint) {})
+				a := &attempt{executor: New(Options{Owner: o, Crashes: crashes}), running: running, cancel: func() {}}
+				if c.started {
+					a.started = time.Now()
+				}
+				a.finish(c.result)
+				synctest.Wait()
+				qt.Assert(t, o.Load().InFlight, qt.Equals, c.held)
+				time.Sleep(cancelTime)
+				synctest.Wait()
+				qt.Assert(t, o.Load().InFlight, qt.Equals, uint16(0))
+			})
+		})
+	}
+}
