Halve what an idle node costs and bound its connections

Cause: an idle node woke 294 times a second, most of it for the probe duty's 20 ms ticker and for telling the owner again what it knew; 512 connections of 62 KB an end would not leave the process within 64 MB. Change: the probe duty looks every 100 ms, the control duty every 250 ms and tells changes only; unused connections are tested every 5 s; the default limit of connections is 256, half of them for this entry's own peers.

--- a/node/peer/peer.go
+++ b/node/peer/peer.go
@@ -22,10 +22,11 @@
 )
 
 const (
-	// idleTimeout ends a connection on which nothing was heard.
-	idleTimeout = 8 * time.Second
+	// idleTimeout ends a connection on which nothing was heard. A node that
+	// membership calls gone loses its connection sooner.
+	idleTimeout = 12 * time.Second
 	// keepAlive is the pause after which a connection is tested.
-	keepAlive = 3 * time.Second
+	keepAlive = 5 * time.Second
 	// dialTimeout bounds the opening of a connection.
 	dialTimeout = 2 * time.Second
 	// maxStreams bounds the calls that one peer may have open.
--- a/node/server/control.go
+++ b/node/server/control.go
@@ -8,7 +8,8 @@
 
 const (
 	// controlPause is the longest time between two looks of the control duty.
-	controlPause = 100 * time.Millisecond
+	// Each call looks again itself right before it starts.
+	controlPause = 250 * time.Millisecond
 	// expirePause is the time between looks for expired request keys.
 	expirePause = time.Second
 )
@@ -19,6 +20,8 @@
 	timer := time.NewTicker(controlPause)
 	defer timer.Stop()
 	expired := time.Now()
+	fresh := false
+	s.owner.SetFresh(fresh)
 	for {
 		select {
 		case <-s.ctx.Done():
@@ -27,7 +30,10 @@
 		case <-s.judge.wake:
 		}
 		now := time.Now()
-		s.owner.SetFresh(s.judge.fresh())
+		if next := s.judge.fresh(); next != fresh {
+			fresh = next
+			s.owner.SetFresh(fresh)
+		}
 		if s.configuration.watching.Load() {
 			s.speak(now)
 		}
--- a/node/server/fleet.go
+++ b/node/server/fleet.go
@@ -106,7 +106,7 @@
 }
 
 // probePause is the time between looks for owners to probe.
-const probePause = 20 * time.Millisecond
+const probePause = 100 * time.Millisecond
 
 // probeTimeout bounds one probe.
 const probeTimeout = time.Second
--- a/node/server/server.go
+++ b/node/server/server.go
@@ -182,7 +182,7 @@
 		Placement: placement.Options{
 			Policy: placement.Policy(s.settings.Placement.Policy), Self: s.self,
 			Domain: s.settings.Node.FailureDomain, Region: s.settings.Node.Region,
-			Seed: uint64(s.incarnation), MaxPeers: s.settings.Limits.PeerConnections,
+			Seed: uint64(s.incarnation), MaxPeers: s.settings.Limits.PeerConnections / 2,
 		},
 	}
 }
--- a/node/static/static.go
+++ b/node/static/static.go
@@ -94,7 +94,8 @@
 	CallerConnections int `json:"caller_connections"`
 	// Calls bounds the calls under way at this entry; default 512.
 	Calls int `json:"calls"`
-	// PeerConnections bounds the connections to other nodes; default 512.
+	// PeerConnections bounds the connections with other nodes, whichever end
+	// opened them; default 256. This entry opens up to half of them.
 	PeerConnections int `json:"peer_connections"`
 }
 
@@ -133,7 +134,7 @@
 	defaultBodyBytes         = 10 << 20
 	defaultCallerConnections = 1024
 	defaultCalls             = 512
-	defaultPeerConnections   = 512
+	defaultPeerConnections   = 256
 	defaultStopTimeoutMs     = 30000
 	defaultSample            = 0.01
 )
