Decode what comes from other processes by one strict decoder

Change: policy/strictcbor makes the decoders; beacons and tokens use one too. Conclusion: one place says what a foreign message may contain.

--- a/node/peer/message.go
+++ b/node/peer/message.go
@@ -13,6 +13,7 @@
 
 	"zinniafall/policy/model"
 	"zinniafall/policy/problem"
+	"zinniafall/policy/strictcbor"
 )
 
 // Kind tells what a stream asks of the node at its other end.
@@ -97,7 +98,7 @@
 
 var (
 	encodeMode = mustEncMode()
-	decodeMode = mustDecMode()
+	decodeMode = strictcbor.Decoder(strictcbor.Limits{Elements: maxHeadFields, Pairs: maxHeadFields})
 
 	// frames holds the buffers of messages that are being written or read.
 	frames = sync.Pool{New: func() any { return new(bytes.Buffer) }}
@@ -126,19 +127,6 @@
 	return mode
 }
 
-func mustDecMode() cbor.DecMode {
-	mode, err := cbor.DecOptions{
-		MaxArrayElements: maxHeadFields,
-		MaxMapPairs:      maxHeadFields,
-		MaxNestedLevels:  6,
-		DupMapKey:        cbor.DupMapKeyEnforcedAPF,
-	}.DecMode()
-	if err != nil {
-		panic(err)
-	}
-	return mode
-}
-
 // writeFrame writes one length-prefixed message in a single write.
 func writeFrame(w io.Writer, message any) error {
 	frame := getFrame()
--- a/node/server/judge.go
+++ b/node/server/judge.go
@@ -9,8 +9,12 @@
 	"zinniafall/policy/freshness"
 	"zinniafall/policy/membership"
 	"zinniafall/policy/model"
+	"zinniafall/policy/strictcbor"
 )
 
+// beaconDecoder reads beacons of other nodes.
+var beaconDecoder = strictcbor.Decoder(strictcbor.Limits{Pairs: 16})
+
 // judge shares the decision whether this node's view is recent enough.
 type judge struct {
 	// wake tells the control duty that the standing may have changed.
@@ -44,7 +48,7 @@
 // beacon takes in a watcher's beacon.
 func (j *judge) beacon(message membership.Delivered) (freshness.Beacon, bool) {
 	var b freshness.Beacon
-	if err := cbor.Unmarshal(message.Payload, &b); err != nil {
+	if err := beaconDecoder.Unmarshal(message.Payload, &b); err != nil {
 		malformedFloods.Inc()
 		return b, false
 	}
--- a/policy/callkey/handover.go
+++ b/policy/callkey/handover.go
@@ -10,6 +10,7 @@
 
 	"zinniafall/policy/model"
 	"zinniafall/policy/problem"
+	"zinniafall/policy/strictcbor"
 )
 
 // Handover is what an issuer leaves behind at a planned stop: the record of
@@ -86,22 +87,7 @@
 // ErrHandover reports bytes that are not a Handover, or one over the limits.
 var ErrHandover = errors.New("not a record of request keys; resends under these keys are answered as unknown")
 
-var handoverDecoding = mustHandoverMode()
-
-func mustHandoverMode() cbor.DecMode {
-	mode, err := cbor.DecOptions{
-		MaxNestedLevels:  8,
-		MaxArrayElements: maxRecords,
-		MaxMapPairs:      1024,
-		DupMapKey:        cbor.DupMapKeyEnforcedAPF,
-		IndefLength:      cbor.IndefLengthForbidden,
-		TagsMd:           cbor.TagsForbidden,
-	}.DecMode()
-	if err != nil {
-		panic(err)
-	}
-	return mode
-}
+var handoverDecoding = strictcbor.Decoder(strictcbor.Limits{Elements: maxRecords, Pairs: 1024})
 
 // Encode returns the record as bytes.
 func (h Handover) Encode() ([]byte, error) { return cbor.Marshal(h) }
--- a/policy/callkey/key.go
+++ b/policy/callkey/key.go
@@ -12,6 +12,7 @@
 
 	"zinniafall/policy/model"
 	"zinniafall/policy/problem"
+	"zinniafall/policy/strictcbor"
 )
 
 const (
@@ -77,23 +78,9 @@
 
 var (
 	textEncoding = base64.RawURLEncoding.Strict()
-	decoding     = mustDecMode()
+	decoding     = strictcbor.Decoder(strictcbor.Limits{Nesting: 4, Elements: 16, Pairs: 16})
 )
 
-func mustDecMode() cbor.DecMode {
-	mode, err := cbor.DecOptions{
-		MaxNestedLevels:  4,
-		MaxArrayElements: 16,
-		MaxMapPairs:      16,
-		IndefLength:      cbor.IndefLengthForbidden,
-		TagsMd:           cbor.TagsForbidden,
-	}.DecMode()
-	if err != nil {
-		panic(err)
-	}
-	return mode
-}
-
 // sign returns the text form of a key.
 func sign(p Parsed, secret Secret) (string, error) {
 	raw, err := cbor.Marshal(body{
--- a/policy/calltoken/calltoken.go
+++ b/policy/calltoken/calltoken.go
@@ -16,6 +16,7 @@
 
 	"zinniafall/policy/model"
 	"zinniafall/policy/problem"
+	"zinniafall/policy/strictcbor"
 )
 
 const (
@@ -30,6 +31,9 @@
 	maxTokenBytes = 512
 )
 
+// decoder reads tokens.
+var decoder = strictcbor.Decoder(strictcbor.Limits{Nesting: 4, Pairs: 16})
+
 // Token is what a call passes to the calls nested in it.
 type Token struct {
 	Account model.Account `cbor:"1,keyasint"`
@@ -80,7 +84,7 @@
 	if !s.authentic(raw, sum) {
 		return t, refuse("the call token is not of this fleet")
 	}
-	if err := cbor.Unmarshal(raw, &t); err != nil {
+	if err := decoder.Unmarshal(raw, &t); err != nil {
 		return t, refuse("the call token is malformed")
 	}
 	if now.Add(-clockTolerance).UnixMilli() > t.Expires {
--- a/policy/config/head.go
+++ b/policy/config/head.go
@@ -10,6 +10,7 @@
 	"github.com/fxamacker/cbor/v2"
 
 	"zinniafall/policy/model"
+	"zinniafall/policy/strictcbor"
 )
 
 const (
@@ -119,16 +120,7 @@
 }
 
 // decoding bounds what a decoder takes from the network or the store.
-var decoding = func() cbor.DecMode {
-	mode, err := cbor.DecOptions{
-		DupMapKey: cbor.DupMapKeyEnforcedAPF, IndefLength: cbor.IndefLengthForbidden,
-		ExtraReturnErrors: cbor.ExtraDecErrorUnknownField, MaxNestedLevels: 8,
-	}.DecMode()
-	if err != nil {
-		panic(err)
-	}
-	return mode
-}()
+var decoding = strictcbor.Decoder(strictcbor.Limits{KnownFields: true})
 
 // Encode returns the value to write at HeadKey.
 func (h *Head) Encode() ([]byte, error) {
--- a/policy/membership/wire.go
+++ b/policy/membership/wire.go
@@ -7,6 +7,7 @@
 	"github.com/fxamacker/cbor/v2"
 
 	"zinniafall/policy/model"
+	"zinniafall/policy/strictcbor"
 )
 
 // ErrMalformed reports a packet that no View sends. The sender runs another
@@ -95,22 +96,7 @@
 	Nodes  []uint32       `cbor:"3,keyasint"`
 }
 
-var decoder = mustDecoder()
-
-func mustDecoder() cbor.DecMode {
-	mode, err := cbor.DecOptions{
-		DupMapKey:        cbor.DupMapKeyEnforcedAPF,
-		IndefLength:      cbor.IndefLengthForbidden,
-		TagsMd:           cbor.TagsForbidden,
-		MaxNestedLevels:  8,
-		MaxArrayElements: MaxPacket,
-		MaxMapPairs:      32,
-	}.DecMode()
-	if err != nil {
-		panic(err)
-	}
-	return mode
-}
+var decoder = strictcbor.Decoder(strictcbor.Limits{Elements: MaxPacket, Pairs: 32})
 
 func decode(payload []byte) (*packet, error) {
 	if len(payload) > MaxPacket {
--- a/policy/quarantine/notice.go
+++ b/policy/quarantine/notice.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
+
+	"zinniafall/policy/strictcbor"
 )
 
 // Notice tells other nodes of a crash or of a clearing. Applying it twice, or
@@ -36,22 +38,7 @@
 // ErrNotice reports bytes that are not a notice.
 var ErrNotice = errors.New("not a quarantine notice; check that all nodes run the same version")
 
-var decoding = mustDecMode()
-
-func mustDecMode() cbor.DecMode {
-	mode, err := cbor.DecOptions{
-		MaxNestedLevels:  4,
-		MaxArrayElements: maxStruck,
-		MaxMapPairs:      16,
-		DupMapKey:        cbor.DupMapKeyEnforcedAPF,
-		IndefLength:      cbor.IndefLengthForbidden,
-		TagsMd:           cbor.TagsForbidden,
-	}.DecMode()
-	if err != nil {
-		panic(err)
-	}
-	return mode
-}
+var decoding = strictcbor.Decoder(strictcbor.Limits{Nesting: 4, Elements: maxStruck, Pairs: 16})
 
 // Encode returns the notice as bytes.
 func (n Notice) Encode() ([]byte, error) { return cbor.Marshal(n) }
