Bind callers' own keys through the platform's store

Cause: an Idempotency-Key that a caller made meant nothing to the system, so that a resend through another node ran the call again.

Change: a version 7 UUID on a call that may not run more than once is bound to an issued key in the store, and the call goes on under that. A body that is too long for a key is refused with an unknown run.

Conclusion: two sendings through two nodes run once, also when the store's answer was lost; while the store is down, or the key is out of its window, nothing runs (TestCallersOwnKeyRunsOnce). Without the binding the first case runs twice.

--- a/node/entry/budget.go
+++ b/node/entry/budget.go
@@ -45,6 +45,7 @@
 
 // SetEntries divides what all entries together may spend by their number.
 func (e *Entry) SetEntries(entries int) {
+	e.binder.setMembers(entries)
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.entries = entries
--- a/node/entry/entry.go
+++ b/node/entry/entry.go
@@ -63,8 +63,10 @@
 	// Present reports whether the process is a member at the address.
 	Present func(model.NodeAddr, model.ProcessID) bool
 	Tokens  *calltoken.Sealer
-	Keys    []callkey.Secret
-	Limits  Limits
+	// Bindings keeps callers' own keys.
+	Bindings Bindings
+	Keys     []callkey.Secret
+	Limits   Limits
 	// Placement tunes the choice of targets.
 	Placement placement.Options
 	// Retry tunes further attempts.
@@ -76,6 +78,7 @@
 	opts   Options
 	calls  atomic.Int64
 	issuer *issuer
+	binder *binder
 
 	mu      sync.Mutex
 	placer  *placement.Placer
@@ -94,6 +97,7 @@
 		budgets: make(map[model.Service]*serviceBudget),
 		owners:  make(map[model.Service]isolation),
 		issuer:  newIssuer(opts),
+		binder:  newBinder(opts.Bindings),
 		limits:  newAccountLimits(),
 	}
 }
--- a/node/entry/ingress.go
+++ b/node/entry/ingress.go
@@ -78,7 +78,7 @@
 // a request key an earlier sending may have run through another node, which
 // only the key's issuer can tell.
 func knownHere(r *http.Request, refusal *problem.Error) *problem.Error {
-	if r.Header.Get(HeaderRequestKey) == "" {
+	if r.Header.Get(HeaderRequestKey) == "" && callerKey(r) == "" {
 		return refusal
 	}
 	known := *refusal
@@ -117,6 +117,9 @@
 	if request.Key != "" {
 		return e.keyed(ctx, request)
 	}
+	if key := callerKey(r); key != "" && !request.Idempotent {
+		return e.bound(ctx, request, key)
+	}
 	number, _ := r.Context().Value(connectionKey{}).(uint64)
 	return e.place(ctx, request, b, number)
 }
--- a/node/entry/keyed.go
+++ b/node/entry/keyed.go
@@ -71,7 +71,7 @@
 // keyed carries a keyed call to the process that issued its key.
 func (e *Entry) keyed(ctx context.Context, request *peer.Request) *execute.Reply {
 	if !request.Inline {
-		return execute.Refuse(problem.New(problem.BodyTooLarge, model.RunNo, "a request under a key has at most 65536 bytes of body"))
+		return execute.Refuse(longKeyedBody())
 	}
 	key, refusal := callkey.Parse(request.Key, e.opts.Keys)
 	if refusal != nil {
@@ -83,6 +83,12 @@
 	return e.carry(ctx, request, key)
 }
 
+// longKeyedBody is unknown, since the same payment may have been sent in a
+// shorter encoding before.
+func longKeyedBody() *problem.Error {
+	return problem.New(problem.BodyTooLarge, model.RunUnknown, "a request under a key has at most 65536 bytes of body")
+}
+
 // ServeKeyed decides on a call whose key this process may have issued.
 func (e *Entry) ServeKeyed(ctx context.Context, request *peer.Request) *execute.Reply {
 	claimed := callkey.Request{Key: request.Key, Account: request.Account, Fingerprint: keyFingerprint(request)}
--- a/node/server/configuration.go
+++ b/node/server/configuration.go
@@ -39,6 +39,7 @@
 type configurationDuty struct {
 	server  *Server
 	applier *configuration.Applier
+	store   *platform.Client
 	cancel  context.CancelFunc
 	done    chan struct{}
 	// watching is true while this node is one of its domain's watchers.
@@ -50,8 +51,9 @@
 
 func newConfigurationDuty(s *Server) *configurationDuty {
 	d := &configurationDuty{server: s, changed: make(chan struct{}), done: make(chan struct{})}
+	d.store = platform.New(platform.Options{URL: s.settings.Store.URL, Seed: uint64(s.incarnation)})
 	d.applier = configuration.New(configuration.Options{
-		Store:   platform.New(platform.Options{URL: s.settings.Store.URL, Seed: uint64(s.incarnation)}),
+		Store:   d.store,
 		Peers:   d,
 		OnApply: d.applied,
 		OnPoll:  d.polled,
--- a/node/server/keyed_test.go
+++ b/node/server/keyed_test.go
@@ -2,12 +2,15 @@
 
 import (
 	"context"
+	"io"
 	"net/http"
 	"sync"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	qt "github.com/frankban/quicktest"
+	"github.com/google/uuid"
 
 	"zinniafall/node/peer"
 	"zinniafall/policy/model"
@@ -181,3 +184,78 @@
 	qt.Assert(t, g.body, qt.Equals, "POST /pay fee")
 	qt.Assert(t, runs.Load(), qt.Equals, int64(1))
 }
+
+// ownKey makes a key as callers do, so long ago.
+func ownKey(t testing.TB, age time.Duration) string {
+	id, err := uuid.NewV7()
+	qt.Assert(t, err, qt.IsNil)
+	ms := uint64(time.Now().Add(-age).UnixMilli())
+	for i := range 6 {
+		id[i] = byte(ms >> (8 * (5 - i)))
+	}
+	return id.String()
+}
+
+func TestCallersOwnKeyRunsOnce(t *testing.T) {
+	cases := []struct {
+		name string
+		age  time.Duration
+		// before and after happen before each of the two sendings.
+		before, after func(*testFleet)
+		// first and second are the kinds and runs that the caller is told.
+		first, second string
+		runs          int64
+	}{
+		{"through two nodes", 0, nil, nil, " yes", " yes", 1},
+		{"lost answer of the store", 0, func(f *testFleet) { f.store.LoseAnswers(1) }, nil, " yes", " yes", 1},
+		{"store down", 0, func(f *testFleet) { f.store.Down(true) }, nil, "store-unavailable unknown", "store-unavailable unknown", 0},
+		{"store down after a run", 0, nil, func(f *testFleet) { f.store.Down(true) }, " yes", "store-unavailable unknown", 1},
+		{"too old", 20 * time.Minute, nil, nil, "key-expired unknown", "key-expired unknown", 0},
+		{"from the future", -20 * time.Minute, nil, nil, "key-invalid unknown", "key-invalid unknown", 0},
+		{"write budget spent", 0, func(f *testFleet) { f.spendBindings(0) }, nil, "claim-budget-spent no", " yes", 1},
+		{"write budget spent after a run", 0, nil, func(f *testFleet) { f.spendBindings(1) }, " yes", " yes", 1},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			var runs atomic.Int64
+			f := newTestFleet(t)
+			for range 2 {
+				f.add("a", func(w http.ResponseWriter, r *http.Request) {
+					if r.URL.Path == mainPath {
+						runs.Add(1)
+					}
+					_, _ = io.WriteString(w, r.Header.Get("Idempotency-Key"))
+				})
+			}
+			f.ready()
+			key := ownKey(t, c.age)
+			for i, step := range []struct {
+				fault func(*testFleet)
+				told  string
+			}{{c.before, c.first}, {c.after, c.second}} {
+				if step.fault != nil {
+					step.fault(f)
+				}
+				g := f.cells[i].call(ask{method: "POST", path: mainPath, body: "fee", header: http.Header{"Idempotency-Key": {key}}})
+				qt.Assert(t, g.kind+" "+g.run, qt.Equals, step.told)
+				if g.kind == "" {
+					qt.Assert(t, g.body, qt.Equals, key)
+				}
+			}
+			qt.Assert(t, runs.Load(), qt.Equals, c.runs)
+		})
+	}
+}
+
+// spendBindings leaves a node no writes for callers' own keys.
+func (f *testFleet) spendBindings(node int) {
+	f.cells[node].entry.SetEntries(1 << 30)
+	for range 100 {
+		g := f.cells[node].call(ask{method: "POST", path: "/spend", header: http.Header{"Idempotency-Key": {ownKey(f.t, 0)}}})
+		if g.kind == "claim-budget-spent" {
+			return
+		}
+		qt.Assert(f.t, g.kind, qt.Equals, "")
+	}
+	f.t.Fatal("the budget was not spent")
+}
