--- a/node/server/server.go
+++ b/node/server/server.go
@@ -182,7 +182,7 @@
 		Placement: placement.Options{
 			Policy: placement.Policy(s.settings.Placement.Policy), Self: s.self,
 			Domain: s.settings.Node.FailureDomain, Region: s.settings.Node.Region,
-			Seed: uint64(s.incarnation), MaxPeers: s.settings.Limits.PeerConnections,
+			Seed: uint64(s.incarnation), MaxPeers: s.settings.Limits.PeerConnections / 2,
 		},
 	}
 }
@@ -207,12 +207,13 @@
 			Process: s.process, Incarnation: s.incarnation,
 			Domain: s.settings.Node.FailureDomain, Region: s.settings.Node.Region,
 		},
-		Contacts: s.settings.Peers.Known, Transport: s.control,
+		Contacts: s.firstContacts(), Transport: s.control,
 		OnFlood: s.flooded, OnChange: s.membersChanged, OnPause: s.judge.poke, OnSuperseded: s.superseded,
 	})
 	s.configuration.start()
 	s.goDuty(s.controlDuty)
 	s.goDuty(s.probeDuty)
+	s.goDuty(s.contactsDuty)
 	s.goDuty(s.measureDuty)
 	s.serveHTTP()
 }
