--- a/node/server/configuration.go
+++ b/node/server/configuration.go
@@ -38,7 +38,6 @@
 // by all.
 type configurationDuty struct {
 	server  *Server
-	store   platform.Store
 	applier *configuration.Applier
 	store   *platform.Client
 	cancel  context.CancelFunc
