--- a/node/server/configuration.go
+++ b/node/server/configuration.go
@@ -38,8 +38,8 @@
 // by all.
 type configurationDuty struct {
 	server  *Server
-	store   platform.Store
 	applier *configuration.Applier
+	store   *platform.Client
 	cancel  context.CancelFunc
 	done    chan struct{}
 	// watching is true while this node is one of its domain's watchers.
