--- a/demo/absence.go
+++ b/demo/absence.go
@@ -9,6 +9,8 @@
 	// fullShare is the part of its share before the absence at which the
 	// returned domain counts as carrying its full share again.
 	fullShare = 0.9
+	// endWindow is the time before the end over which the last share is taken.
+	endWindow = 2 * time.Second
 	// minWindowCalls is the number of calls below which a window says nothing
 	// about shares.
 	minWindowCalls = 50
@@ -31,6 +33,8 @@
 	After  Phase `json:"after"`
 	// ShareBefore is the domain's share of all starts of calls before.
 	ShareBefore float64 `json:"share_before"`
+	// ShareAtEnd is the domain's share in the run's last two seconds.
+	ShareAtEnd float64 `json:"share_at_end"`
 	// FullShareMs is the time from the command that brings the domain back to
 	// the end of the first half second in which it got 90% of ShareBefore, in
 	// milliseconds; nil when the run did not see it.
@@ -45,6 +49,10 @@
 		After:       phaseOf(l.records, s.inAt, time.Time{}),
 		ShareBefore: shareBetween(samples, s.recoveredAt, s.outAt),
 	}
+	if len(samples) > 0 {
+		end := samples[len(samples)-1].at
+		r.Absence.ShareAtEnd = shareBetween(samples, end.Add(-endWindow), end)
+	}
 	if back, ok := fullShareAfter(samples, s.inAt, r.Absence.ShareBefore); ok {
 		ms := float64(back.Microseconds()) / 1000
 		r.Absence.FullShareMs = &ms
--- a/demo/table.go
+++ b/demo/table.go
@@ -69,6 +69,7 @@
 	for _, p := range phases {
 		row("domain "+p.name, fmt.Sprintf("%d calls, %d failed, p50 %.1f ms, p99 %.1f ms", p.Calls, p.Failed, p.P50, p.P99))
 	}
+	row("domain's share before, at the end", fmt.Sprintf("%.3f, %.3f", a.ShareBefore, a.ShareAtEnd))
 	if a.FullShareMs == nil {
 		row("full share again", "not seen in this run")
 		return
