Use one rate limiter for accounts and start test nodes on free ports

Cause: the entry had a rate limiter of its own beside policy/ratelimit; a port that was found free could be taken before the node listened on it, which failed one cell of the matrix once; a probe raced with the end of a replaced process. Change: the entry uses policy/ratelimit; test nodes listen on port 0 behind their relays; the peer test waits until the old connection is gone. Conclusion: no test picks a port ahead.

--- a/node/entry/entry.go
+++ b/node/entry/entry.go
@@ -19,6 +19,7 @@
 	"zinniafall/policy/placement"
 	"zinniafall/policy/problem"
 	"zinniafall/policy/quarantine"
+	"zinniafall/policy/ratelimit"
 	"zinniafall/policy/retry"
 	"zinniafall/policy/settings"
 )
@@ -84,7 +85,7 @@
 	placer  *placement.Placer
 	budgets map[model.Service]*serviceBudget
 	owners  map[model.Service]isolation
-	limits  accountLimits
+	limits  *ratelimit.Accounts
 	// entries is the number of nodes that share the budgets; 0 while unknown.
 	entries int
 }
@@ -98,7 +99,7 @@
 		owners:  make(map[model.Service]isolation),
 		issuer:  newIssuer(opts),
 		binder:  newBinder(opts.Bindings),
-		limits:  newAccountLimits(),
+		limits:  ratelimit.NewAccounts(ratelimit.Options{}),
 	}
 }
 
--- a/node/entry/ingress.go
+++ b/node/entry/ingress.go
@@ -99,12 +99,6 @@
 	return calltoken.Token{Account: account, Allowance: retry.NoAllowance}, nil
 }
 
-func (e *Entry) limit(snapshot *settings.Snapshot, account model.Account) *problem.Error {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	return e.limits.admit(time.Now(), account, snapshot.Accounts[account])
-}
-
 func (e *Entry) serveCall(ctx context.Context, snapshot *settings.Snapshot, caller calltoken.Token, r *http.Request) *execute.Reply {
 	request, refusal := newRequest(snapshot, caller, r)
 	if refusal != nil {
--- a/node/peer/peer_test.go
+++ b/node/peer/peer_test.go
@@ -240,6 +240,9 @@
 		qt.Assert(t, probe(), qt.IsNil)
 		other.Close()
 		qt.Assert(t, probe(), qt.IsNotNil)
+		for transport.Connections() > 0 {
+			time.Sleep(time.Millisecond)
+		}
 	}
 }
 
--- a/node/server/fixture_test.go
+++ b/node/server/fixture_test.go
@@ -79,10 +79,11 @@
 // add starts a node in the failure domain; the handler is its target's, nil
 // for a node whose target is absent.
 func (f *testFleet) add(domain string, handler http.HandlerFunc) *cell {
-	settings := f.settings(domain)
-	node, err := Start(settings)
+	relay := startRelay(f.t, f.links)
+	node, err := Start(f.settings(domain, relay.conn.LocalAddr()))
 	qt.Assert(f.t, err, qt.IsNil)
-	c := &cell{Server: node, url: "http://" + node.CallerAddr(), socket: settings.Peers.Listen}
+	relay.serve(f.t, node.transport.Addr())
+	c := &cell{Server: node, url: "http://" + node.CallerAddr(), socket: node.transport.Addr()}
 	f.t.Cleanup(node.Kill)
 	f.cells = append(f.cells, c)
 	if handler != nil {
@@ -93,11 +94,7 @@
 	return c
 }
 
-func (f *testFleet) settings(domain string) *static.Settings {
-	conn, err := net.ListenPacket("udp", "127.0.0.1:0")
-	qt.Assert(f.t, err, qt.IsNil)
-	_ = conn.Close()
-	relay := startRelay(f.t, f.links, conn.LocalAddr().String())
+func (f *testFleet) settings(domain string, advertise net.Addr) *static.Settings {
 	known := "[]"
 	if len(f.cells) > 0 {
 		known = fmt.Sprintf("[%q]", f.cells[0].Node())
@@ -105,12 +102,12 @@
 	parsed, err := static.Parse([]byte(fmt.Sprintf(`{
 		"node": {"failure_domain": %q, "region": "test"},
 		"callers": {"listen": "127.0.0.1:0"},
-		"peers": {"listen": %q, "advertise": %q, "known": %s},
+		"peers": {"listen": "127.0.0.1:0", "advertise": %q, "known": %s},
 		"operators": {"listen": "127.0.0.1:0", "tokens": [{"name": "kim", "token_sha256": %q}]},
 		"target": {"listen": "127.0.0.1:0"},
 		"store": {"url": %q},
 		"fleet": {"secrets": [%q]}
-	}`, domain, conn.LocalAddr(), relay.conn.LocalAddr(), known, strings.Repeat("0", 64), f.store.URL(), f.secret)))
+	}`, domain, advertise, known, strings.Repeat("0", 64), f.store.URL(), f.secret)))
 	qt.Assert(f.t, err, qt.IsNil)
 	return parsed
 }
--- a/node/server/relay_test.go
+++ b/node/server/relay_test.go
@@ -3,6 +3,7 @@
 import (
 	"net"
 	"sync"
+	"sync/atomic"
 	"testing"
 
 	qt "github.com/frankban/quicktest"
@@ -61,7 +62,9 @@
 type relay struct {
 	links  *links
 	conn   *net.UDPConn
-	target *net.UDPAddr
+	// target is the node's socket; packets that come before it is known are
+	// dropped.
+	target atomic.Pointer[net.UDPAddr]
 
 	mu    sync.Mutex
 	flows map[string]*net.UDPConn
@@ -69,18 +72,23 @@
 	wait  sync.WaitGroup
 }
 
-func startRelay(t testing.TB, l *links, target string) *relay {
-	addr, err := net.ResolveUDPAddr("udp", target)
-	qt.Assert(t, err, qt.IsNil)
+func startRelay(t testing.TB, l *links) *relay {
 	conn, err := net.ListenUDP("udp", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
 	qt.Assert(t, err, qt.IsNil)
-	r := &relay{links: l, conn: conn, target: addr, flows: make(map[string]*net.UDPConn)}
+	r := &relay{links: l, conn: conn, flows: make(map[string]*net.UDPConn)}
 	r.wait.Add(1)
 	go r.forward()
 	t.Cleanup(r.close)
 	return r
 }
 
+// serve names the node's socket.
+func (r *relay) serve(t testing.TB, socket string) {
+	addr, err := net.ResolveUDPAddr("udp", socket)
+	qt.Assert(t, err, qt.IsNil)
+	r.target.Store(addr)
+}
+
 func (r *relay) close() {
 	r.mu.Lock()
 	r.ended = true
@@ -100,7 +108,7 @@
 		if err != nil {
 			return
 		}
-		if flow := r.flow(from); flow != nil && r.links.pass(from.String(), r.target.String()) {
+		if flow := r.flow(from); flow != nil && r.links.pass(from.String(), r.target.Load().String()) {
 			_, _ = flow.Write(buffer[:n])
 		}
 	}
@@ -110,10 +118,11 @@
 func (r *relay) flow(from *net.UDPAddr) *net.UDPConn {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if flow := r.flows[from.String()]; flow != nil || r.ended {
+	target := r.target.Load()
+	if flow := r.flows[from.String()]; flow != nil || r.ended || target == nil {
 		return flow
 	}
-	flow, err := net.DialUDP("udp", nil, r.target)
+	flow, err := net.DialUDP("udp", nil, target)
 	if err != nil {
 		return nil
 	}
@@ -131,7 +140,7 @@
 		if err != nil {
 			return
 		}
-		if r.links.pass(to.String(), r.target.String()) {
+		if r.links.pass(to.String(), r.target.Load().String()) {
 			_, _ = r.conn.WriteToUDP(buffer[:n], to)
 		}
 	}
