Let cold targets prove themselves, fade old slowness, and start in order

A target that had been slow kept its old service time for ever once nobody called it. A control message that came before the overlay stood killed the process. Spans of the owner were not under the entry's. Change: reports leave out calls that have ended; a service time fades without completions; placement gives a cold target with room the share of its limit as trials; requests wait for the start and control messages before it are dropped; the trace context crosses the hop. The demo's callers no longer let net/http send a GET twice, which counted as a false not-run.

--- a/demo/caller.go
+++ b/demo/caller.go
@@ -87,7 +87,8 @@
 	if c.kind != lookup {
 		method, body = http.MethodPost, "body of "+c.id
 	}
-	request, _ := http.NewRequest(method, base+"/things/"+c.id, strings.NewReader(body))
+	request, _ := http.NewRequest(method, base+"/things/"+c.id, onceBody{strings.NewReader(body)})
+	request.ContentLength = int64(len(body))
 	request.Header.Set(entry.HeaderAccountKey, c.account.key)
 	request.Header.Set(entry.HeaderService, c.service)
 	request.Header.Set(execute.HeaderTimeout, strconv.FormatInt(callTimeout.Milliseconds(), 10))
@@ -148,3 +149,11 @@
 		l.unknown.Add(1)
 	}
 }
+
+// onceBody hides the kind of a body from net/http, which would send a GET again
+// by itself when a kept connection closes; the run state of the second answer
+// says nothing of the first sending.
+type onceBody struct{ io.Reader }
+
+// Close does nothing.
+func (onceBody) Close() error { return nil }
--- a/node/owner/duty.go
+++ b/node/owner/duty.go
@@ -39,6 +39,7 @@
 }
 
 func (e *finishEvent) apply(d *duty, now time.Time) []admission.Release {
+	d.ended++
 	return d.decisions.Finish(now, e.ticket, e.outcome)
 }
 
@@ -85,6 +86,8 @@
 	decisions *admission.Owner
 	waiting   map[admission.Ticket]chan admission.Release
 	state     model.TargetState
+	// ended counts the finished calls since the last publication.
+	ended int
 }
 
 func (d *duty) run() {
@@ -125,6 +128,9 @@
 	d.owner.mu.Lock()
 	report.Sequence = d.owner.report.Sequence
 	d.owner.report = report
+	d.owner.completed = d.decisions.LastCompleted()
+	d.owner.ending -= d.ended
+	d.ended = 0
 	d.owner.mu.Unlock()
 	if report.State != d.state {
 		d.state = report.State
--- a/node/owner/owner.go
+++ b/node/owner/owner.go
@@ -50,6 +50,11 @@
 
 	mu     sync.Mutex
 	report model.Report
+	// completed is the time of the target's last completion.
+	completed time.Time
+	// ending counts the calls that have ended and that the duty has not
+	// counted out yet.
+	ending int
 }
 
 // Start runs the duty until Stop.
@@ -75,7 +80,12 @@
 	o.mu.Lock()
 	o.report.Sequence++
 	report := o.report
+	ending, completed := o.ending, o.completed
 	o.mu.Unlock()
+	report.InFlight -= uint16(min(ending, int(report.InFlight)))
+	if !completed.IsZero() {
+		report.ServiceTime = admission.Fade(report.ServiceTime, time.Since(completed))
+	}
 	report.Revision = o.opts.Revision()
 	return report
 }
@@ -93,8 +103,12 @@
 	ticket admission.Ticket
 }
 
-// Finish gives the slot back.
+// Finish gives the slot back. A report that is made from now on does not count
+// the call any more.
 func (r *Running) Finish(outcome admission.Outcome) {
+	r.owner.mu.Lock()
+	r.owner.ending++
+	r.owner.mu.Unlock()
 	r.owner.send(&finishEvent{ticket: r.ticket, outcome: outcome})
 }
 
--- a/node/peer/message.go
+++ b/node/peer/message.go
@@ -78,6 +78,8 @@
 	Fingerprint [16]byte `cbor:"18,keyasint,omitempty"`
 	// Notices are the encoded quarantine notices that concern the request.
 	Notices [][]byte `cbor:"19,keyasint,omitempty"`
+	// Trace is the sender's span as the text of a traceparent header.
+	Trace string `cbor:"20,keyasint,omitempty"`
 }
 
 // Answer opens the way back. An interim answer, Admitted, tells the sender to
--- a/node/server/controlchannel.go
+++ b/node/server/controlchannel.go
@@ -57,8 +57,12 @@
 	}
 }
 
-// Control takes a control message of another node.
+// Control takes a control message of another node. One that comes before the
+// node has started is dropped; its sender repeats what matters.
 func (s *Server) Control(from model.NodeAddr, payload []byte) {
+	if !s.isStarted() {
+		return
+	}
 	if len(payload) == 0 {
 		malformedFloods.Inc()
 		return
--- a/node/server/path_test.go
+++ b/node/server/path_test.go
@@ -369,3 +369,13 @@
 	f.eventually(func() bool { return other.Targets() == 1 && owner.Targets() == 1 })
 	f.eventually(func() bool { return other.call(ask{method: "GET", path: "/"}).status == http.StatusOK })
 }
+
+// TestMessagesBeforeTheStartAreDropped sends a control message to a node whose
+// parts do not stand yet.
+func TestMessagesBeforeTheStartAreDropped(t *testing.T) {
+	s := &Server{started: make(chan struct{})}
+	s.Control("127.0.0.1:1", []byte{byte(tagOverlay), 0})
+	s.Control("127.0.0.1:1", append([]byte{byte(tagRevision)}, encodeRevision(2)...))
+	s.Unreachable("127.0.0.1:1")
+	qt.Assert(t, s.isStarted(), qt.IsFalse)
+}
--- a/node/server/peers.go
+++ b/node/server/peers.go
@@ -12,6 +12,11 @@
 
 // ServeRequest answers what another node asks.
 func (s *Server) ServeRequest(ctx context.Context, from model.NodeAddr, stream *peer.Stream) {
+	select {
+	case <-s.started:
+	case <-ctx.Done():
+		return
+	}
 	s.served.Add(1)
 	defer s.served.Add(-1)
 	switch stream.Request.Kind {
@@ -51,4 +56,18 @@
 }
 
 // Unreachable is told of a node that could not be connected.
-func (s *Server) Unreachable(node model.NodeAddr) { s.overlay.Unreachable(node) }
+func (s *Server) Unreachable(node model.NodeAddr) {
+	if s.isStarted() {
+		s.overlay.Unreachable(node)
+	}
+}
+
+// isStarted reports whether all parts stand.
+func (s *Server) isStarted() bool {
+	select {
+	case <-s.started:
+		return true
+	default:
+		return false
+	}
+}
--- a/node/server/relay_test.go
+++ b/node/server/relay_test.go
@@ -60,8 +60,8 @@
 
 // relay forwards packets to one node's socket and back.
 type relay struct {
-	links  *links
-	conn   *net.UDPConn
+	links *links
+	conn  *net.UDPConn
 	// target is the node's socket; packets that come before it is known are
 	// dropped.
 	target atomic.Pointer[net.UDPAddr]
--- a/node/server/server.go
+++ b/node/server/server.go
@@ -59,6 +59,9 @@
 	operators *http.Server
 	listeners listeners
 
+	// started is closed when all parts stand; what other nodes ask before
+	// waits or is dropped.
+	started   chan struct{}
 	stopping  atomic.Bool
 	served    atomic.Int64
 	ctx       context.Context
@@ -79,7 +82,7 @@
 // Start brings a node up. It returns once the node listens; it takes calls
 // when it has a configuration.
 func Start(settings *static.Settings) (*Server, error) {
-	s := &Server{settings: settings, placedFor: make(map[model.Service]struct{}), target: newTargetHolder(), metrics: metrics.NewSet()}
+	s := &Server{settings: settings, placedFor: make(map[model.Service]struct{}), target: newTargetHolder(), metrics: metrics.NewSet(), started: make(chan struct{})}
 	if _, err := rand.Read(s.process[:]); err != nil {
 		return nil, oops.In("node").Wrap(err)
 	}
@@ -216,6 +219,7 @@
 	s.goDuty(s.contactsDuty)
 	s.goDuty(s.measureDuty)
 	s.serveHTTP()
+	close(s.started)
 }
 
 func (s *Server) goDuty(duty func()) {
--- a/node/trace/trace.go
+++ b/node/trace/trace.go
@@ -126,3 +126,26 @@
 		propagator.Inject(ctx, propagation.HeaderCarrier(header))
 	}
 }
+
+// Parent returns the context's span as the text of a traceparent header, empty
+// when tracing is off.
+func (t *Tracer) Parent(ctx context.Context) string {
+	if t.tracer == nil {
+		return ""
+	}
+	carrier := propagation.MapCarrier{}
+	propagator.Inject(ctx, carrier)
+	return carrier.Get(parentField)
+}
+
+// Under returns a context under the span that the text of a traceparent
+// header names.
+func (t *Tracer) Under(ctx context.Context, parent string) context.Context {
+	if t.tracer == nil || parent == "" {
+		return ctx
+	}
+	return propagator.Extract(ctx, propagation.MapCarrier{parentField: parent})
+}
+
+// parentField is the name of the W3C header.
+const parentField = "traceparent"
--- a/policy/admission/report.go
+++ b/policy/admission/report.go
@@ -22,6 +22,33 @@
 	}
 }
 
+const (
+	// fadeHalfLife is the time without a completion in which the reported
+	// service time halves.
+	fadeHalfLife = time.Second
+	// fadeFloor is the service time below which a faded one is unknown.
+	fadeFloor = 100 * time.Microsecond
+)
+
+// Fade returns the service time to report when the last completion is idle
+// ago. A target that was slow gets no calls, so that nothing would ever show
+// that it has recovered; fading lets entries try it again now and then. 0 means
+// that the service time is unknown.
+func Fade(service, idle time.Duration) time.Duration {
+	if idle <= fadeHalfLife {
+		return service
+	}
+	faded := time.Duration(float64(service) * math.Exp2(1-idle.Seconds()/fadeHalfLife.Seconds()))
+	if faded < fadeFloor {
+		return 0
+	}
+	return faded
+}
+
+// LastCompleted returns the time of the last completion, zero before the
+// first.
+func (o *Owner) LastCompleted() time.Time { return o.lastCompleted }
+
 // reportedState is the target's state as others should treat it.
 func (o *Owner) reportedState() model.TargetState {
 	if o.gates.stopping && o.State() != model.TargetAbsent {
--- /dev/null
+++ b/policy/admission/report_test.go
@@ -0,0 +1,28 @@
+package admission
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+func TestFade(t *testing.T) {
+	const service = 160 * time.Millisecond
+	cases := []struct {
+		name string
+		idle time.Duration
+		want time.Duration
+	}{
+		{"busy", 10 * time.Millisecond, service},
+		{"one half-life is no sign yet", fadeHalfLife, service},
+		{"halved", 2 * fadeHalfLife, service / 2},
+		{"an eighth", 4 * fadeHalfLife, service / 8},
+		{"unknown after long", time.Minute, 0},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			qt.Assert(t, Fade(service, c.idle), qt.Equals, c.want)
+		})
+	}
+}
--- a/policy/placement/choose.go
+++ b/policy/placement/choose.go
@@ -92,6 +92,11 @@
 	// used when there is no other candidate.
 	spare     *target
 	spareTime float64
+	// trial is a cold target that was not passed over and has room. It is
+	// taken whatever the others promise: a cold target proves itself by
+	// calls, and by its few slots it would lose every comparison with idle
+	// warm ones.
+	trial *target
 }
 
 // pickPredicted compares candidates of the own failure domain and of others.
@@ -99,7 +104,12 @@
 	s := search{at: at, query: q, bestTime: math.Inf(1), spareTime: math.Inf(1)}
 	near := max(p.options.Choices/2, p.options.Choices-len(svc.region))
 	lacking := p.draw(&s, svc.local, near)
-	p.draw(&s, svc.region, p.options.Choices-near+lacking)
+	if s.trial == nil {
+		p.draw(&s, svc.region, p.options.Choices-near+lacking)
+	}
+	if s.trial != nil {
+		return s.trial
+	}
 	if s.bestTime > float64(p.options.RegionRoundTrip) {
 		p.draw(&s, svc.far, p.options.Choices)
 	}
@@ -129,6 +139,10 @@
 			}
 			continue
 		}
+		if t.cold(s.at) && t.hasRoom(s.at) {
+			s.trial = t
+			return 0
+		}
 		n--
 		if predicted < s.bestTime {
 			s.best, s.bestTime = t, predicted
@@ -141,10 +155,9 @@
 // together offer it only the share of its limit, even when it wins each
 // comparison.
 func (p *Placer) passOver(t *target, at time.Duration) bool {
-	limit := t.limit(at)
 	slots := float64(max(t.Slots, 1))
 	draws := float64(p.options.Choices)
-	return limit < slots && p.random.Float64()*slots*draws >= limit
+	return t.cold(at) && p.random.Float64()*slots*draws >= t.limit(at)
 }
 
 // pickRandom is the baseline Random.
--- a/policy/placement/estimate.go
+++ b/policy/placement/estimate.go
@@ -212,6 +212,22 @@
 	return float64(max(t.Slots, 1))
 }
 
+// cold reports whether the owner admits fewer calls than the target has slots.
+func (t *target) cold(at time.Duration) bool {
+	return t.limit(at) < float64(max(t.Slots, 1))
+}
+
+// hasRoom reports whether one more call is within the owner's limit, as far as
+// this entry knows. A report older than a call takes says nothing of calls in
+// flight.
+func (t *target) hasRoom(at time.Duration) bool {
+	inFlight := float64(len(t.calls))
+	if t.known && float64(at-t.heard) < t.serviceTime(at) {
+		inFlight = max(inFlight, held(&t.report))
+	}
+	return inFlight+1 <= t.limit(at)
+}
+
 // accepts reports whether the target may take new work.
 func (t *target) accepts(at time.Duration) bool {
 	if at < t.blockedUntil {
