Set the scene of the queue test anew until the call is queued

Cause: the owner refuses a call at once when it expects it to wait too long, which on a busy machine left the test waiting for a queued call that never was. Change: the scene is set again until the call is queued; the checks are as before.

--- a/node/server/keyed_test.go
+++ b/node/server/keyed_test.go
@@ -132,24 +132,38 @@
 	}{{1, problem.Overloaded}, {2, problem.Quarantined}} {
 		t.Run(string(c.kind), func(t *testing.T) {
 			var runs atomic.Int64
-			occupied := make(chan struct{})
+			var occupied atomic.Pointer[chan struct{}]
 			f := newTestFleet(t)
 			f.slots = 1
 			node := f.add("a", func(w http.ResponseWriter, r *http.Request) {
 				if r.URL.Path != mainPath {
-					<-occupied
+					<-*occupied.Load()
 					return
 				}
 				counted(&runs)(w, r)
 			})
 			f.ready()
 			answer, first := make(chan got, 1), make(chan got, 1)
-			go func() { first <- node.call(ask{method: "POST", path: "/first"}) }()
-			f.eventually(func() bool { return node.owner.Report().InFlight == 1 })
-			go func() { answer <- node.call(ask{method: "POST", path: mainPath}) }()
-			f.eventually(func() bool { return node.owner.Report().Queued == 1 })
+			// The owner refuses at once a call that it expects to wait too
+			// long, so that the scene is set anew until the call is queued.
+			f.eventually(func() bool {
+				gate := make(chan struct{})
+				occupied.Store(&gate)
+				go func() { first <- node.call(ask{method: "POST", path: "/first"}) }()
+				f.eventually(func() bool { return node.owner.Load().InFlight == 1 || len(first) == 1 })
+				go func() { answer <- node.call(ask{method: "POST", path: mainPath}) }()
+				f.eventually(func() bool { return node.owner.Load().Queued == 1 || len(answer) == 1 })
+				if len(answer) == 0 {
+					return true
+				}
+				close(gate)
+				<-first
+				<-answer
+				runs.Store(0)
+				return false
+			})
 			node.hear(t, payFingerprint("POST", ""), 1, c.strikes)
-			close(occupied)
+			close(*occupied.Load())
 			g := <-answer
 			<-first
 			qt.Assert(t, g.kind, qt.Equals, string(c.kind))
