End a stop when the node is killed meanwhile

Cause: a node that was killed during its graceful stop waited for its calls until the time limit of 30 s. Change: the wait ends with the node; slow tests run beside each other.

--- a/node/server/keyed_test.go
+++ b/node/server/keyed_test.go
@@ -211,6 +211,7 @@
 }
 
 func TestCallersOwnKeyRunsOnce(t *testing.T) {
+	t.Parallel()
 	cases := []struct {
 		name string
 		age  time.Duration
--- a/node/server/path_test.go
+++ b/node/server/path_test.go
@@ -89,6 +89,7 @@
 }
 
 func TestCutOffAnswerIsNeverWhole(t *testing.T) {
+	t.Parallel()
 	whole := strings.Repeat("z", 200<<10)
 	cases := []struct {
 		name  string
@@ -134,6 +135,7 @@
 }
 
 func TestNonIdempotentCallIsSentOnce(t *testing.T) {
+	t.Parallel()
 	cases := []struct {
 		method string
 		header http.Header
@@ -195,6 +197,7 @@
 }
 
 func TestKeyOfGoneIssuerRunsNothing(t *testing.T) {
+	t.Parallel()
 	var runs atomic.Int64
 	f := newTestFleet(t)
 	f.add("a", func(w http.ResponseWriter, r *http.Request) { runs.Add(1); echo(w, r) })
@@ -239,6 +242,7 @@
 }
 
 func TestGracefulStopCutsNothingOff(t *testing.T) {
+	t.Parallel()
 	cases := []struct {
 		name string
 		// pick chooses the entry of the call that runs during the stop.
@@ -313,6 +317,7 @@
 }
 
 func TestPoisonRequestCostsAtMostTwoTargets(t *testing.T) {
+	t.Parallel()
 	for _, method := range []string{"GET", "POST"} {
 		t.Run(method, func(t *testing.T) {
 			var crashes atomic.Int64
--- a/node/server/stop.go
+++ b/node/server/stop.go
@@ -74,6 +74,8 @@
 		case <-ctx.Done():
 			klog.Warningf("node: The time limit cuts off %d own calls and %d calls of other entries.", own, others)
 			return
+		case <-s.ctx.Done():
+			return
 		case <-poll.C:
 		}
 	}
