--- a/standin/target/announce.go
+++ b/standin/target/announce.go
@@ -41,7 +41,8 @@
 	return send(client, sling.New().Base(nodeURL).Post("/v1/target/drain"))
 }
 
-// KeepAnnounced renews the announcement until the stop channel closes.
+// KeepAnnounced announces each process of the target and renews the
+// announcement until the stop channel closes.
 func (t *Target) KeepAnnounced(client *http.Client, nodeURL string, stop <-chan struct{}) {
 	ticker := time.NewTicker(announceLease / 3)
 	defer ticker.Stop()
@@ -51,6 +52,7 @@
 		case <-stop:
 			return
 		case <-ticker.C:
+		case <-t.restarted:
 		}
 	}
 }
--- a/standin/target/target.go
+++ b/standin/target/target.go
@@ -43,6 +43,9 @@
 	// coldCollapse multiplies the service time of a cold target under more
 	// calls than it bears.
 	coldCollapse = 20
+	// startTime is the time that a new process takes to listen, in which it
+	// announces itself.
+	startTime = 20 * time.Millisecond
 	// failFastDelay is the time that a failing target takes to answer.
 	failFastDelay = 200 * time.Microsecond
 )
@@ -89,6 +92,8 @@
 	listener net.Listener
 	server   *http.Server
 	slots    chan struct{}
+	// restarted tells KeepAnnounced of a new process.
+	restarted chan struct{}
 
 	mu          sync.Mutex
 	random      *rand.Rand
@@ -109,7 +114,7 @@
 func Start(addr string, opts Options) (*Target, error) {
 	opts = opts.withDefaults()
 	t := &Target{
-		opts: opts, slots: make(chan struct{}, opts.Slots),
+		opts: opts, slots: make(chan struct{}, opts.Slots), restarted: make(chan struct{}, 1),
 		random: rand.New(rand.NewPCG(opts.Seed, 1)),
 		runs:   make(map[string]int), cold: opts.Cold, slowdown: 1,
 	}
@@ -136,7 +141,8 @@
 // Close stops the target at once and cuts what runs.
 func (t *Target) Close() { _ = t.server.Close() }
 
-// Restart crashes the target and starts a cold one at the same address.
+// Restart crashes the target and starts a cold one at the same address, which
+// announces itself before it takes calls.
 func (t *Target) Restart() error {
 	addr := t.Addr()
 	t.Close()
@@ -146,6 +152,11 @@
 	t.cold = true
 	t.coldDone = 0
 	t.mu.Unlock()
+	select {
+	case t.restarted <- struct{}{}:
+	default:
+	}
+	time.Sleep(startTime)
 	return t.listen(addr)
 }
 
