Tell new neighbors of quarantined requests and bound the time of a body

Cause: a node that joined after a crash did not know the request that caused it, and could lose its target to it; a caller that never finished its body held one of the node's calls for ever. Change: a node sends a new neighbor up to 64 notices; a body may be read until one second after its call's deadline.

--- a/node/entry/ingress.go
+++ b/node/entry/ingress.go
@@ -31,8 +31,13 @@
 // KeysPath is where callers ask for request keys.
 const KeysPath = "/.zinniafall/request-keys"
 
-// maxTimeout bounds what a caller may ask for.
-const maxTimeout = 10 * time.Minute
+const (
+	// maxTimeout bounds what a caller may ask for.
+	maxTimeout = 10 * time.Minute
+	// bodyGrace is how long after its deadline a call's body may still be
+	// read; a caller that sends it slower is refused.
+	bodyGrace = time.Second
+)
 
 // connectionKey is the context key of the number of the caller's connection.
 type connectionKey struct{}
@@ -66,7 +71,7 @@
 		e.serveKeys(w, r, caller.Account)
 		return
 	}
-	reply := e.serveCall(ctx, snapshot, caller, r)
+	reply := e.serveCall(ctx, snapshot, caller, w, r)
 	defer reply.Close()
 	if p := reply.Answer.Problem; p != nil {
 		span.Fail(string(p.Kind))
@@ -99,11 +104,12 @@
 	return calltoken.Token{Account: account, Allowance: retry.NoAllowance}, nil
 }
 
-func (e *Entry) serveCall(ctx context.Context, snapshot *settings.Snapshot, caller calltoken.Token, r *http.Request) *execute.Reply {
+func (e *Entry) serveCall(ctx context.Context, snapshot *settings.Snapshot, caller calltoken.Token, w http.ResponseWriter, r *http.Request) *execute.Reply {
 	request, refusal := newRequest(snapshot, caller, r)
 	if refusal != nil {
 		return execute.Refuse(knownHere(r, refusal))
 	}
+	_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(request.Timeout + bodyGrace))
 	b, refusal := takeBody(r, request, e.opts.Limits.BodyBytes)
 	if refusal != nil {
 		return execute.Refuse(knownHere(r, refusal))
--- a/node/server/controlchannel.go
+++ b/node/server/controlchannel.go
@@ -16,11 +16,15 @@
 	tagOverlay tag = 0
 	// tagRevision marks the announcement of an applied configuration.
 	tagRevision tag = 1
+	// tagNotice marks a quarantine notice for a new neighbor.
+	tagNotice tag = 2
 )
 
 // controlChannel carries control messages between neighbors.
 type controlChannel struct {
 	transport *peer.Transport
+	// welcome is told of each new neighbor.
+	welcome func(model.NodeAddr)
 
 	mu    sync.Mutex
 	nodes []model.NodeAddr
@@ -40,8 +44,14 @@
 // Keep notes the neighbors; a connection stays open while packets cross it.
 func (c *controlChannel) Keep(nodes []model.NodeAddr) {
 	c.mu.Lock()
-	defer c.mu.Unlock()
+	before := c.nodes
 	c.nodes = slices.Clone(nodes)
+	c.mu.Unlock()
+	for _, node := range nodes {
+		if !slices.Contains(before, node) {
+			c.welcome(node)
+		}
+	}
 }
 
 func (c *controlChannel) neighbors() []model.NodeAddr {
@@ -78,7 +88,25 @@
 			return
 		}
 		s.configuration.hear(revision, from)
+	case tagNotice:
+		s.suspects.Heard(body)
 	default:
 		malformedFloods.Inc()
 	}
 }
+
+// maxWelcomeNotices bounds the notices that a new neighbor is sent. The
+// control ring holds more, so that none pushes out other messages.
+const maxWelcomeNotices = 64
+
+// welcomeNeighbor sends a new neighbor what is known of requests that crash
+// targets, since it may have joined after these notices were flooded.
+func (s *Server) welcomeNeighbor(node model.NodeAddr) {
+	notices := s.suspects.notices()
+	for _, notice := range notices[:min(len(notices), maxWelcomeNotices)] {
+		payload, err := notice.Encode()
+		if err == nil {
+			s.control.send(node, tagNotice, payload)
+		}
+	}
+}
--- a/node/server/crashes_test.go
+++ b/node/server/crashes_test.go
@@ -8,6 +8,8 @@
 	"testing"
 
 	qt "github.com/frankban/quicktest"
+
+	"zinniafall/policy/problem"
 )
 
 func TestLostConnectionsAreBlamedNotTheirNeighbors(t *testing.T) {
@@ -80,3 +82,17 @@
 		f.eventually(func() bool { return len(c.suspects.entries()) == count })
 	}
 }
+
+// TestNodeThatJoinsKnowsOfQuarantinedRequests lets a node join after the
+// notices of two crashes were flooded.
+func TestNodeThatJoinsKnowsOfQuarantinedRequests(t *testing.T) {
+	f := newTestFleet(t)
+	node := f.add("a", echo)
+	f.ready()
+	node.hear(t, payFingerprint("POST", ""), 1, 2)
+	joined := f.add("b", nil)
+	f.eventually(func() bool { return len(joined.suspects.entries()) == 1 })
+	f.eventually(func() bool {
+		return joined.call(ask{method: "POST", path: mainPath}).kind == string(problem.Quarantined)
+	})
+}
--- a/node/server/path_test.go
+++ b/node/server/path_test.go
@@ -384,3 +384,18 @@
 	s.Unreachable("127.0.0.1:1")
 	qt.Assert(t, s.isStarted(), qt.IsFalse)
 }
+
+// TestUnfinishedBodyIsRefused sends a part of a body and never the rest.
+func TestUnfinishedBodyIsRefused(t *testing.T) {
+	t.Parallel()
+	var runs atomic.Int64
+	f := newTestFleet(t)
+	node := f.add("a", func(w http.ResponseWriter, r *http.Request) { runs.Add(1); echo(w, r) })
+	f.ready()
+	body, rest := io.Pipe()
+	defer func() { _ = rest.Close() }()
+	go func() { _, _ = rest.Write([]byte("part")) }()
+	g := node.callBody(ask{method: "POST", path: "/", header: http.Header{execute.HeaderTimeout: {"50"}}}, body)
+	qt.Assert(t, g.err != nil || g.status == http.StatusBadRequest, qt.IsTrue, qt.Commentf("%+v", g))
+	qt.Assert(t, runs.Load(), qt.Equals, int64(0))
+}
--- a/node/server/server.go
+++ b/node/server/server.go
@@ -171,7 +171,7 @@
 		s.owner.Stop()
 		return err
 	}
-	s.control = &controlChannel{transport: s.transport}
+	s.control = &controlChannel{transport: s.transport, welcome: s.welcomeNeighbor}
 	s.entry = entry.New(s.entryOptions(keys))
 	return nil
 }
--- a/node/server/suspects.go
+++ b/node/server/suspects.go
@@ -88,6 +88,13 @@
 	}
 }
 
+// notices returns what another node needs to know the same.
+func (s *suspects) notices() []quarantine.Notice {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.list.Notices(time.Now())
+}
+
 func (s *suspects) entries() []quarantine.Entry {
 	s.mu.Lock()
 	defer s.mu.Unlock()
