--- a/cmd/zinniafalld/main.go
+++ b/cmd/zinniafalld/main.go
@@ -16,6 +16,7 @@
 
 	"zinniafall/node/server"
 	"zinniafall/node/static"
+	"zinniafall/platform"
 )
 
 // The exit codes of the command.
@@ -30,11 +31,19 @@
 	runFile := run.Flag("settings", "The settings file (JSON).").Required().String()
 	check := app.Command("check", "Check a settings file and print every problem.")
 	checkFile := check.Flag("settings", "The settings file (JSON).").Required().String()
+	side := app.Command("sidecar", "Run the node on the users' platform, with the platform's settings file.")
+	sideFile := side.Flag("settings", "The platform's settings file (TOML).").Default(platform.SettingsPath()).String()
+	checkSide := app.Command("check-sidecar", "Check a settings file of the users' platform and print every problem.")
+	checkSideFile := checkSide.Flag("settings", "The platform's settings file (TOML).").Default(platform.SettingsPath()).String()
 	switch kingpin.MustParse(app.Parse(os.Args[1:])) {
 	case run.FullCommand():
 		os.Exit(runNode(*runFile))
 	case check.FullCommand():
 		os.Exit(checkSettings(*checkFile))
+	case side.FullCommand():
+		os.Exit(runSidecar(*sideFile))
+	case checkSide.FullCommand():
+		os.Exit(checkSidecar(*checkSideFile))
 	}
 }
 
--- /dev/null
+++ b/node/hop/hop_test.go
@@ -0,0 +1,147 @@
+package hop
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"strings"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"zinniafall/node/peer"
+	"zinniafall/node/sockets"
+	"zinniafall/policy/model"
+	"zinniafall/policy/problem"
+)
+
+type handlerFunc func(context.Context, *Stream)
+
+func (f handlerFunc) ServeRequest(ctx context.Context, _ string, s *Stream) { f(ctx, s) }
+
+func serve(t *testing.T, f handlerFunc) (*Client, model.NodeAddr) {
+	l, err := sockets.Listen("127.0.0.1:0")
+	qt.Assert(t, err, qt.IsNil)
+	s := NewServer(f)
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		_ = s.Serve(l)
+	}()
+	c := NewClient()
+	t.Cleanup(func() {
+		c.Close()
+		_ = l.Close()
+		s.Close()
+		<-done
+	})
+	return c, model.NodeAddr(l.Addr().String())
+}
+
+func TestConnectionIsKeptAfterWholeExchanges(t *testing.T) {
+	conns := map[string]bool{}
+	c, node := serve(t, func(_ context.Context, s *Stream) {
+		conns[s.conn.RemoteAddr().String()] = true
+		_ = s.Answer(&peer.Answer{Run: model.RunYes, Status: 200, Inline: true, Body: s.Request.Body})
+	})
+	for range 3 {
+		x, err := c.Open(t.Context(), node, &peer.Request{Kind: peer.KindCall, Inline: true, Body: []byte("b")})
+		qt.Assert(t, err, qt.IsNil)
+		answer, err := x.Receive()
+		qt.Assert(t, err, qt.IsNil)
+		qt.Assert(t, string(answer.Body), qt.Equals, "b")
+		x.Close()
+	}
+	qt.Assert(t, conns, qt.HasLen, 1)
+}
+
+func TestRefusedCallKeepsItsBodyAndTheConnection(t *testing.T) {
+	conns := map[string]bool{}
+	c, node := serve(t, func(_ context.Context, s *Stream) {
+		conns[s.conn.RemoteAddr().String()] = true
+		_ = s.Answer(&peer.Answer{Run: model.RunNo, Problem: problem.New(problem.Overloaded, model.RunNo, "busy")})
+	})
+	for range 3 {
+		x, err := c.Open(t.Context(), node, &peer.Request{Kind: peer.KindCall, Length: 5})
+		qt.Assert(t, err, qt.IsNil)
+		answer, err := x.Receive()
+		qt.Assert(t, err, qt.IsNil)
+		qt.Assert(t, answer.Problem.Kind, qt.Equals, problem.Overloaded)
+		x.Close()
+	}
+	qt.Assert(t, conns, qt.HasLen, 1)
+}
+
+func TestBodyIsSentWhenItIsAskedFor(t *testing.T) {
+	body := strings.Repeat("0123456789", 50_000)
+	c, node := serve(t, func(_ context.Context, s *Stream) {
+		_ = s.Answer(&peer.Answer{Admitted: true})
+		got, err := io.ReadAll(s)
+		if err != nil {
+			s.Fail()
+			return
+		}
+		_ = s.Answer(&peer.Answer{Run: model.RunYes, Status: 200})
+		_ = s.SendBody(bytes.NewReader(got))
+	})
+	x, err := c.Open(t.Context(), node, &peer.Request{Kind: peer.KindCall, Length: int64(len(body))})
+	qt.Assert(t, err, qt.IsNil)
+	defer x.Close()
+	answer, err := x.Receive()
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, answer.Admitted, qt.IsTrue)
+	qt.Assert(t, x.SendBody(strings.NewReader(body)), qt.IsNil)
+	_, err = x.Receive()
+	qt.Assert(t, err, qt.IsNil)
+	got, err := io.ReadAll(x)
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, string(got) == body, qt.IsTrue)
+}
+
+func TestCancelReachesTheOwner(t *testing.T) {
+	canceled := make(chan struct{})
+	c, node := serve(t, func(ctx context.Context, s *Stream) {
+		<-ctx.Done()
+		close(canceled)
+		s.Fail()
+	})
+	ctx, cancel := context.WithCancel(t.Context())
+	x, err := c.Open(ctx, node, &peer.Request{Kind: peer.KindCall, Inline: true})
+	qt.Assert(t, err, qt.IsNil)
+	cancel()
+	_, err = x.Receive()
+	qt.Assert(t, errors.Is(err, peer.ErrLost), qt.IsTrue)
+	<-canceled
+}
+
+func TestPartialAnswerIsAnError(t *testing.T) {
+	c, node := serve(t, func(_ context.Context, s *Stream) {
+		_ = s.Answer(&peer.Answer{Run: model.RunYes, Status: 200})
+		_ = s.SendBody(io.MultiReader(strings.NewReader("half"), failingReader{}))
+		s.Fail()
+	})
+	x, err := c.Open(t.Context(), node, &peer.Request{Kind: peer.KindCall, Inline: true})
+	qt.Assert(t, err, qt.IsNil)
+	defer x.Close()
+	_, err = x.Receive()
+	qt.Assert(t, err, qt.IsNil)
+	_, err = io.ReadAll(x)
+	qt.Assert(t, err, qt.IsNotNil)
+}
+
+type failingReader struct{}
+
+func (failingReader) Read([]byte) (int, error) { return 0, errors.New("cut off") }
+
+func TestClosedPortIsNotSent(t *testing.T) {
+	l, err := sockets.Listen("127.0.0.1:0")
+	qt.Assert(t, err, qt.IsNil)
+	node := model.NodeAddr(l.Addr().String())
+	_ = l.Close()
+	ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+	defer cancel()
+	_, err = NewClient().Open(ctx, node, &peer.Request{Kind: peer.KindCall, Inline: true})
+	qt.Assert(t, errors.Is(err, peer.ErrNotSent), qt.IsTrue)
+}
--- a/node/peer/message.go
+++ b/node/peer/message.go
@@ -29,6 +29,8 @@
 	KindProbe Kind = 3
 	// KindConfiguration asks for the configuration bundle.
 	KindConfiguration Kind = 4
+	// KindExchange compares what two nodes know of the fleet.
+	KindExchange Kind = 5
 )
 
 const (
@@ -80,6 +82,20 @@
 	Notices [][]byte `cbor:"19,keyasint,omitempty"`
 	// Trace is the sender's span as the text of a traceparent header.
 	Trace string `cbor:"20,keyasint,omitempty"`
+	// ID is the caller's own id of the request.
+	ID string `cbor:"21,keyasint,omitempty"`
+	// Priority orders calls that compete for the target; 0 is the highest.
+	Priority int `cbor:"22,keyasint,omitempty"`
+	// Wait is the longest wait for a slot that the entry allows.
+	Wait time.Duration `cbor:"23,keyasint,omitempty"`
+	// Elsewhere is true while the entry has another target to try.
+	Elsewhere bool `cbor:"24,keyasint,omitempty"`
+	// Repeat is true when an earlier attempt of the call may have run.
+	Repeat bool `cbor:"25,keyasint,omitempty"`
+	// Origin is the service on whose VM the call began.
+	Origin model.Service `cbor:"26,keyasint,omitempty"`
+	// From is the address of the entry.
+	From model.NodeAddr `cbor:"27,keyasint,omitempty"`
 }
 
 // Answer opens the way back. An interim answer, Admitted, tells the sender to
@@ -96,6 +112,12 @@
 	// Crash is the encoded notice of the crash in which the target died while
 	// it ran the call.
 	Crash []byte `cbor:"8,keyasint,omitempty"`
+	// Body is the whole body when Inline is set.
+	Body   []byte `cbor:"9,keyasint,omitempty"`
+	Inline bool   `cbor:"10,keyasint,omitempty"`
+	// Reached is true when the target was given the request, also when it
+	// answered that it did not run it.
+	Reached bool `cbor:"11,keyasint,omitempty"`
 }
 
 var (
@@ -163,6 +185,12 @@
 	return decodeMode.Unmarshal(frame.Bytes(), message)
 }
 
+// Encode writes a message in the form in which nodes exchange it.
+func Encode(w io.Writer, message any) error { return writeFrame(w, message) }
+
+// Decode reads a message that Encode wrote.
+func Decode(r io.Reader, message any) error { return readFrame(r, message) }
+
 func readLength(r io.Reader) (uint32, error) {
 	var length [lengthBytes]byte
 	if _, err := io.ReadFull(r, length[:]); err != nil {
--- /dev/null
+++ b/node/sidecar/entry.go
@@ -0,0 +1,546 @@
+package sidecar
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"time"
+
+	"zinniafall/node/front"
+	"zinniafall/node/peer"
+	"zinniafall/policy/model"
+	"zinniafall/policy/placement"
+	"zinniafall/policy/problem"
+	"zinniafall/policy/quarantine"
+	"zinniafall/policy/retry"
+	"zinniafall/policy/roster"
+	"zinniafall/policy/routing"
+)
+
+const (
+	// maxOffers bounds the owners that are asked for one call before it is
+	// refused; an owner that refuses costs one round trip.
+	maxOffers = 6
+	// pickyOffers is the number of offers that a target may decline because
+	// another one may be better.
+	pickyOffers = 3
+	// maxCatchUps bounds the times that a call is routed anew.
+	maxCatchUps = 3
+	// defaultDeadline is used when neither the caller nor the route bounds the
+	// wait.
+	defaultDeadline = 30 * time.Second
+	// leastLeft is the time that must be left for another attempt.
+	leastLeft = 5 * time.Millisecond
+	// domainCost is what a call to another failure domain is counted for. It
+	// stands for the price of its bytes and for the round trip.
+	domainCost = 20 * time.Millisecond
+	// peerCost is the same for another node of the own failure domain.
+	peerCost = time.Millisecond
+	// repeatFraction is the part of the repeats allowed by the settings that
+	// are paid for by successes; the rest is left to bursts.
+	repeatFraction = 0.5
+	// repeatFloor and repeatBurst are the parts of the slack that come with
+	// time and that may be spent at once.
+	repeatFloor = 0.3
+	repeatBurst = 0.4
+)
+
+// entry takes in callers' requests and places them.
+type entry struct {
+	node *Node
+
+	mu      sync.Mutex
+	placer  *placement.Placer
+	budgets map[model.Service]*retry.Budget
+	placed  map[model.Service]bool
+	evac    evacuation
+	self    roster.Record
+	nodes   int
+}
+
+func newEntry(n *Node) *entry {
+	return &entry{
+		node: n,
+		placer: placement.New(placement.Options{
+			Self: n.self, Domain: n.settings.Domain, Region: n.settings.Region, Seed: rand.Uint64(),
+			PeerRoundTrip: peerCost, DomainRoundTrip: domainCost,
+		}),
+		budgets: make(map[model.Service]*retry.Budget),
+		placed:  make(map[model.Service]bool),
+	}
+}
+
+// setTargets gives placement the targets of all services. The last record is
+// this node's own.
+func (e *entry) setTargets(records []roster.Record, evac evacuation, changed bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	self := records[len(records)-1]
+	if !changed && sameDomains(evac.Domains, e.evac.Domains) && self == e.self {
+		return
+	}
+	e.self, e.evac, e.nodes = self, evac, len(records)
+	byService := make(map[model.Service][]placement.Target)
+	for service := range e.placed {
+		byService[service] = nil
+	}
+	for _, r := range records {
+		if r.Service != "" && !evac.out(r.Domain) {
+			byService[r.Service] = append(byService[r.Service], targetOf(r))
+		}
+	}
+	now := time.Now()
+	for service, targets := range byService {
+		e.placer.SetTargets(now, service, targets)
+		e.placed[service] = len(targets) > 0
+		if len(targets) == 0 {
+			delete(e.placed, service)
+		}
+	}
+	for _, b := range e.budgets {
+		b.SetEntries(now, len(records))
+	}
+}
+
+// budget returns the budget of repeats at a service. The caller holds the lock.
+func (e *entry) budget(service model.Service) *retry.Budget {
+	b := e.budgets[service]
+	if b == nil {
+		s := e.node.settings
+		window := max(s.RepeatWindow.Seconds(), 1)
+		b = retry.NewBudget(retry.Options{
+			RetryFraction:  s.RepeatRatio * repeatFraction,
+			FloorPerSecond: s.RepeatSlack * repeatFloor / window,
+			Burst:          s.RepeatSlack * repeatBurst,
+			Entries:        max(e.nodes, 1),
+		})
+		e.budgets[service] = b
+	}
+	return b
+}
+
+// call is one request on its way.
+type call struct {
+	node      *Node
+	id        string
+	received  time.Time
+	route     *routing.Route
+	table     *routing.Table
+	service   model.Service
+	deadline  time.Time // the caller's, or the route's if that is earlier
+	request   peer.Request
+	rest      io.Reader
+	restSpent bool
+
+	exclude []model.NodeAddr
+	offers  int
+	sends   int // attempts that a target was given
+	mayRun  bool
+	trail   []step
+}
+
+// step is one attempt, for the log.
+type step struct {
+	Node    model.NodeAddr `json:"node"`
+	Run     model.Run      `json:"run"`
+	Problem problem.Kind   `json:"problem,omitempty"`
+	Status  int            `json:"status,omitempty"`
+	Ms      float64        `json:"ms"`
+}
+
+// handle carries one request of a caller.
+func (n *Node) handle(ctx context.Context, r *front.Request) *front.Response {
+	c := &call{node: n, received: r.Received, id: r.Header.Get(n.dialect.RequestID)}
+	response, p := c.carry(ctx, r)
+	if p != nil {
+		response = n.refusal(ctx, p, c)
+	}
+	n.logCall(ctx, c, r, response, p)
+	return response
+}
+
+// carry returns the target's answer, or a problem.
+func (c *call) carry(ctx context.Context, r *front.Request) (*front.Response, *problem.Error) {
+	if p := c.resolve(r); p != nil {
+		return nil, p
+	}
+	ctx, cancel := context.WithDeadline(ctx, c.deadline)
+	response, p := c.attempts(ctx, r)
+	if p != nil || response.Stream == nil {
+		cancel()
+		return response, p
+	}
+	response.Stream = &canceledAtClose{ReadCloser: response.Stream, cancel: cancel}
+	return response, nil
+}
+
+// resolve finds the route and fills in the request to owners.
+func (c *call) resolve(r *front.Request) *problem.Error {
+	n := c.node
+	table := n.configuration.current()
+	if table == nil {
+		return problem.New(problem.ConfigurationLag, model.RunNo, "the node has no configuration yet").After(retryUnready)
+	}
+	route := table.Match(r.Host, r.Path())
+	if route == nil {
+		return problem.New(problem.UnknownService, model.RunNo, "no route matches the host and path")
+	}
+	c.table, c.route = table, route
+	c.service = route.Pick(rand.Float64())
+	if c.deadline.IsZero() {
+		c.deadline = c.received.Add(deadlineOf(r, n.dialect.Deadline))
+	}
+	if route.Timeout > 0 && c.received.Add(route.Timeout).Before(c.deadline) {
+		c.deadline = c.received.Add(route.Timeout)
+	}
+	c.request = peer.Request{
+		Kind: peer.KindCall, Revision: table.Revision, Service: c.service, From: n.self, ID: c.id,
+		Method: r.Method, URI: r.RequestURI, Host: r.Host, Header: c.fields(r),
+		Idempotent: route.Idempotent, Priority: route.Priority, Origin: n.settings.Service,
+		Length: r.Length, Body: r.Body,
+		Fingerprint: quarantine.Of("", c.service, r.Method, r.RequestURI, r.Body),
+	}
+	if r.Rest == nil {
+		c.request.Length = int64(len(r.Body))
+	}
+	c.rest = r.Rest
+	return n.quarantine.check(c.request.Fingerprint)
+}
+
+// deadlineOf returns how long the caller waits.
+func deadlineOf(r *front.Request, field string) time.Duration {
+	if ms, ok := milliseconds(r.Header.Get(field)); ok {
+		return ms
+	}
+	return defaultDeadline
+}
+
+// fields lists the header fields that go on to the target.
+func (c *call) fields(r *front.Request) []peer.Field {
+	d := c.node.dialect
+	header := r.Header.Clone()
+	for _, name := range []string{d.RequestID, d.Deadline, d.ExpectTarget, d.Origin} {
+		header.Del(name)
+	}
+	for _, field := range r.Header["Connection"] {
+		for _, name := range splitList(field) {
+			header.Del(name)
+		}
+	}
+	return peer.FieldsOf(header)
+}
+
+// attempts sends the call until it has an answer or is given up.
+func (c *call) attempts(ctx context.Context, r *front.Request) (*front.Response, *problem.Error) {
+	catchUps := 0
+	for {
+		node, p := c.choose()
+		if p != nil {
+			return nil, c.giveUp(p)
+		}
+		began := time.Now()
+		rep := c.send(ctx, node)
+		c.finished(node, began, rep)
+		p = rep.answer.Problem
+		if p == nil {
+			if again := c.repeatFailure(rep); !again {
+				return c.response(rep), nil
+			}
+			closeBody(rep)
+			continue
+		}
+		if ctx.Err() != nil {
+			return nil, c.ended(ctx, p)
+		}
+		if p.Kind == problem.ConfigurationLag && p.Run == model.RunNo && catchUps < maxCatchUps {
+			catchUps++
+			if q := c.reroute(ctx, node, rep, r); q != nil {
+				return nil, c.giveUp(q)
+			}
+			continue
+		}
+		if final := c.next(p, rep.answer.Reached); final != nil {
+			return nil, c.giveUp(final)
+		}
+	}
+}
+
+func closeBody(rep reply) {
+	if rep.body != nil {
+		_ = rep.body.Close()
+	}
+}
+
+// choose picks the owner to ask next. Once all were asked, the best of them is
+// asked again, to let the call wait.
+func (c *call) choose() (model.NodeAddr, *problem.Error) {
+	e := c.node.entry
+	report := c.node.owner.report()
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	now := time.Now()
+	e.placer.Heard(now, c.node.self, report)
+	node, p := e.placer.Choose(now, placement.Query{Service: c.service, Exclude: c.exclude})
+	if p != nil && p.Kind == problem.Overloaded && c.offers < maxOffers && c.offers > 0 {
+		c.exclude, c.offers = nil, max(c.offers, pickyOffers)
+		node, p = e.placer.Choose(now, placement.Query{Service: c.service})
+	}
+	if p != nil {
+		return "", p
+	}
+	e.placer.Sent(now, c.service, node)
+	c.offers++
+	return node, nil
+}
+
+// send offers the call to an owner and returns its answer.
+func (c *call) send(ctx context.Context, node model.NodeAddr) reply {
+	request := c.request
+	request.Timeout = time.Until(c.deadline)
+	request.Elsewhere = c.offers <= pickyOffers && len(c.exclude) < c.alternatives()
+	request.Repeat = c.mayRun
+	if !request.Elsewhere {
+		request.Wait = request.Timeout
+	}
+	if node == c.node.self {
+		return c.local(ctx, &request)
+	}
+	return c.remote(ctx, node, &request)
+}
+
+// alternatives returns the number of other nodes with a target of the service.
+func (c *call) alternatives() int {
+	return c.node.fleet.targets(c.service) - 1
+}
+
+func (c *call) local(ctx context.Context, request *peer.Request) reply {
+	request.Inline = c.rest == nil
+	body := io.MultiReader(bytes.NewReader(request.Body), orEmpty(c.rest))
+	return c.node.execute(ctx, job{request: request, body: body, admitted: func() error {
+		c.restSpent = c.rest != nil
+		return nil
+	}})
+}
+
+func orEmpty(r io.Reader) io.Reader {
+	if r == nil {
+		return bytes.NewReader(nil)
+	}
+	return r
+}
+
+// remote sends the call to another node. The body of a call that may run once
+// only follows when the owner has a slot for it: until then it can go
+// elsewhere whatever becomes of the owner.
+func (c *call) remote(ctx context.Context, node model.NodeAddr, request *peer.Request) reply {
+	request.Inline = c.rest == nil && request.Idempotent && len(request.Body) <= inlineAnswer
+	body := request.Body
+	if !request.Inline {
+		request.Body = nil
+	}
+	x, err := c.node.client.Open(ctx, node, request)
+	if err != nil {
+		return refused(lost(err, model.RunNo))
+	}
+	answer, err := x.Receive()
+	if err == nil && answer.Admitted {
+		c.restSpent = c.rest != nil
+		if err = x.SendBody(io.MultiReader(bytes.NewReader(body), orEmpty(c.rest))); err == nil {
+			answer, err = x.Receive()
+		}
+		if err != nil {
+			x.Close()
+			return refused(lost(err, model.RunUnknown))
+		}
+	}
+	if err != nil {
+		x.Close()
+		run := model.RunNo
+		if request.Inline {
+			run = model.RunUnknown
+		}
+		return refused(lost(err, run))
+	}
+	if answer.Inline || answer.Problem != nil {
+		x.Close()
+		return reply{answer: answer}
+	}
+	return reply{answer: answer, body: &exchangeBody{x}}
+}
+
+// exchangeBody ends the exchange with its body.
+type exchangeBody struct {
+	exchange interface {
+		io.Reader
+		Close()
+	}
+}
+
+func (b *exchangeBody) Read(p []byte) (int, error) { return b.exchange.Read(p) }
+
+func (b *exchangeBody) Close() error {
+	b.exchange.Close()
+	return nil
+}
+
+func lost(err error, run model.Run) *problem.Error {
+	if errors.Is(err, peer.ErrNotSent) {
+		run = model.RunNo
+	}
+	return problem.New(problem.OwnerUnreachable, run, err.Error())
+}
+
+// finished tells placement and the log how an attempt ended.
+func (c *call) finished(node model.NodeAddr, began time.Time, rep reply) {
+	elapsed := time.Since(began)
+	a := rep.answer
+	outcome := placement.Outcome{Report: a.Report, Elapsed: elapsed, Result: placement.Answered}
+	s := step{Node: node, Run: a.Run, Status: a.Status, Ms: elapsed.Seconds() * 1000}
+	if p := a.Problem; p != nil {
+		s.Problem = p.Kind
+		outcome.Result = resultOf(p)
+	} else if a.Status >= http.StatusInternalServerError {
+		outcome.Result = placement.Failed
+	}
+	c.trail = append(c.trail, s)
+	e := c.node.entry
+	e.mu.Lock()
+	now := time.Now()
+	e.placer.Finished(now, c.service, node, outcome)
+	if a.Problem == nil {
+		e.budget(c.service).Succeeded(now)
+	}
+	e.mu.Unlock()
+	if a.Report != nil {
+		c.node.fleet.alive(node)
+		if a.Report.Revision > c.node.configuration.revision() {
+			c.node.configuration.heard(a.Report.Revision, node)
+		}
+	}
+}
+
+func resultOf(p *problem.Error) placement.Result {
+	switch {
+	case p.Kind == problem.OwnerUnreachable:
+		return placement.Unreachable
+	case p.Kind == problem.Canceled:
+		return placement.Abandoned
+	case p.Kind == problem.DeadlineExceeded && p.Run != model.RunNo:
+		return placement.Failed
+	case p.Run == model.RunNo:
+		return placement.Refused
+	}
+	return placement.Failed
+}
+
+// repeatFailure decides whether a failure that the target answered with is
+// tried at another target.
+func (c *call) repeatFailure(rep reply) bool {
+	c.sends++
+	if rep.answer.Status < http.StatusInternalServerError || !c.route.Idempotent {
+		return false
+	}
+	return c.mayRepeat()
+}
+
+// mayRepeat reports whether the call may be given to another target, and pays
+// for it.
+func (c *call) mayRepeat() bool {
+	if c.sends >= c.route.MaxAttempts || c.restSpent || time.Until(c.deadline) < leastLeft {
+		return false
+	}
+	e := c.node.entry
+	e.mu.Lock()
+	paid, _ := e.budget(c.service).Repeat(time.Now())
+	e.mu.Unlock()
+	if !paid {
+		return false
+	}
+	c.mayRun = true
+	c.exclude = append(c.exclude, c.lastNode())
+	repeats.Inc()
+	return true
+}
+
+func (c *call) lastNode() model.NodeAddr { return c.trail[len(c.trail)-1].Node }
+
+// next decides after an attempt without an answer. It returns the problem to
+// give up with, or nil to try another owner.
+func (c *call) next(p *problem.Error, reached bool) *problem.Error {
+	if reached || p.Run != model.RunNo {
+		c.sends++
+	}
+	switch {
+	case p.Run != model.RunNo && !c.route.Idempotent, p.Kind == problem.Quarantined:
+		return p
+	case p.Run != model.RunNo || reached:
+		if !c.mayRepeat() {
+			return p
+		}
+		return nil
+	case c.offers >= maxOffers || c.restSpent:
+		return p
+	case p.Kind == problem.DeadlineExceeded && !c.request.Elsewhere && c.offers >= pickyOffers:
+		return p
+	}
+	c.exclude = append(c.exclude, c.lastNode())
+	return nil
+}
+
+// reroute catches up with the owner's configuration and finds the route anew.
+func (c *call) reroute(ctx context.Context, node model.NodeAddr, rep reply, r *front.Request) *problem.Error {
+	if report := rep.answer.Report; report != nil && report.Revision > c.request.Revision {
+		c.node.configuration.heard(report.Revision, node)
+		if !c.node.configuration.await(ctx, report.Revision) {
+			c.exclude = append(c.exclude, node)
+			return nil
+		}
+	} else {
+		c.exclude = append(c.exclude, node)
+		return nil
+	}
+	service := c.service
+	if p := c.resolve(r); p != nil {
+		return p
+	}
+	if c.service != service {
+		c.exclude = nil
+	}
+	return nil
+}
+
+// giveUp returns the final problem. What any attempt may have done binds.
+func (c *call) giveUp(p *problem.Error) *problem.Error {
+	if c.mayRun && p.Run == model.RunNo {
+		final := *p
+		final.Run = model.RunUnknown
+		return &final
+	}
+	return p
+}
+
+// ended is the problem of a call whose time is over or whose caller left.
+func (c *call) ended(ctx context.Context, p *problem.Error) *problem.Error {
+	if p.Run != model.RunNo {
+		c.sends++
+	}
+	kind := problem.DeadlineExceeded
+	if errors.Is(ctx.Err(), context.Canceled) {
+		kind = problem.Canceled
+	}
+	final := problem.New(kind, p.Run, "the time for the call was over")
+	return c.giveUp(final)
+}
+
+// response makes the caller's response of the target's answer.
+func (c *call) response(rep reply) *front.Response {
+	header := make(http.Header, len(rep.answer.Header))
+	peer.AddTo(header, rep.answer.Header)
+	return &front.Response{
+		Status: rep.answer.Status, Header: header, Body: rep.answer.Body, Stream: rep.body, Length: rep.answer.Length,
+	}
+}
--- /dev/null
+++ b/node/sidecar/report.go
@@ -0,0 +1,76 @@
+package sidecar
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"zinniafall/node/front"
+	"zinniafall/node/peer"
+	"zinniafall/policy/model"
+	"zinniafall/policy/problem"
+)
+
+var (
+	invalidConfigurations = metrics.NewCounter(`zinniafall_configuration_rejected_total`)
+	probes                = metrics.NewCounter(`zinniafall_target_health_requests_total`)
+	repeats               = metrics.NewCounter(`zinniafall_call_repeats_total`)
+	rejected              = metrics.NewCounter(`zinniafall_request_rejected_total`)
+	admissionWait         = metrics.NewHistogram(`zinniafall_admission_wait_seconds`)
+	targetTime            = metrics.NewHistogram(`zinniafall_target_seconds`)
+	callTime              = metrics.NewHistogram(`zinniafall_call_seconds`)
+)
+
+// logCall writes what became of a caller's request.
+func (n *Node) logCall(ctx context.Context, c *call, r *front.Request, response *front.Response, p *problem.Error) {
+	elapsed := time.Since(c.received)
+	callTime.Update(elapsed.Seconds())
+	attrs := []any{
+		"part", "entry", "request", c.id, "method", r.Method, "path", r.Path(), "host", r.Host,
+		"status", response.Status, "ms", elapsed.Seconds() * 1000, "attempts", c.trail,
+	}
+	if c.route != nil {
+		attrs = append(attrs, "route", c.route.Name, "service", c.service, "revision", c.table.Revision,
+			"idempotent", c.route.Idempotent, "budget_ms", c.deadline.Sub(c.received).Milliseconds())
+	}
+	outcome := "answered"
+	if p != nil {
+		outcome = string(p.Kind)
+		attrs = append(attrs, "run", p.Run, "detail", p.Detail, "retry_after", response.Header.Get("Retry-After"),
+			"configuration_age_ms", n.configuration.age(time.Now()).Milliseconds(), "caller_left", ctx.Err() != nil)
+	}
+	metrics.GetOrCreateCounter(`zinniafall_requests_total{outcome="` + outcome + `"}`).Inc()
+	n.log.Info("request "+outcome, attrs...)
+}
+
+// logOwned writes what the owner decided on a call.
+func (n *Node) logOwned(r *peer.Request, a *peer.Answer, waited, took time.Duration, report model.Report) {
+	attrs := []any{
+		"part", "owner", "request", r.ID, "from", r.From, "run", a.Run, "status", a.Status,
+		"wait_ms", waited.Seconds() * 1000, "ms", took.Seconds() * 1000,
+		"revision", report.Revision, "in_flight", report.InFlight, "queued", report.Queued, "limit", report.Limit,
+		"target_state", report.State.String(), "priority", r.Priority, "elsewhere", r.Elsewhere,
+	}
+	if p := a.Problem; p != nil {
+		attrs = append(attrs, "problem", p.Kind, "detail", p.Detail)
+	}
+	n.log.Info("call at owner", attrs...)
+}
+
+// serveMetrics writes counters and histograms as text.
+func (n *Node) serveMetrics(w http.ResponseWriter, _ *http.Request) {
+	metrics.WritePrometheus(w, true)
+	n.metrics.WritePrometheus(w)
+}
+
+// gauges registers what is read when metrics are fetched.
+func (n *Node) gauges() {
+	n.metrics.NewGauge(`zinniafall_configuration_revision`, func() float64 { return float64(n.configuration.revision()) })
+	n.metrics.NewGauge(`zinniafall_fleet_nodes`, func() float64 { return float64(n.fleet.size()) })
+	n.metrics.NewGauge(`zinniafall_caller_connections`, func() float64 { return float64(n.front.Open()) })
+	n.metrics.NewGauge(`zinniafall_log_lines_dropped`, func() float64 { return float64(n.log.Dropped()) })
+	n.metrics.NewGauge(`zinniafall_target_in_flight`, func() float64 { return float64(n.owner.report().InFlight) })
+	n.metrics.NewGauge(`zinniafall_target_queued`, func() float64 { return float64(n.owner.report().Queued) })
+}
--- /dev/null
+++ b/node/sidecar/store.go
@@ -0,0 +1,142 @@
+package sidecar
+
+import (
+	"context"
+	"errors"
+	"sync/atomic"
+	"time"
+
+	"zinniafall/node/events"
+	"zinniafall/policy/model"
+	"zinniafall/policy/routing"
+)
+
+// Item is one key of the store, or its removal.
+type Item struct {
+	Key      string
+	Value    []byte
+	Revision uint64
+	Removed  bool
+}
+
+// Lease names a lease of the store; 0 is none.
+type Lease uint64
+
+// ErrHistoryLost reports that the store no longer has the changes since a
+// revision; the keys must be listed anew.
+var ErrHistoryLost = errors.New("the store no longer has this history; list the keys again")
+
+// Store is the platform's key-value service.
+type Store interface {
+	// List returns the keys with the prefix and a revision that they include.
+	List(ctx context.Context, prefix string) ([]Item, uint64, error)
+	// Watch returns the changes after the revision as soon as there are any,
+	// or none at the end of its time, and the revision to go on from.
+	Watch(ctx context.Context, prefix string, after uint64) ([]Item, uint64, error)
+	// Grant starts a lease.
+	Grant(ctx context.Context, ttl time.Duration) (Lease, error)
+	// Renew extends a lease; false when it has ended.
+	Renew(ctx context.Context, lease Lease) (bool, error)
+	// Write sets a key; false when the lease has ended.
+	Write(ctx context.Context, key string, value []byte, lease Lease) (bool, error)
+	// End ends a lease and removes its keys.
+	End(ctx context.Context, lease Lease) error
+}
+
+// Operators reads what operators keep in the store.
+type Operators interface {
+	// Prefix of the operators' keys.
+	Prefix() string
+	// Configuration reports whether the key holds the configuration.
+	Configuration(key string) bool
+	// Evacuated returns the failure domain that a key takes out of service.
+	Evacuated(key string) (model.Domain, bool)
+	// Decode reads a configuration.
+	Decode(document []byte) (*routing.Table, error)
+}
+
+const (
+	// settleTime is the pause after a change before the watch goes on, so that
+	// changes in quick succession cost one call.
+	settleTime = 150 * time.Millisecond
+	// firstPause and longestPause bound the wait after a failed call.
+	firstPause   = 100 * time.Millisecond
+	longestPause = time.Second
+)
+
+// follower keeps a copy of the keys with one prefix.
+type follower struct {
+	store    Store
+	log      *events.Log
+	name     string
+	prefix   string
+	settle   time.Duration
+	all      func(items []Item, revision uint64)
+	change   func(items []Item, revision uint64)
+	readable atomic.Bool
+}
+
+// run follows the prefix until the context ends.
+func (f *follower) run(ctx context.Context) {
+	pause := firstPause
+	failed := func(err error) {
+		if f.readable.Swap(false) || pause == firstPause {
+			f.log.Warn("dependency lost", "part", "store", "watch", f.name, "error", err.Error())
+		}
+		sleep(ctx, jitter(pause))
+		pause = min(2*pause, longestPause)
+	}
+	for ctx.Err() == nil {
+		items, revision, err := f.store.List(ctx, f.prefix)
+		if err != nil {
+			failed(err)
+			continue
+		}
+		f.regained(revision)
+		pause = firstPause
+		f.all(items, revision)
+		f.watch(ctx, revision, failed)
+	}
+}
+
+func (f *follower) regained(revision uint64) {
+	if !f.readable.Swap(true) {
+		f.log.Info("dependency regained", "part", "store", "watch", f.name, "store_revision", revision)
+	}
+}
+
+// watch returns when the keys have to be listed anew.
+func (f *follower) watch(ctx context.Context, revision uint64, failed func(error)) {
+	cuts := 0
+	for ctx.Err() == nil {
+		items, next, err := f.store.Watch(ctx, f.prefix, revision)
+		switch {
+		case errors.Is(err, ErrHistoryLost):
+			f.log.Info("store history lost", "part", "store", "watch", f.name, "store_revision", revision)
+			return
+		case err != nil:
+			cuts++
+			if cuts > 1 {
+				failed(err)
+			}
+			continue
+		}
+		cuts = 0
+		f.regained(next)
+		revision = max(revision, next)
+		f.change(items, next)
+		if len(items) > 0 {
+			sleep(ctx, f.settle)
+		}
+	}
+}
+
+// sleep waits, or returns early when the context ends.
+func sleep(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
--- /dev/null
+++ b/policy/dispatch/dispatch.go
@@ -0,0 +1,486 @@
+// Package dispatch decides at an owner which calls its target gets and when,
+// for targets that state their own capacity, warm-up and load.
+//
+// The owner is the only sender to its target, so it counts the calls in flight
+// itself. It keeps them under the target's knee, the part of the slots beyond
+// which targets slow down. A cold target gets calls at its stated rate, paced
+// by a token bucket with a small burst, so that no second holds more than the
+// rate and the burst together. Calls that find no slot wait in the order of
+// their priority, then of their arrival. A call is refused as soon as it cannot
+// start within the wait that its entry allows or cannot finish before its
+// deadline; the entry then tries another target, which a call that waits in
+// vain cannot.
+package dispatch
+
+import (
+	"slices"
+	"time"
+
+	"zinniafall/policy/model"
+	"zinniafall/policy/problem"
+)
+
+const (
+	// kneePercent is the part of the slots that is used. Targets slow down
+	// when more than about four fifths of their slots are taken.
+	kneePercent = 80
+	percent     = 100
+	// coldShare is the part of the stated cold rate that is used, and
+	// coldBurst the number of calls that may come at once on top of it.
+	coldShare = 0.9
+	coldBurst = 2
+	// serviceWeight is the share of one completion in the mean service time.
+	serviceWeight = 1.0 / 16
+	// initialServiceTime is assumed before the first completion.
+	initialServiceTime = 50 * time.Millisecond
+	// finishShare is the part of the expected service time that must remain
+	// until the deadline for a call to be worth starting.
+	finishShare = 0.4
+	// maxQueued bounds the calls that wait.
+	maxQueued = 256
+	// minRetryAfter and maxRetryAfter bound the advice in a refusal.
+	minRetryAfter = 50 * time.Millisecond
+	maxRetryAfter = 2 * time.Second
+	// foreignAge is the age up to which a load reading tells of work in
+	// flight that this owner did not send.
+	foreignAge = 250 * time.Millisecond
+	// slowPace is the factor on the usual time of work from which on a call
+	// that may go elsewhere is turned away.
+	slowPace = 1.8
+	// paceAge is the age up to which a pace reading is believed.
+	paceAge = 200 * time.Millisecond
+	// minTick is the least time between ticks.
+	minTick = time.Millisecond
+	// idleTick is the time between ticks when nothing is due.
+	idleTick = time.Second
+)
+
+// Ticket names one offered call.
+type Ticket uint64
+
+// Call asks for a slot.
+type Call struct {
+	Ticket Ticket
+	// Priority orders the queue; 0 is the highest.
+	Priority int
+	// Deadline is when nobody waits for the answer any more.
+	Deadline time.Time
+	// Wait is the longest wait for a slot that the entry allows; 0 allows none.
+	Wait time.Duration
+	// Elsewhere is true when the entry has another target to try.
+	Elsewhere bool
+}
+
+// Release ends the wait of a queued call; a nil Refusal starts it.
+type Release struct {
+	Ticket  Ticket
+	Refusal *problem.Error
+}
+
+// Gate is a reason for which the target gets no new call.
+type Gate uint8
+
+// The gates.
+const (
+	// GateAbsent: no target is known.
+	GateAbsent Gate = 1 << iota
+	// GateDraining: the target is leaving.
+	GateDraining
+	// GateDomainOut: operators took the failure domain out of service.
+	GateDomainOut
+	// GateStopping: this node stops.
+	GateStopping
+	// GateDown: the target takes no connections.
+	GateDown
+	// GateLag: this node is behind on the configuration.
+	GateLag
+)
+
+type queued struct {
+	Call
+	offered time.Time
+}
+
+// Owner decides for one target. It is not safe for concurrent use.
+type Owner struct {
+	gates    Gate
+	slots    int
+	running  map[Ticket]time.Time
+	queue    []queued
+	service  time.Duration
+	learned  bool
+	sequence uint64
+
+	coldUntil time.Time
+	coldRate  float64
+	tokens    float64
+	filled    time.Time
+
+	pace     float64
+	pacedAt  time.Time
+	foreign  int
+	readAt   time.Time
+	lastDone time.Time
+}
+
+// New returns an owner without a target.
+func New() *Owner {
+	return &Owner{gates: GateAbsent, running: make(map[Ticket]time.Time), service: initialServiceTime, pace: 1}
+}
+
+// SetGate closes or opens a gate.
+func (o *Owner) SetGate(now time.Time, g Gate, closed bool) []Release {
+	if closed {
+		o.gates |= g
+	} else {
+		o.gates &^= g
+	}
+	return o.settle(now)
+}
+
+// Closed reports whether the gate is closed.
+func (o *Owner) Closed(g Gate) bool { return o.gates&g != 0 }
+
+// SetSlots sets how many calls the target runs at once.
+func (o *Owner) SetSlots(now time.Time, slots int) []Release {
+	o.slots = max(slots, 1)
+	return o.settle(now)
+}
+
+// SetCold says for how long the target stays cold. A target that turns cold
+// starts with an empty burst.
+func (o *Owner) SetCold(now time.Time, left time.Duration) {
+	wasCold := o.Cold(now)
+	if left <= 0 {
+		o.coldUntil = time.Time{}
+		return
+	}
+	o.coldUntil = now.Add(left)
+	if !wasCold {
+		o.tokens, o.filled = 0, now
+	}
+}
+
+// ColdLeft returns how long the target stays cold.
+func (o *Owner) ColdLeft(now time.Time) time.Duration { return max(o.coldUntil.Sub(now), 0) }
+
+// Cold reports whether the target is cold.
+func (o *Owner) Cold(now time.Time) bool { return now.Before(o.coldUntil) }
+
+// Reading is the load that the target stated.
+type Reading struct {
+	// Running counts the calls at the target, from whatever sender.
+	Running int
+	// Slots is the number of calls that it runs at once; 0 when not stated.
+	Slots int
+	// Pace is how long work takes now relative to usual; 0 when not stated.
+	Pace float64
+}
+
+// Read takes in a load reading.
+func (o *Owner) Read(now time.Time, r Reading) []Release {
+	if r.Slots > 0 {
+		o.slots = r.Slots
+	}
+	o.foreign = max(0, r.Running-len(o.running))
+	o.readAt = now
+	if r.Pace > 0 {
+		o.pace, o.pacedAt = r.Pace, now
+	}
+	return o.settle(now)
+}
+
+// Pace returns the factor on the usual time of work, as far as it is known.
+func (o *Owner) Pace(now time.Time) float64 {
+	if now.Sub(o.pacedAt) > paceAge {
+		return 1
+	}
+	return o.pace
+}
+
+// limit returns the number of calls that may be in flight.
+func (o *Owner) limit(now time.Time) int {
+	limit := max(1, (o.slots*kneePercent+percent/4)/percent)
+	if now.Sub(o.readAt) < foreignAge {
+		limit -= o.foreign
+	}
+	return limit
+}
+
+// serviceTime returns the expected time of one call that starts now.
+func (o *Owner) serviceTime(now time.Time) time.Duration {
+	return time.Duration(float64(o.service) * max(o.Pace(now), 1))
+}
+
+// Offer asks to run a call. A nil refusal with start true starts it now; with
+// start false it waits and exactly one Release ends the wait, unless Abandon
+// comes first.
+func (o *Owner) Offer(now time.Time, c Call) (start bool, refusal *problem.Error) {
+	if p := o.closed(); p != nil {
+		return false, p
+	}
+	if p := o.hopeless(now, c.Deadline); p != nil {
+		return false, p
+	}
+	slow := c.Elsewhere && o.Pace(now) >= slowPace
+	if !slow && len(o.queue) == 0 && o.free(now) {
+		o.start(now, c.Ticket)
+		return true, nil
+	}
+	wait := o.predictedWait(now, c.Priority)
+	if slow || wait > c.Wait || !now.Add(wait+o.needed(now)).Before(c.Deadline) || len(o.queue) >= maxQueued {
+		return false, problem.New(problem.Overloaded, model.RunNo, "the target has no slot in time").After(bounded(wait))
+	}
+	at, _ := slices.BinarySearchFunc(o.queue, c.Priority, func(q queued, priority int) int {
+		if q.Priority > priority {
+			return 1
+		}
+		return -1
+	})
+	o.queue = slices.Insert(o.queue, at, queued{Call: c, offered: now})
+	return false, nil
+}
+
+func bounded(wait time.Duration) time.Duration { return min(max(wait, minRetryAfter), maxRetryAfter) }
+
+// needed is the time that must be left for a call to be worth starting.
+func (o *Owner) needed(now time.Time) time.Duration {
+	if !o.learned {
+		return 0
+	}
+	return time.Duration(finishShare * float64(o.serviceTime(now)))
+}
+
+func (o *Owner) hopeless(now time.Time, deadline time.Time) *problem.Error {
+	if now.Add(o.needed(now)).Before(deadline) {
+		return nil
+	}
+	return problem.New(problem.DeadlineExceeded, model.RunNo, "the call cannot be answered before its deadline")
+}
+
+// free reports whether a call may start now.
+func (o *Owner) free(now time.Time) bool {
+	if len(o.running) >= o.limit(now) {
+		return false
+	}
+	if !o.Cold(now) {
+		return true
+	}
+	o.fill(now)
+	return o.tokens >= 1
+}
+
+// fill adds the cold rate's tokens.
+func (o *Owner) fill(now time.Time) {
+	if now.After(o.filled) {
+		o.tokens = min(o.tokens+now.Sub(o.filled).Seconds()*o.coldRate*coldShare, coldBurst)
+		o.filled = now
+	}
+}
+
+func (o *Owner) start(now time.Time, t Ticket) {
+	if o.Cold(now) {
+		o.fill(now)
+		o.tokens--
+	}
+	o.running[t] = now
+}
+
+// predictedWait returns the time until a call of the priority would start.
+func (o *Owner) predictedWait(now time.Time, priority int) time.Duration {
+	ahead := 0
+	for _, q := range o.queue {
+		if q.Priority <= priority {
+			ahead++
+		}
+	}
+	limit := max(o.limit(now), 1)
+	wait := time.Duration(0)
+	if len(o.running) >= limit {
+		wait = o.serviceTime(now) * time.Duration(ahead+1) / time.Duration(limit)
+	}
+	if o.Cold(now) && o.coldRate > 0 {
+		o.fill(now)
+		short := max(float64(ahead+1)-o.tokens, 0)
+		wait = max(wait, time.Duration(short/(o.coldRate*coldShare)*float64(time.Second)))
+	}
+	return wait
+}
+
+// Finish records the end of a call that was in flight. Answered says whether
+// its duration tells how long work takes.
+func (o *Owner) Finish(now time.Time, t Ticket, answered bool) []Release {
+	if started, ok := o.running[t]; ok {
+		delete(o.running, t)
+		if answered {
+			o.learn(now, now.Sub(started))
+		}
+	}
+	return o.settle(now)
+}
+
+func (o *Owner) learn(now time.Time, took time.Duration) {
+	usual := time.Duration(float64(took) / max(o.Pace(now), 1))
+	if !o.learned {
+		o.learned, o.service = true, usual
+	}
+	o.service += time.Duration(serviceWeight * float64(usual-o.service))
+	o.lastDone = now
+}
+
+// Abandon drops a call that waits. It does nothing for one in flight, which
+// Finish ends.
+func (o *Owner) Abandon(now time.Time, t Ticket) []Release {
+	o.queue = slices.DeleteFunc(o.queue, func(q queued) bool { return q.Ticket == t })
+	return o.settle(now)
+}
+
+// Tick does what is due at this time.
+func (o *Owner) Tick(now time.Time) []Release { return o.settle(now) }
+
+// NextTick returns when the next Tick may have work to do.
+func (o *Owner) NextTick(now time.Time) time.Time {
+	next := now.Add(idleTick)
+	if len(o.queue) == 0 {
+		return next
+	}
+	for _, q := range o.queue {
+		next = earlier(next, q.offered.Add(q.Wait))
+		next = earlier(next, q.Deadline.Add(-o.needed(now)))
+	}
+	if o.Cold(now) && o.coldRate > 0 {
+		o.fill(now)
+		short := max(1-o.tokens, 0) / (o.coldRate * coldShare)
+		next = earlier(next, now.Add(time.Duration(short*float64(time.Second))))
+		next = earlier(next, o.coldUntil)
+	}
+	if soonest := now.Add(minTick); next.Before(soonest) {
+		return soonest
+	}
+	return next
+}
+
+func earlier(a, b time.Time) time.Time {
+	if b.Before(a) {
+		return b
+	}
+	return a
+}
+
+// settle refuses the queued calls that must not run and starts those that can.
+func (o *Owner) settle(now time.Time) []Release {
+	if len(o.queue) == 0 {
+		return nil
+	}
+	var out []Release
+	closed := o.closed()
+	o.queue = slices.DeleteFunc(o.queue, func(q queued) bool {
+		refusal := closed
+		if refusal == nil {
+			refusal = o.overdue(now, q)
+		}
+		if refusal != nil {
+			out = append(out, Release{Ticket: q.Ticket, Refusal: refusal})
+		}
+		return refusal != nil
+	})
+	for len(o.queue) > 0 && o.free(now) {
+		q := o.queue[0]
+		o.queue = slices.Delete(o.queue, 0, 1)
+		o.start(now, q.Ticket)
+		out = append(out, Release{Ticket: q.Ticket})
+	}
+	return out
+}
+
+func (o *Owner) overdue(now time.Time, q queued) *problem.Error {
+	if p := o.hopeless(now, q.Deadline); p != nil {
+		return p
+	}
+	if now.Sub(q.offered) < q.Wait || o.free(now) {
+		return nil
+	}
+	wait := o.predictedWait(now, q.Priority)
+	return problem.New(problem.Overloaded, model.RunNo, "the call waited for a slot as long as its entry allows").After(bounded(wait))
+}
+
+// closed returns why no call may start, or nil.
+func (o *Owner) closed() *problem.Error {
+	switch {
+	case o.Closed(GateDomainOut):
+		return problem.New(problem.DomainOut, model.RunNo, "the target's failure domain is out of service")
+	case o.Closed(GateStopping):
+		return problem.New(problem.Draining, model.RunNo, "the node is stopping")
+	case o.Closed(GateDraining):
+		return problem.New(problem.Draining, model.RunNo, "the target is leaving")
+	case o.Closed(GateAbsent):
+		return problem.New(problem.NoTarget, model.RunNo, "the node has no target")
+	case o.Closed(GateDown):
+		return problem.New(problem.NoTarget, model.RunNo, "the target takes no connections")
+	case o.Closed(GateLag):
+		return problem.New(problem.ConfigurationLag, model.RunNo, "the node has no configuration yet")
+	}
+	return nil
+}
+
+// State returns the target's state as other nodes should treat it.
+func (o *Owner) State(now time.Time) model.TargetState {
+	switch {
+	case o.Closed(GateAbsent):
+		return model.TargetAbsent
+	case o.Closed(GateDraining | GateDomainOut | GateStopping):
+		return model.TargetDraining
+	case o.Closed(GateDown | GateLag):
+		return model.TargetFailing
+	case o.Cold(now):
+		return model.TargetCold
+	}
+	return model.TargetWarm
+}
+
+// Report states the target's load; the node fills in Process and Revision.
+func (o *Owner) Report(now time.Time) model.Report {
+	o.sequence++
+	r := model.Report{
+		Sequence: o.sequence, State: o.State(now), Slots: uint16(o.slots),
+		InFlight: uint16(len(o.running)), Queued: uint16(len(o.queue)),
+	}
+	if o.closed() == nil {
+		r.Limit = uint16(max(o.limit(now), 0))
+	}
+	if o.Cold(now) {
+		r.Limit = o.coldLimit(now, r.Limit)
+	}
+	if o.learned {
+		r.ServiceTime = o.serviceTime(now)
+	}
+	return r
+}
+
+// coldLimit returns the calls that the cold rate keeps in flight.
+func (o *Owner) coldLimit(now time.Time, limit uint16) uint16 {
+	inFlight := o.coldRate * coldShare * o.serviceTime(now).Seconds()
+	return min(limit, uint16(max(inFlight, 1)))
+}
+
+// Running returns the number of calls in flight.
+func (o *Owner) Running() int { return len(o.running) }
+
+// SetColdRate sets the rate that the target bears while it is cold.
+func (o *Owner) SetColdRate(rate float64) {
+	if rate > 0 {
+		o.coldRate = rate
+	}
+}
+
+// ReadPace takes in the part of a reading that does not depend on which calls
+// it counts: an answer states the load at its own end.
+func (o *Owner) ReadPace(now time.Time, r Reading) []Release {
+	if r.Slots > 0 {
+		o.slots = r.Slots
+	}
+	if r.Pace > 0 {
+		o.pace, o.pacedAt = r.Pace, now
+	}
+	return o.settle(now)
+}
--- /dev/null
+++ b/policy/roster/roster_test.go
@@ -0,0 +1,73 @@
+package roster
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"zinniafall/policy/model"
+)
+
+var start = time.Unix(1_000_000, 0)
+
+func record(node string, process byte, sequence uint64) Record {
+	return Record{Node: model.NodeAddr(node), Process: model.ProcessID{process}, Sequence: sequence, Service: "s"}
+}
+
+func TestLiveNodeStaysWhenItsEntryVanishes(t *testing.T) {
+	r := New("self")
+	r.Stored(start, record("a", 1, 1))
+	r.Unstored("a")
+	now := start
+	for range 10 {
+		now = now.Add(missingAfter - time.Second)
+		r.Alive(now, "a")
+		qt.Assert(t, r.Expire(now, true), qt.HasLen, 0)
+	}
+	gone := r.Expire(now.Add(missingAfter), true)
+	qt.Assert(t, gone, qt.HasLen, 1)
+}
+
+func TestEntryInTheStoreKeepsASilentNode(t *testing.T) {
+	r := New("self")
+	r.Stored(start, record("a", 1, 1))
+	qt.Assert(t, r.Expire(start.Add(time.Hour), true), qt.HasLen, 0)
+	r.StoredAll(start, nil)
+	qt.Assert(t, r.Expire(start.Add(time.Hour), true), qt.HasLen, 1)
+}
+
+func TestAddressesSurviveAnOutageOfTheStore(t *testing.T) {
+	r := New("self")
+	r.Stored(start, record("a", 1, 1))
+	qt.Assert(t, r.Expire(start.Add(silentAfter-time.Second), false), qt.HasLen, 0)
+	qt.Assert(t, r.Expire(start.Add(silentAfter), false), qt.HasLen, 1)
+}
+
+func TestThirdPartiesDoNotBringADroppedProcessBack(t *testing.T) {
+	r := New("self")
+	r.Heard(start, record("a", 1, 1))
+	now := start.Add(missingAfter)
+	qt.Assert(t, r.Expire(now, true), qt.HasLen, 1)
+	r.Told(now, []Record{record("a", 1, 1)})
+	qt.Assert(t, r.Records(), qt.HasLen, 0)
+	r.Told(now, []Record{record("a", 2, 1)})
+	qt.Assert(t, r.Records(), qt.HasLen, 1)
+	r.Heard(now, record("a", 1, 2))
+	qt.Assert(t, r.Records()[0].Process, qt.Equals, model.ProcessID{1})
+}
+
+func TestThirdPartiesDoNotReplaceAProcess(t *testing.T) {
+	r := New("self")
+	r.Heard(start, record("a", 2, 1))
+	r.Told(start, []Record{record("a", 1, 9), record("self", 1, 1)})
+	qt.Assert(t, r.Records(), qt.HasLen, 1)
+	qt.Assert(t, r.Records()[0].Process, qt.Equals, model.ProcessID{2})
+}
+
+func TestDigestsOfTwoNodesAgree(t *testing.T) {
+	a, b := record("a", 1, 1), record("b", 2, 1)
+	qt.Assert(t, Digest([]Record{b}, a), qt.Equals, Digest([]Record{a}, b))
+	b.Sequence++
+	qt.Assert(t, Digest([]Record{b}, a), qt.Not(qt.Equals), Digest([]Record{record("a", 1, 1)}, record("b", 2, 1)))
+}
--- /dev/null
+++ b/policy/routing/routing_test.go
@@ -0,0 +1,63 @@
+package routing
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"zinniafall/policy/model"
+)
+
+func services(names ...model.Service) map[model.Service]Service {
+	out := make(map[model.Service]Service)
+	for _, n := range names {
+		out[n] = Service{}
+	}
+	return out
+}
+
+func route(host, prefix string, backends ...Backend) Route {
+	return Route{Name: host + prefix, Host: host, Prefix: prefix, Backends: backends, MaxAttempts: 1, Timeout: time.Second}
+}
+
+func TestLongestPrefixOfTheHostWins(t *testing.T) {
+	table, err := NewTable(1, []Route{
+		route("a.example", "/", Backend{"one", 1}),
+		route("a.example", "/x/y/", Backend{"three", 1}),
+		route("a.example", "/x/", Backend{"two", 1}),
+	}, services("one", "two", "three"), Limits{})
+	qt.Assert(t, err, qt.IsNil)
+	for path, want := range map[string]model.Service{"/": "one", "/x/1": "two", "/x/y/2": "three", "/x/yz": "two"} {
+		qt.Assert(t, table.Match("A.example:80", path).Pick(0), qt.Equals, want, qt.Commentf("path %s", path))
+	}
+	qt.Assert(t, table.Match("b.example", "/"), qt.IsNil)
+}
+
+func TestPickFollowsTheWeights(t *testing.T) {
+	r := route("a", "/", Backend{"one", 90}, Backend{"two", 10})
+	counts := map[model.Service]int{}
+	for i := range 1000 {
+		counts[r.Pick(float64(i)/1000)]++
+	}
+	qt.Assert(t, counts["one"], qt.Equals, 900)
+	qt.Assert(t, counts["two"], qt.Equals, 100)
+}
+
+func TestInvalidRoutesAreNamed(t *testing.T) {
+	good := route("a", "/x/", Backend{"one", 1})
+	for name, spoil := range map[string]func(*Route){
+		"unknown service":   func(r *Route) { r.Backends = []Backend{{"missing", 1}} },
+		"no weight":         func(r *Route) { r.Backends = []Backend{{"one", 0}} },
+		"weight below zero": func(r *Route) { r.Backends = []Backend{{"one", -1}} },
+		"time below zero":   func(r *Route) { r.Timeout = -1 },
+		"no attempt":        func(r *Route) { r.MaxAttempts = 0 },
+		"prefix":            func(r *Route) { r.Prefix = "/x" },
+		"host":              func(r *Route) { r.Host = "" },
+	} {
+		r := good
+		spoil(&r)
+		_, err := NewTable(1, []Route{r}, services("one"), Limits{})
+		qt.Assert(t, err, qt.IsNotNil, qt.Commentf("%s", name))
+	}
+}
