Send a whole body once and keep connections to targets

Cause: a call that travelled with its whole body was also given a reader for the rest, so that its body was sent twice and its length did not fit; the connection was closed under the request. Ruled out, by a trial that printed who closed the connection: the pool, the target, a canceled context.

--- a/node/sidecar/execute.go
+++ b/node/sidecar/execute.go
@@ -120,13 +120,13 @@
 // run gives the call to the target.
 func (a *attempt) run(ctx context.Context) reply {
 	n := a.node
-	body := a.job.body
+	var body io.Reader
 	if !a.job.request.Inline {
 		if err := a.job.admitted(); err != nil {
 			n.owner.finish(a.ticket, false)
 			return refused(problem.New(problem.Canceled, model.RunNo, "the entry left before the call was sent"))
 		}
-		head, rest, err := firstPart(body)
+		head, rest, err := firstPart(a.job.body)
 		if err != nil {
 			n.owner.finish(a.ticket, false)
 			return refused(problem.New(problem.Canceled, model.RunNo, "the entry left before the call was sent"))
--- a/node/upstream/conn.go
+++ b/node/upstream/conn.go
@@ -129,10 +129,10 @@
 		} else {
 			head.Write(r.Body)
 		}
+		// The answer may be read before the write returns. A write that fails
+		// ends the connection anyway.
+		c.finishWrite(x)
 		n, err := c.net.Write(head.Bytes())
-		if err == nil {
-			c.finishWrite(x)
-		}
 		return n > 0, err
 	}
 	if _, err := c.net.Write(head.Bytes()); err != nil {
--- /dev/null
+++ b/node/upstream/upstream_test.go
@@ -0,0 +1,199 @@
+package upstream
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+)
+
+var testFields = Fields{RequestID: "X-Id", Mark: "X-Mark"}
+
+// script serves connections of a target; n numbers them from 1.
+func script(t *testing.T, serve func(n int, conn net.Conn, r *bufio.Reader)) (*Pool, *atomic.Int64) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	qt.Assert(t, err, qt.IsNil)
+	var conns atomic.Int64
+	go func() {
+		for {
+			conn, err := l.Accept()
+			if err != nil {
+				return
+			}
+			n := int(conns.Add(1))
+			go func() {
+				defer func() { _ = conn.Close() }()
+				serve(n, conn, bufio.NewReader(conn))
+			}()
+		}
+	}()
+	p := NewPool(l.Addr().String(), testFields, 0)
+	t.Cleanup(func() {
+		p.Close()
+		_ = l.Close()
+	})
+	return p, &conns
+}
+
+func read(r *bufio.Reader) (id string, ok bool) {
+	request, err := http.ReadRequest(r)
+	if err != nil {
+		return "", false
+	}
+	_, _ = io.Copy(io.Discard, request.Body)
+	return request.Header.Get("X-Id"), true
+}
+
+func respond(w io.Writer, id, body string) {
+	_, _ = fmt.Fprintf(w, "HTTP/1.1 200 OK\r\nX-Id: %s\r\nX-Mark: m\r\nKeep-Alive: timeout=10\r\nContent-Length: %d\r\n\r\n%s", id, len(body), body)
+}
+
+func request(id string) *Request {
+	return &Request{Method: http.MethodGet, URI: "/", Host: "h", Header: http.Header{"X-Id": {id}}, ID: id}
+}
+
+func TestConnectionIsUsedAgain(t *testing.T) {
+	p, conns := script(t, func(_ int, conn net.Conn, r *bufio.Reader) {
+		for {
+			id, ok := read(r)
+			if !ok {
+				return
+			}
+			respond(conn, id, "body of "+id)
+		}
+	})
+	for i := range 20 {
+		ctx, cancel := context.WithCancel(t.Context())
+		id := fmt.Sprint(i)
+		result := p.Do(ctx, request(id))
+		qt.Assert(t, result.Err, qt.IsNil)
+		qt.Assert(t, string(result.Response.Body), qt.Equals, "body of "+id)
+		cancel()
+	}
+	qt.Assert(t, conns.Load(), qt.Equals, int64(1))
+}
+
+func TestLateCopyOfAnAnswerIsSkipped(t *testing.T) {
+	p, _ := script(t, func(_ int, conn net.Conn, r *bufio.Reader) {
+		first, _ := read(r)
+		respond(conn, first, "one")
+		second, ok := read(r)
+		if !ok {
+			return
+		}
+		respond(conn, first, "one")
+		respond(conn, second, "two")
+		_, _ = read(r)
+	})
+	qt.Assert(t, p.Do(t.Context(), request("1")).Err, qt.IsNil)
+	result := p.Do(t.Context(), request("2"))
+	qt.Assert(t, result.Err, qt.IsNil)
+	qt.Assert(t, string(result.Response.Body), qt.Equals, "two")
+}
+
+func TestBytesBehindAnAnswerEndTheConnection(t *testing.T) {
+	p, conns := script(t, func(n int, conn net.Conn, r *bufio.Reader) {
+		id, _ := read(r)
+		var out strings.Builder
+		respond(&out, id, "whole")
+		if n == 1 {
+			respond(&out, id, "copy")
+		}
+		_, _ = io.WriteString(conn, out.String())
+		_, _ = read(r)
+	})
+	for _, id := range []string{"1", "2"} {
+		result := p.Do(t.Context(), request(id))
+		qt.Assert(t, result.Err, qt.IsNil)
+		qt.Assert(t, string(result.Response.Body), qt.Equals, "whole")
+	}
+	qt.Assert(t, conns.Load(), qt.Equals, int64(2))
+}
+
+func TestUnusableAnswers(t *testing.T) {
+	for name, answer := range map[string]string{
+		"cut off":      "HTTP/1.1 200 OK\r\nX-Id: 1\r\nX-Mark: m\r\nContent-Length: 10\r\n\r\nhalf",
+		"no protocol":  "garbage\r\n\r\n",
+		"no mark":      "HTTP/1.1 200 OK\r\nX-Id: 1\r\nContent-Length: 2\r\n\r\nok",
+		"encoded":      "HTTP/1.1 200 OK\r\nX-Id: 1\r\nX-Mark: m\r\nContent-Encoding: gzip\r\nContent-Length: 2\r\n\r\nok",
+		"broken chunk": "HTTP/1.1 200 OK\r\nX-Id: 1\r\nX-Mark: m\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nab",
+		"nothing":      "",
+	} {
+		t.Run(name, func(t *testing.T) {
+			p, _ := script(t, func(_ int, conn net.Conn, r *bufio.Reader) {
+				_, _ = read(r)
+				_, _ = io.WriteString(conn, answer)
+			})
+			result := p.Do(t.Context(), request("1"))
+			qt.Assert(t, result.Err, qt.IsNotNil)
+			qt.Assert(t, result.Sent, qt.IsTrue)
+			qt.Assert(t, result.Response, qt.IsNil)
+		})
+	}
+}
+
+func TestAnswerThatEndsWithItsConnection(t *testing.T) {
+	p, _ := script(t, func(_ int, conn net.Conn, r *bufio.Reader) {
+		_, _ = read(r)
+		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nX-Id: 1\r\nX-Mark: m\r\n\r\nall of it")
+	})
+	result := p.Do(t.Context(), request("1"))
+	qt.Assert(t, result.Err, qt.IsNil)
+	qt.Assert(t, string(result.Response.Body), qt.Equals, "all of it")
+}
+
+func TestEarlyAnswerEndsTheConnection(t *testing.T) {
+	p, conns := script(t, func(n int, conn net.Conn, r *bufio.Reader) {
+		head, err := http.ReadRequest(r)
+		if err != nil {
+			return
+		}
+		respond(conn, head.Header.Get("X-Id"), "early")
+		_, _ = read(r)
+	})
+	long := request("1")
+	never, stop := io.Pipe()
+	defer func() { _ = stop.Close() }()
+	long.Method, long.Rest, long.Length = http.MethodPost, never, -1
+	result := p.Do(t.Context(), long)
+	qt.Assert(t, result.Err, qt.IsNil)
+	qt.Assert(t, string(result.Response.Body), qt.Equals, "early")
+	qt.Assert(t, p.Do(t.Context(), request("2")).Err, qt.IsNil)
+	qt.Assert(t, conns.Load(), qt.Equals, int64(2))
+}
+
+func TestCancelClosesTheConnection(t *testing.T) {
+	reached, closed := make(chan struct{}), make(chan struct{})
+	p, _ := script(t, func(_ int, _ net.Conn, r *bufio.Reader) {
+		_, _ = read(r)
+		close(reached)
+		_, _ = r.ReadByte()
+		close(closed)
+	})
+	ctx, cancel := context.WithCancel(t.Context())
+	go func() {
+		<-reached
+		cancel()
+	}()
+	result := p.Do(ctx, request("1"))
+	qt.Assert(t, errors.Is(result.Err, context.Canceled), qt.IsTrue)
+	qt.Assert(t, result.Sent, qt.IsTrue)
+	<-closed
+}
+
+func TestClosedPortIsRefused(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	qt.Assert(t, err, qt.IsNil)
+	_ = l.Close()
+	result := NewPool(l.Addr().String(), testFields, 0).Do(t.Context(), request("1"))
+	qt.Assert(t, result.Sent, qt.IsFalse)
+	qt.Assert(t, result.Refused, qt.IsTrue)
+}
