--- a/node/peer/message.go
+++ b/node/peer/message.go
@@ -86,8 +86,8 @@
 	ID string `cbor:"21,keyasint,omitempty"`
 	// Priority orders calls that compete for the target; 0 is the highest.
 	Priority int `cbor:"22,keyasint,omitempty"`
-	// Wait is the longest wait for a slot that the entry allows.
-	Wait time.Duration `cbor:"23,keyasint,omitempty"`
+	// Objective is what remains of the time in which an answer is worth most.
+	Objective time.Duration `cbor:"23,keyasint,omitempty"`
 	// Elsewhere is true while the entry has another target to try.
 	Elsewhere bool `cbor:"24,keyasint,omitempty"`
 	// Repeat is true when an earlier attempt of the call may have run.
--- a/node/sidecar/entry.go
+++ b/node/sidecar/entry.go
@@ -33,6 +33,9 @@
 	// defaultDeadline is used when neither the caller nor the route bounds the
 	// wait.
 	defaultDeadline = 30 * time.Second
+	// callerTrip is the part of an objective that the way from and to the
+	// caller takes, about.
+	callerTrip = 20 * time.Millisecond
 	// leastLeft is the time that must be left for another attempt.
 	leastLeft = 5 * time.Millisecond
 	// domainCost is what a call to another failure domain is counted for. It
@@ -208,6 +211,9 @@
 		c.request.Length = int64(len(r.Body))
 	}
 	c.rest = r.Rest
+	if end := n.stopEnd.Load(); end != nil && c.deadline.After(*end) {
+		return problem.New(problem.Draining, model.RunNo, "the node stops before the call's time is over")
+	}
 	return n.quarantine.check(c.request.Fingerprint)
 }
 
@@ -290,6 +296,10 @@
 		node, p = e.placer.Choose(now, placement.Query{Service: c.service})
 	}
 	if p != nil {
+		if p.Kind == problem.UnknownService {
+			// The service is configured: its targets are not known yet or gone.
+			p = problem.New(problem.NoTarget, model.RunNo, "no target of "+string(c.service)+" is known").After(retryUnready)
+		}
 		return "", p
 	}
 	e.placer.Sent(now, c.service, node)
@@ -303,8 +313,9 @@
 	request.Timeout = time.Until(c.deadline)
 	request.Elsewhere = c.offers <= pickyOffers && len(c.exclude) < c.alternatives()
 	request.Repeat = c.mayRun
-	if !request.Elsewhere {
-		request.Wait = request.Timeout
+	request.Objective = request.Timeout
+	if c.route.Objective > 0 {
+		request.Objective = time.Until(c.received.Add(c.route.Objective - callerTrip))
 	}
 	if node == c.node.self {
 		return c.local(ctx, &request)
--- a/node/sidecar/execute.go
+++ b/node/sidecar/execute.go
@@ -81,7 +81,7 @@
 	}
 	asked := time.Now()
 	ticket, p := n.owner.admit(ctx, dispatch.Call{
-		Priority: j.request.Priority, Deadline: deadline, Wait: j.request.Wait, Elsewhere: j.request.Elsewhere,
+		Priority: j.request.Priority, Deadline: deadline, Objective: asked.Add(j.request.Objective), Elsewhere: j.request.Elsewhere,
 	})
 	waited := time.Since(asked)
 	admissionWait.Update(waited.Seconds())
--- a/node/sidecar/fleet.go
+++ b/node/sidecar/fleet.go
@@ -63,7 +63,7 @@
 	f := &fleet{node: n, roster: roster.New(n.self), poke: make(chan struct{}, 1)}
 	f.self = roster.Record{Node: n.self, Process: n.process, Domain: n.settings.Domain, Region: n.settings.Region, Service: n.settings.Service, Sequence: 1}
 	f.follower = &follower{
-		store: n.store, log: n.log, name: "fleet", prefix: nodePrefix, settle: fleetSettle,
+		store: n.store, log: n.log, name: "fleet", prefix: nodePrefix, settle: fleetSettle, wait: fleetWait,
 		all: f.listed, change: f.watched,
 	}
 	f.render()
@@ -334,6 +334,9 @@
 	}
 }
 
+// alone reports whether the node has not learned yet who else there is.
+func (f *fleet) alone() bool { return f.size() == 1 && !f.follower.readable.Load() }
+
 // targets returns the number of nodes with a target of the service.
 func (f *fleet) targets(service model.Service) int {
 	f.mu.Lock()
--- a/node/sidecar/node.go
+++ b/node/sidecar/node.go
@@ -101,7 +101,8 @@
 	servers   []*http.Server
 	stopping  atomic.Bool
 	calls     atomic.Int64
-	served    atomic.Int64
+	// stopEnd is when a stop ends at the latest.
+	stopEnd atomic.Pointer[time.Time]
 }
 
 // Start brings a node up.
@@ -179,7 +180,7 @@
 // run starts the duties.
 func (n *Node) run() {
 	operators := &follower{
-		store: n.store, log: n.log, name: "operators", prefix: n.operators.Prefix(), settle: settleTime,
+		store: n.store, log: n.log, name: "operators", prefix: n.operators.Prefix(), settle: settleTime, wait: operatorWait,
 		all: n.configuration.listed, change: n.configuration.watched,
 	}
 	n.goDuty(func() { operators.run(n.ctx) })
@@ -257,6 +258,8 @@
 		return "the node stops"
 	case n.configuration.current() == nil:
 		return "the node has no configuration yet"
+	case n.fleet.alone():
+		return "the node knows no other node yet"
 	}
 	return ""
 }
@@ -268,8 +271,10 @@
 func (n *Node) Stop(ctx context.Context) {
 	n.log.Info("node stopping", "part", "node", "calls", n.calls.Load())
 	began := time.Now()
-	ctx, cancel := context.WithTimeout(ctx, max(n.settings.Grace-stopMargin, leaveTime))
+	end := began.Add(max(n.settings.Grace-stopMargin, leaveTime))
+	ctx, cancel := context.WithDeadline(ctx, end)
 	defer cancel()
+	n.stopEnd.Store(&end)
 	n.stopping.Store(true)
 	n.owner.gate(dispatch.GateStopping, true)
 	n.target.tell()
--- a/node/sidecar/store.go
+++ b/node/sidecar/store.go
@@ -31,8 +31,8 @@
 	// List returns the keys with the prefix and a revision that they include.
 	List(ctx context.Context, prefix string) ([]Item, uint64, error)
 	// Watch returns the changes after the revision as soon as there are any,
-	// or none at the end of its time, and the revision to go on from.
-	Watch(ctx context.Context, prefix string, after uint64) ([]Item, uint64, error)
+	// or none at the end of the wait, and the revision to go on from.
+	Watch(ctx context.Context, prefix string, after uint64, wait time.Duration) ([]Item, uint64, error)
 	// Grant starts a lease.
 	Grant(ctx context.Context, ttl time.Duration) (Lease, error)
 	// Renew extends a lease; false when it has ended.
@@ -59,6 +59,11 @@
 	// settleTime is the pause after a change before the watch goes on, so that
 	// changes in quick succession cost one call.
 	settleTime = 150 * time.Millisecond
+	// operatorWait bounds the time for which a watch of the operators' keys can
+	// be deaf without notice, and fleetWait that of the nodes' entries, of which
+	// the nodes also tell each other.
+	operatorWait = 2500 * time.Millisecond
+	fleetWait    = 10 * time.Second
 	// firstPause and longestPause bound the wait after a failed call.
 	firstPause   = 100 * time.Millisecond
 	longestPause = time.Second
@@ -71,6 +76,7 @@
 	name     string
 	prefix   string
 	settle   time.Duration
+	wait     time.Duration // the longest that the store holds a watch
 	all      func(items []Item, revision uint64)
 	change   func(items []Item, revision uint64)
 	readable atomic.Bool
@@ -109,7 +115,7 @@
 func (f *follower) watch(ctx context.Context, revision uint64, failed func(error)) {
 	cuts := 0
 	for ctx.Err() == nil {
-		items, next, err := f.store.Watch(ctx, f.prefix, revision)
+		items, next, err := f.store.Watch(ctx, f.prefix, revision, f.wait)
 		switch {
 		case errors.Is(err, ErrHistoryLost):
 			f.log.Info("store history lost", "part", "store", "watch", f.name, "store_revision", revision)
--- a/policy/dispatch/dispatch.go
+++ b/policy/dispatch/dispatch.go
@@ -6,10 +6,12 @@
 // which targets slow down. A cold target gets calls at its stated rate, paced
 // by a token bucket with a small burst, so that no second holds more than the
 // rate and the burst together. Calls that find no slot wait in the order of
-// their priority, then of their arrival. A call is refused as soon as it cannot
-// start within the wait that its entry allows or cannot finish before its
-// deadline; the entry then tries another target, which a call that waits in
-// vain cannot.
+// their priority. Among equals those that can still be answered within their
+// objective go first: after a burst a queue in the order of arrival would serve
+// every call late, this one serves most of them in time and the others from
+// what capacity is left. A call that would be late waits for a short time only;
+// then, or as soon as it cannot finish before its deadline, it is refused, so
+// that its caller can decide what to do with the time that is left.
 package dispatch
 
 import (
@@ -36,6 +38,9 @@
 	// finishShare is the part of the expected service time that must remain
 	// until the deadline for a call to be worth starting.
 	finishShare = 0.4
+	// maxLateWait is how long a call waits beyond the time at which it can no
+	// longer be answered within its objective.
+	maxLateWait = 200 * time.Millisecond
 	// maxQueued bounds the calls that wait.
 	maxQueued = 256
 	// minRetryAfter and maxRetryAfter bound the advice in a refusal.
@@ -65,8 +70,8 @@
 	Priority int
 	// Deadline is when nobody waits for the answer any more.
 	Deadline time.Time
-	// Wait is the longest wait for a slot that the entry allows; 0 allows none.
-	Wait time.Duration
+	// Objective is the time until which an answer is worth most.
+	Objective time.Time
 	// Elsewhere is true when the entry has another target to try.
 	Elsewhere bool
 }
@@ -101,6 +106,11 @@
 	offered time.Time
 }
 
+// late reports whether the call would miss its objective if it started now.
+func (q queued) late(now time.Time, service time.Duration) bool {
+	return now.Add(service).After(q.Objective)
+}
+
 // Owner decides for one target. It is not safe for concurrent use.
 type Owner struct {
 	gates    Gate
@@ -227,20 +237,28 @@
 		o.start(now, c.Ticket)
 		return true, nil
 	}
+	q := queued{Call: c, offered: now}
 	wait := o.predictedWait(now, c.Priority)
-	if slow || wait > c.Wait || !now.Add(wait+o.needed(now)).Before(c.Deadline) || len(o.queue) >= maxQueued {
+	late := q.late(now.Add(wait), o.serviceTime(now))
+	if slow || late && (c.Elsewhere || o.lateQueued(now) >= o.slots || wait > maxLateWait) ||
+		!now.Add(wait+o.needed(now)).Before(c.Deadline) || len(o.queue) >= maxQueued {
 		return false, problem.New(problem.Overloaded, model.RunNo, "the target has no slot in time").After(bounded(wait))
 	}
-	at, _ := slices.BinarySearchFunc(o.queue, c.Priority, func(q queued, priority int) int {
-		if q.Priority > priority {
-			return 1
-		}
-		return -1
-	})
-	o.queue = slices.Insert(o.queue, at, queued{Call: c, offered: now})
+	o.queue = append(o.queue, q)
 	return false, nil
 }
 
+// lateQueued counts the queued calls that will miss their objective.
+func (o *Owner) lateQueued(now time.Time) int {
+	n, service := 0, o.serviceTime(now)
+	for _, q := range o.queue {
+		if q.late(now, service) {
+			n++
+		}
+	}
+	return n
+}
+
 func bounded(wait time.Duration) time.Duration { return min(max(wait, minRetryAfter), maxRetryAfter) }
 
 // needed is the time that must be left for a call to be worth starting.
@@ -286,11 +304,12 @@
 	o.running[t] = now
 }
 
-// predictedWait returns the time until a call of the priority would start.
+// predictedWait returns the time until a call of the priority that comes now
+// would start.
 func (o *Owner) predictedWait(now time.Time, priority int) time.Duration {
-	ahead := 0
+	ahead, service := 0, o.serviceTime(now)
 	for _, q := range o.queue {
-		if q.Priority <= priority {
+		if q.Priority < priority || q.Priority == priority && !q.late(now, service) {
 			ahead++
 		}
 	}
@@ -345,7 +364,7 @@
 		return next
 	}
 	for _, q := range o.queue {
-		next = earlier(next, q.offered.Add(q.Wait))
+		next = earlier(next, o.patience(q))
 		next = earlier(next, q.Deadline.Add(-o.needed(now)))
 	}
 	if o.Cold(now) && o.coldRate > 0 {
@@ -385,23 +404,47 @@
 		return refusal != nil
 	})
 	for len(o.queue) > 0 && o.free(now) {
-		q := o.queue[0]
-		o.queue = slices.Delete(o.queue, 0, 1)
+		at := o.first(now)
+		q := o.queue[at]
+		o.queue = slices.Delete(o.queue, at, at+1)
 		o.start(now, q.Ticket)
 		out = append(out, Release{Ticket: q.Ticket})
 	}
 	return out
 }
 
+// first returns the place of the queued call that starts next. The queue is in
+// the order of arrival.
+func (o *Owner) first(now time.Time) int {
+	best, service := 0, o.serviceTime(now)
+	for i, q := range o.queue {
+		b := o.queue[best]
+		if q.Priority < b.Priority || q.Priority == b.Priority && b.late(now, service) && !q.late(now, service) {
+			best = i
+		}
+	}
+	return best
+}
+
+// patience returns how long a queued call waits at the longest: until it would
+// miss its objective, and a short time beyond.
+func (o *Owner) patience(q queued) time.Time {
+	inTime := q.Objective.Add(-o.service)
+	if inTime.Before(q.offered) {
+		inTime = q.offered
+	}
+	return inTime.Add(maxLateWait)
+}
+
 func (o *Owner) overdue(now time.Time, q queued) *problem.Error {
 	if p := o.hopeless(now, q.Deadline); p != nil {
 		return p
 	}
-	if now.Sub(q.offered) < q.Wait || o.free(now) {
+	if now.Before(o.patience(q)) || o.free(now) {
 		return nil
 	}
 	wait := o.predictedWait(now, q.Priority)
-	return problem.New(problem.Overloaded, model.RunNo, "the call waited for a slot as long as its entry allows").After(bounded(wait))
+	return problem.New(problem.Overloaded, model.RunNo, "the target had no slot in time").After(bounded(wait))
 }
 
 // closed returns why no call may start, or nil.
