Start calls at a good pace of the target, near ones first

Cause: targets share their VMs; a target's pace falls to a fifth for spans of 150 ms (a trial logged health answers every 20 ms and the time of each call), and the pace at the start of a call decides how long the whole call takes. Calls were started at any pace, and went to other failure domains to avoid a queue of a few milliseconds.

Now the owner reads the pace before it starts a call, calls wait for a better pace while they are in time, and an entry asks its own failure domain first.

--- a/node/peer/message.go
+++ b/node/peer/message.go
@@ -90,6 +90,8 @@
 	Objective time.Duration `cbor:"23,keyasint,omitempty"`
 	// Elsewhere is true while the entry has another target to try.
 	Elsewhere bool `cbor:"24,keyasint,omitempty"`
+	// Hold lets a call that could go elsewhere wait for its slot.
+	Hold bool `cbor:"28,keyasint,omitempty"`
 	// Repeat is true when an earlier attempt of the call may have run.
 	Repeat bool `cbor:"25,keyasint,omitempty"`
 	// Origin is the service on whose VM the call began.
--- a/node/sidecar/entry.go
+++ b/node/sidecar/entry.go
@@ -7,6 +7,7 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -24,10 +25,10 @@
 const (
 	// maxOffers bounds the owners that are asked for one call before it is
 	// refused; an owner that refuses costs one round trip.
-	maxOffers = 6
-	// pickyOffers is the number of offers that a target may decline because
-	// another one may be better.
-	pickyOffers = 3
+	maxOffers = 8
+	// maxFarOffers is the number of owners in other failure domains that are
+	// asked for a slot at once.
+	maxFarOffers = 3
 	// maxCatchUps bounds the times that a call is routed anew.
 	maxCatchUps = 3
 	// defaultDeadline is used when neither the caller nor the route bounds the
@@ -139,11 +140,14 @@
 	rest      io.Reader
 	restSpent bool
 
-	exclude []model.NodeAddr
-	offers  int
-	sends   int // attempts that a target was given
-	mayRun  bool
-	trail   []step
+	stage    stage
+	failed   []model.NodeAddr // owners that cannot serve the call
+	declined []model.NodeAddr // owners that had no slot
+	farAsked int
+	offers   int
+	sends    int // attempts that a target was given
+	mayRun   bool
+	trail    []step
 }
 
 // step is one attempt, for the log.
@@ -281,37 +285,75 @@
 	}
 }
 
-// choose picks the owner to ask next. Once all were asked, the best of them is
-// asked again, to let the call wait.
+// stage is how a call looks for its target. The own failure domain comes
+// first, since bytes between failure domains are dear: its targets are asked
+// for a slot at once, then the call waits at the best of them for as long as it
+// can still be answered within its objective elsewhere, then the others are
+// asked, and in the end the call waits where it is likely to start first.
+type stage uint8
+
+const (
+	stageNear stage = iota
+	stageHold
+	stageFar
+	stageLast
+)
+
+// choose picks the owner to ask next.
 func (c *call) choose() (model.NodeAddr, *problem.Error) {
 	e := c.node.entry
 	report := c.node.owner.report()
+	alternatives := c.node.fleet.targets(c.service) - 1
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	now := time.Now()
 	e.placer.Heard(now, c.node.self, report)
-	node, p := e.placer.Choose(now, placement.Query{Service: c.service, Exclude: c.exclude})
-	if p != nil && p.Kind == problem.Overloaded && c.offers < maxOffers && c.offers > 0 {
-		c.exclude, c.offers = nil, max(c.offers, pickyOffers)
-		node, p = e.placer.Choose(now, placement.Query{Service: c.service})
+	if alternatives <= len(c.failed) {
+		c.stage = stageLast
 	}
-	if p != nil {
-		if p.Kind == problem.UnknownService {
-			// The service is configured: its targets are not known yet or gone.
-			p = problem.New(problem.NoTarget, model.RunNo, "no target of "+string(c.service)+" is known").After(retryUnready)
+	for {
+		node, p := e.placer.Choose(now, c.query())
+		if p == nil {
+			e.placer.Sent(now, c.service, node)
+			c.offers++
+			return node, nil
+		}
+		if c.stage == stageLast {
+			return "", c.noTarget(p)
 		}
-		return "", p
+		c.stage++
 	}
-	e.placer.Sent(now, c.service, node)
-	c.offers++
-	return node, nil
+}
+
+// query says which targets the present stage looks at.
+func (c *call) query() placement.Query {
+	q := placement.Query{Service: c.service, Exclude: c.failed}
+	switch c.stage {
+	case stageNear:
+		q.Near, q.Exclude = true, slices.Concat(c.failed, c.declined)
+	case stageHold:
+		q.Near = true
+	case stageFar:
+		q.Exclude = slices.Concat(c.failed, c.declined)
+	}
+	return q
+}
+
+// noTarget says what the lack of a target means to the caller.
+func (c *call) noTarget(p *problem.Error) *problem.Error {
+	if p.Kind == problem.UnknownService {
+		// The service is configured: its targets are not known yet or gone.
+		return problem.New(problem.NoTarget, model.RunNo, "no target of "+string(c.service)+" is known").After(retryUnready)
+	}
+	return p
 }
 
 // send offers the call to an owner and returns its answer.
 func (c *call) send(ctx context.Context, node model.NodeAddr) reply {
 	request := c.request
 	request.Timeout = time.Until(c.deadline)
-	request.Elsewhere = c.offers <= pickyOffers && len(c.exclude) < c.alternatives()
+	request.Elsewhere = c.stage != stageLast
+	request.Hold = c.stage == stageHold
 	request.Repeat = c.mayRun
 	request.Objective = request.Timeout
 	if c.route.Objective > 0 {
@@ -323,11 +365,6 @@
 	return c.remote(ctx, node, &request)
 }
 
-// alternatives returns the number of other nodes with a target of the service.
-func (c *call) alternatives() int {
-	return c.node.fleet.targets(c.service) - 1
-}
-
 func (c *call) local(ctx context.Context, request *peer.Request) reply {
 	request.Inline = c.rest == nil
 	body := io.MultiReader(bytes.NewReader(request.Body), orEmpty(c.rest))
@@ -472,7 +509,8 @@
 		return false
 	}
 	c.mayRun = true
-	c.exclude = append(c.exclude, c.lastNode())
+	c.failed = append(c.failed, c.lastNode())
+	c.stage = min(c.stage, stageFar)
 	repeats.Inc()
 	return true
 }
@@ -495,10 +533,26 @@
 		return nil
 	case c.offers >= maxOffers || c.restSpent:
 		return p
-	case p.Kind == problem.DeadlineExceeded && !c.request.Elsewhere && c.offers >= pickyOffers:
+	case p.Kind == problem.Overloaded || p.Kind == problem.DeadlineExceeded:
+		return c.wasDeclined(p)
+	}
+	c.failed = append(c.failed, c.lastNode())
+	return nil
+}
+
+// wasDeclined goes on after an owner had no slot for the call.
+func (c *call) wasDeclined(p *problem.Error) *problem.Error {
+	c.declined = append(c.declined, c.lastNode())
+	switch c.stage {
+	case stageHold:
+		c.stage = stageFar
+	case stageFar:
+		if c.farAsked++; c.farAsked >= maxFarOffers {
+			c.stage = stageLast
+		}
+	case stageLast:
 		return p
 	}
-	c.exclude = append(c.exclude, c.lastNode())
 	return nil
 }
 
@@ -507,11 +561,11 @@
 	if report := rep.answer.Report; report != nil && report.Revision > c.request.Revision {
 		c.node.configuration.heard(report.Revision, node)
 		if !c.node.configuration.await(ctx, report.Revision) {
-			c.exclude = append(c.exclude, node)
+			c.failed = append(c.failed, node)
 			return nil
 		}
 	} else {
-		c.exclude = append(c.exclude, node)
+		c.failed = append(c.failed, node)
 		return nil
 	}
 	service := c.service
@@ -519,7 +573,7 @@
 		return p
 	}
 	if c.service != service {
-		c.exclude = nil
+		c.failed, c.declined, c.stage = nil, nil, stageNear
 	}
 	return nil
 }
--- a/node/sidecar/owner.go
+++ b/node/sidecar/owner.go
@@ -62,6 +62,21 @@
 	return o.dispatch.Closed(g)
 }
 
+// held reports whether calls wait for a better pace of the target.
+func (o *owner) held() bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.dispatch.Held(time.Now())
+}
+
+// paceAge returns the age of what is known of the target's pace; false when
+// the target states none.
+func (o *owner) paceAge() (time.Duration, bool) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.dispatch.PaceAge(time.Now())
+}
+
 // report states the target's load.
 func (o *owner) report() model.Report {
 	o.mu.Lock()
@@ -83,7 +98,11 @@
 		o.waiting[call.Ticket] = reply
 		o.timer.Reset(time.Until(o.dispatch.NextTick(time.Now())))
 	}
+	held := o.dispatch.Held(time.Now())
 	o.mu.Unlock()
+	if held {
+		o.node.target.look()
+	}
 	if start || refusal != nil {
 		return call.Ticket, refusal
 	}
--- a/node/sidecar/target.go
+++ b/node/sidecar/target.go
@@ -19,9 +19,16 @@
 	// probePause is the time between health requests while calls are under
 	// way, idleProbePause while none are, and seekPause while the target is
 	// unknown or down.
-	probePause     = 100 * time.Millisecond
+	probePause     = 250 * time.Millisecond
 	idleProbePause = 500 * time.Millisecond
 	seekPause      = 100 * time.Millisecond
+	// heldProbePause is the same while calls wait for a better pace.
+	heldProbePause = 15 * time.Millisecond
+	// freshPace is the age up to which a reading of the pace decides on a
+	// call; paces last for about ten times as long.
+	freshPace = 15 * time.Millisecond
+	// freshenTimeout bounds the wait for a reading before a call.
+	freshenTimeout = 10 * time.Millisecond
 	// probeTimeout bounds one health request.
 	probeTimeout = 400 * time.Millisecond
 	// mutesToDown is the number of health requests in a row without an answer
@@ -75,6 +82,8 @@
 	answered time.Time // last answer of any kind
 	heard    time.Time // last announcement
 	wake     chan struct{}
+	// asked is closed at the end of the health request that calls wait for.
+	asked chan struct{}
 }
 
 func newTarget(n *Node) *target {
@@ -276,12 +285,44 @@
 	switch {
 	case t.node.owner.closed(dispatch.GateAbsent | dispatch.GateDown):
 		return seekPause
+	case t.node.owner.held():
+		return heldProbePause
 	case t.node.owner.report().InFlight > 0:
 		return probePause
 	}
 	return idleProbePause
 }
 
+// freshen asks for the load before a call whose start depends on it. Calls that
+// come together share one question.
+func (t *target) freshen(ctx context.Context) {
+	age, stated := t.node.owner.paceAge()
+	if !stated || age < freshPace || t.node.owner.closed(dispatch.GateAbsent|dispatch.GateDown) {
+		return
+	}
+	t.mu.Lock()
+	asked := t.asked
+	if asked == nil {
+		asked = make(chan struct{})
+		t.asked = asked
+		t.node.goDuty(func() {
+			t.probe(t.node.ctx)
+			t.mu.Lock()
+			t.asked = nil
+			t.mu.Unlock()
+			close(asked)
+		})
+	}
+	t.mu.Unlock()
+	timer := time.NewTimer(freshenTimeout)
+	defer timer.Stop()
+	select {
+	case <-asked:
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
 // look asks for the health at once.
 func (t *target) look() { poke(t.wake) }
 
--- a/policy/dispatch/dispatch.go
+++ b/policy/dispatch/dispatch.go
@@ -41,6 +41,11 @@
 	// maxLateWait is how long a call waits beyond the time at which it can no
 	// longer be answered within its objective.
 	maxLateWait = 200 * time.Millisecond
+	// holdMargin is the part of the expected service time, and holdTrip the
+	// time for the way to another target, that a call keeps in hand which could
+	// go elsewhere.
+	holdMargin = 1.25
+	holdTrip   = 8 * time.Millisecond
 	// maxQueued bounds the calls that wait.
 	maxQueued = 256
 	// minRetryAfter and maxRetryAfter bound the advice in a refusal.
@@ -49,9 +54,12 @@
 	// foreignAge is the age up to which a load reading tells of work in
 	// flight that this owner did not send.
 	foreignAge = 250 * time.Millisecond
-	// slowPace is the factor on the usual time of work from which on a call
-	// that may go elsewhere is turned away.
-	slowPace = 1.8
+	// slowPace is the factor on the usual time of work from which on the pace
+	// is slow.
+	slowPace = 1.5
+	// maxSlowWait is how long a call that has nowhere else to go waits for a
+	// better pace: two of the spans for which a pace lasts.
+	maxSlowWait = 300 * time.Millisecond
 	// paceAge is the age up to which a pace reading is believed.
 	paceAge = 200 * time.Millisecond
 	// minTick is the least time between ticks.
@@ -74,6 +82,9 @@
 	Objective time.Time
 	// Elsewhere is true when the entry has another target to try.
 	Elsewhere bool
+	// Hold lets a call that could go elsewhere wait here for as long as it can
+	// still be answered within its objective.
+	Hold bool
 }
 
 // Release ends the wait of a queued call; a nil Refusal starts it.
@@ -101,6 +112,12 @@
 	GateLag
 )
 
+// run is a call in flight.
+type run struct {
+	started time.Time
+	pace    float64
+}
+
 type queued struct {
 	Call
 	offered time.Time
@@ -115,7 +132,7 @@
 type Owner struct {
 	gates    Gate
 	slots    int
-	running  map[Ticket]time.Time
+	running  map[Ticket]run
 	queue    []queued
 	service  time.Duration
 	learned  bool
@@ -135,7 +152,7 @@
 
 // New returns an owner without a target.
 func New() *Owner {
-	return &Owner{gates: GateAbsent, running: make(map[Ticket]time.Time), service: initialServiceTime, pace: 1}
+	return &Owner{gates: GateAbsent, running: make(map[Ticket]run), service: initialServiceTime, pace: 1}
 }
 
 // SetGate closes or opens a gate.
@@ -217,6 +234,12 @@
 	return limit
 }
 
+// PaceAge returns the age of the last pace reading; stated is false when the
+// target states none.
+func (o *Owner) PaceAge(now time.Time) (age time.Duration, stated bool) {
+	return now.Sub(o.pacedAt), !o.pacedAt.IsZero()
+}
+
 // serviceTime returns the expected time of one call that starts now.
 func (o *Owner) serviceTime(now time.Time) time.Duration {
 	return time.Duration(float64(o.service) * max(o.Pace(now), 1))
@@ -232,25 +255,49 @@
 	if p := o.hopeless(now, c.Deadline); p != nil {
 		return false, p
 	}
-	slow := c.Elsewhere && o.Pace(now) >= slowPace
-	if !slow && len(o.queue) == 0 && o.free(now) {
+	q := queued{Call: c, offered: now}
+	if o.free(now) && o.paced(now, q) && o.first(now) < 0 {
 		o.start(now, c.Ticket)
 		return true, nil
 	}
-	q := queued{Call: c, offered: now}
 	wait := o.predictedWait(now, c.Priority)
-	late := q.late(now.Add(wait), o.serviceTime(now))
-	if slow || late && (c.Elsewhere || o.lateQueued(now) >= o.slots || wait > maxLateWait) ||
-		!now.Add(wait+o.needed(now)).Before(c.Deadline) || len(o.queue) >= maxQueued {
+	if o.turnsAway(now, q, wait) {
 		return false, problem.New(problem.Overloaded, model.RunNo, "the target has no slot in time").After(bounded(wait))
 	}
 	o.queue = append(o.queue, q)
 	return false, nil
 }
 
+// turnsAway reports whether a call that cannot start now is refused.
+func (o *Owner) turnsAway(now time.Time, q queued, wait time.Duration) bool {
+	start := now.Add(wait)
+	switch {
+	case len(o.queue) >= maxQueued, !start.Add(o.needed()).Before(q.Deadline):
+		return true
+	case q.Elsewhere:
+		return !start.Before(o.patience(q))
+	case q.late(start, o.service):
+		return o.lateQueued(now) >= o.slots || wait > maxLateWait
+	}
+	return false
+}
+
+// paced reports whether the call may start at the present pace.
+func (o *Owner) paced(now time.Time, q queued) bool {
+	if o.Pace(now) < slowPace || !q.late(now, o.serviceTime(now)) {
+		return true
+	}
+	return !q.Elsewhere && now.Sub(q.offered) >= maxSlowWait
+}
+
+// Held reports whether a call waits for a better pace only.
+func (o *Owner) Held(now time.Time) bool {
+	return len(o.queue) > 0 && o.Pace(now) >= slowPace && len(o.running) < o.limit(now)
+}
+
 // lateQueued counts the queued calls that will miss their objective.
 func (o *Owner) lateQueued(now time.Time) int {
-	n, service := 0, o.serviceTime(now)
+	n, service := 0, o.service
 	for _, q := range o.queue {
 		if q.late(now, service) {
 			n++
@@ -262,15 +309,15 @@
 func bounded(wait time.Duration) time.Duration { return min(max(wait, minRetryAfter), maxRetryAfter) }
 
 // needed is the time that must be left for a call to be worth starting.
-func (o *Owner) needed(now time.Time) time.Duration {
+func (o *Owner) needed() time.Duration {
 	if !o.learned {
 		return 0
 	}
-	return time.Duration(finishShare * float64(o.serviceTime(now)))
+	return time.Duration(finishShare * float64(o.service))
 }
 
 func (o *Owner) hopeless(now time.Time, deadline time.Time) *problem.Error {
-	if now.Add(o.needed(now)).Before(deadline) {
+	if now.Add(o.needed()).Before(deadline) {
 		return nil
 	}
 	return problem.New(problem.DeadlineExceeded, model.RunNo, "the call cannot be answered before its deadline")
@@ -301,13 +348,13 @@
 		o.fill(now)
 		o.tokens--
 	}
-	o.running[t] = now
+	o.running[t] = run{started: now, pace: max(o.Pace(now), 1)}
 }
 
 // predictedWait returns the time until a call of the priority that comes now
 // would start.
 func (o *Owner) predictedWait(now time.Time, priority int) time.Duration {
-	ahead, service := 0, o.serviceTime(now)
+	ahead, service := 0, o.service
 	for _, q := range o.queue {
 		if q.Priority < priority || q.Priority == priority && !q.late(now, service) {
 			ahead++
@@ -316,7 +363,7 @@
 	limit := max(o.limit(now), 1)
 	wait := time.Duration(0)
 	if len(o.running) >= limit {
-		wait = o.serviceTime(now) * time.Duration(ahead+1) / time.Duration(limit)
+		wait = o.service * time.Duration(ahead+1) / time.Duration(limit)
 	}
 	if o.Cold(now) && o.coldRate > 0 {
 		o.fill(now)
@@ -329,17 +376,17 @@
 // Finish records the end of a call that was in flight. Answered says whether
 // its duration tells how long work takes.
 func (o *Owner) Finish(now time.Time, t Ticket, answered bool) []Release {
-	if started, ok := o.running[t]; ok {
+	if r, ok := o.running[t]; ok {
 		delete(o.running, t)
 		if answered {
-			o.learn(now, now.Sub(started))
+			o.learn(now, r)
 		}
 	}
 	return o.settle(now)
 }
 
-func (o *Owner) learn(now time.Time, took time.Duration) {
-	usual := time.Duration(float64(took) / max(o.Pace(now), 1))
+func (o *Owner) learn(now time.Time, r run) {
+	usual := time.Duration(float64(now.Sub(r.started)) / r.pace)
 	if !o.learned {
 		o.learned, o.service = true, usual
 	}
@@ -365,7 +412,10 @@
 	}
 	for _, q := range o.queue {
 		next = earlier(next, o.patience(q))
-		next = earlier(next, q.Deadline.Add(-o.needed(now)))
+		if slowEnd := q.offered.Add(maxSlowWait); slowEnd.After(now) {
+			next = earlier(next, slowEnd)
+		}
+		next = earlier(next, q.Deadline.Add(-o.needed()))
 	}
 	if o.Cold(now) && o.coldRate > 0 {
 		o.fill(now)
@@ -403,8 +453,11 @@
 		}
 		return refusal != nil
 	})
-	for len(o.queue) > 0 && o.free(now) {
+	for o.free(now) {
 		at := o.first(now)
+		if at < 0 {
+			break
+		}
 		q := o.queue[at]
 		o.queue = slices.Delete(o.queue, at, at+1)
 		o.start(now, q.Ticket)
@@ -413,22 +466,36 @@
 	return out
 }
 
-// first returns the place of the queued call that starts next. The queue is in
-// the order of arrival.
+// first returns the place of the queued call that starts next, -1 for none.
+// The queue is in the order of arrival.
 func (o *Owner) first(now time.Time) int {
-	best, service := 0, o.serviceTime(now)
+	best := -1
 	for i, q := range o.queue {
-		b := o.queue[best]
-		if q.Priority < b.Priority || q.Priority == b.Priority && b.late(now, service) && !q.late(now, service) {
+		if o.paced(now, q) && (best < 0 || o.before(now, q, o.queue[best])) {
 			best = i
 		}
 	}
 	return best
 }
 
-// patience returns how long a queued call waits at the longest: until it would
-// miss its objective, and a short time beyond.
+// before reports whether a call goes before one that came earlier.
+func (o *Owner) before(now time.Time, q, earlier queued) bool {
+	if q.Priority != earlier.Priority {
+		return q.Priority < earlier.Priority
+	}
+	return earlier.late(now, o.service) && !q.late(now, o.service)
+}
+
+// patience returns how long a queued call waits at the longest: as its entry
+// says if it can go elsewhere, otherwise until it would miss its objective and
+// a short time beyond.
 func (o *Owner) patience(q queued) time.Time {
+	if q.Elsewhere && !q.Hold {
+		return q.offered
+	}
+	if q.Elsewhere {
+		return q.Objective.Add(-time.Duration(holdMargin*float64(o.service)) - holdTrip)
+	}
 	inTime := q.Objective.Add(-o.service)
 	if inTime.Before(q.offered) {
 		inTime = q.offered
@@ -440,7 +507,7 @@
 	if p := o.hopeless(now, q.Deadline); p != nil {
 		return p
 	}
-	if now.Before(o.patience(q)) || o.free(now) {
+	if now.Before(o.patience(q)) || o.free(now) && o.paced(now, q) {
 		return nil
 	}
 	wait := o.predictedWait(now, q.Priority)
@@ -492,17 +559,17 @@
 		r.Limit = uint16(max(o.limit(now), 0))
 	}
 	if o.Cold(now) {
-		r.Limit = o.coldLimit(now, r.Limit)
+		r.Limit = o.coldLimit(r.Limit)
 	}
 	if o.learned {
-		r.ServiceTime = o.serviceTime(now)
+		r.ServiceTime = o.service
 	}
 	return r
 }
 
 // coldLimit returns the calls that the cold rate keeps in flight.
-func (o *Owner) coldLimit(now time.Time, limit uint16) uint16 {
-	inFlight := o.coldRate * coldShare * o.serviceTime(now).Seconds()
+func (o *Owner) coldLimit(limit uint16) uint16 {
+	inFlight := o.coldRate * coldShare * o.service.Seconds()
 	return min(limit, uint16(max(inFlight, 1)))
 }
 
