Pass on a target's own failure when no repeat succeeds

Cause: a lookup that its target answered with 500 was tried again and waited 200 ms for a slot; then its caller got 502 in place of the target's answer.

--- a/node/sidecar/entry.go
+++ b/node/sidecar/entry.go
@@ -144,10 +144,12 @@
 	failed   []model.NodeAddr // owners that cannot serve the call
 	declined []model.NodeAddr // owners that had no slot
 	farAsked int
-	offers   int
-	sends    int // attempts that a target was given
-	mayRun   bool
-	trail    []step
+	// kept is a target's failure that is passed on if no repeat succeeds.
+	kept   *front.Response
+	offers int
+	sends  int // attempts that a target was given
+	mayRun bool
+	trail  []step
 }
 
 // step is one attempt, for the log.
@@ -249,6 +251,9 @@
 	catchUps := 0
 	for {
 		node, p := c.choose()
+		if p != nil && c.kept != nil {
+			return c.kept, nil
+		}
 		if p != nil {
 			return nil, c.giveUp(p)
 		}
@@ -260,9 +265,12 @@
 			if again := c.repeatFailure(rep); !again {
 				return c.response(rep), nil
 			}
-			closeBody(rep)
+			c.keep(rep)
 			continue
 		}
+		if c.kept != nil && !c.worthRepeating(p, rep.answer.Reached) {
+			return c.kept, nil
+		}
 		if ctx.Err() != nil {
 			return nil, c.ended(ctx, p)
 		}
@@ -279,10 +287,20 @@
 	}
 }
 
-func closeBody(rep reply) {
+// keep holds on to the failure that a target answered with, for the case that
+// no other target takes the call.
+func (c *call) keep(rep reply) {
 	if rep.body != nil {
 		_ = rep.body.Close()
+		return
 	}
+	c.kept = c.response(rep)
+}
+
+// worthRepeating reports whether the repeat of a call that has an answer goes
+// on after a problem: only while other owners can be asked at once.
+func (c *call) worthRepeating(p *problem.Error, reached bool) bool {
+	return p.Run == model.RunNo && !reached && c.stage < stageLast
 }
 
 // stage is how a call looks for its target. The own failure domain comes
