--- a/node/front/front.go
+++ b/node/front/front.go
@@ -259,10 +259,11 @@
 		if !c.awaitFirst(limits.IdleTimeout) {
 			return
 		}
-		_ = c.net.SetReadDeadline(time.Now().Add(limits.HeaderTimeout))
+		deadline := time.Now().Add(limits.HeaderTimeout)
+		_ = c.net.SetReadDeadline(deadline)
 		parsed, err := http.ReadRequest(c.reader)
 		if err != nil {
-			c.reject(err)
+			c.reject(err, !time.Now().Before(deadline))
 			return
 		}
 		if !c.take(parsed, limits) {
@@ -297,14 +298,15 @@
 	return c.pending > 0
 }
 
-// reject answers a request that could not be read, after those before it.
-func (c *conn) reject(err error) {
-	var timeout net.Error
+// reject answers a request that could not be read, after those before it. The
+// parser takes what a time-out or the limit left of a line for the whole line,
+// so its error does not tell these cases.
+func (c *conn) reject(err error, overdue bool) {
 	switch {
-	case errors.As(err, &timeout) && timeout.Timeout():
-		c.answerLast(c.server.opts.Reject(http.StatusRequestTimeout, "the header did not arrive in time"))
 	case c.limit.N <= 0:
 		c.answerLast(c.server.opts.Reject(http.StatusRequestHeaderFieldsTooLarge, "the header is over the limit"))
+	case overdue:
+		c.answerLast(c.server.opts.Reject(http.StatusRequestTimeout, "the header did not arrive in time"))
 	case errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF), errors.Is(err, net.ErrClosed):
 		c.cancel()
 	default:
--- /dev/null
+++ b/node/front/front_test.go
@@ -0,0 +1,274 @@
+package front
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+var testLimits = Limits{HeaderBytes: 2000, BodyBytes: 1 << 20, HeaderTimeout: 30 * time.Second, IdleTimeout: 30 * time.Second}
+
+func start(t *testing.T, limits Limits, handle func(context.Context, *Request) *Response) (*Server, string) {
+	s := New(Options{
+		Handle: handle, Limits: func() Limits { return limits }, MaxConnections: 100,
+		Reject: func(status int, detail string) *Response { return &Response{Status: status, Body: []byte(detail)} },
+	})
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	qt.Assert(t, err, qt.IsNil)
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		_ = s.Serve(l)
+	}()
+	t.Cleanup(func() {
+		_ = l.Close()
+		<-done
+	})
+	return s, l.Addr().String()
+}
+
+// caller is one connection to the server.
+type caller struct {
+	t    *testing.T
+	conn net.Conn
+	r    *bufio.Reader
+}
+
+func dial(t *testing.T, addr string) *caller {
+	conn, err := net.Dial("tcp", addr)
+	qt.Assert(t, err, qt.IsNil)
+	t.Cleanup(func() { _ = conn.Close() })
+	return &caller{t, conn, bufio.NewReader(conn)}
+}
+
+func (c *caller) send(text string) {
+	_, err := io.WriteString(c.conn, text)
+	qt.Assert(c.t, err, qt.IsNil)
+}
+
+func (c *caller) receive() (int, string, http.Header) {
+	response, err := http.ReadResponse(c.r, nil)
+	qt.Assert(c.t, err, qt.IsNil)
+	body, err := io.ReadAll(response.Body)
+	qt.Assert(c.t, err, qt.IsNil)
+	header := response.Header
+	if response.Close {
+		header.Set("Connection", "close")
+	}
+	return response.StatusCode, string(body), header
+}
+
+func (c *caller) ended() {
+	_, err := c.r.ReadByte()
+	qt.Assert(c.t, errors.Is(err, io.EOF), qt.IsTrue, qt.Commentf("%v", err))
+}
+
+func get(path string) string { return "GET " + path + " HTTP/1.1\r\nHost: h\r\n\r\n" }
+
+func echo(_ context.Context, r *Request) *Response {
+	body := r.Body
+	if r.Rest != nil {
+		rest, err := io.ReadAll(r.Rest)
+		if err != nil {
+			return &Response{Abort: true}
+		}
+		body = append(body, rest...)
+	}
+	return &Response{Status: 200, Body: []byte(fmt.Sprintf("%s %s %d", r.Method, r.Path(), len(body)))}
+}
+
+func TestPipelinedRequestsRunTogetherAndAnswerInOrder(t *testing.T) {
+	second := make(chan struct{})
+	_, addr := start(t, testLimits, func(ctx context.Context, r *Request) *Response {
+		if r.Path() == "/1" {
+			<-second // the first waits for the second
+		} else {
+			close(second)
+		}
+		return echo(ctx, r)
+	})
+	c := dial(t, addr)
+	c.send(get("/1") + get("/2"))
+	for _, path := range []string{"/1", "/2"} {
+		_, body, _ := c.receive()
+		qt.Assert(t, body, qt.Equals, "GET "+path+" 0")
+	}
+}
+
+func TestCloseOfTheCallerCancelsWhatIsUnderWay(t *testing.T) {
+	for name, request := range map[string]string{
+		"kept open": get("/1"),
+		"last":      "GET /1 HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n",
+		"pipelined": get("/1") + get("/2") + get("/3"),
+	} {
+		t.Run(name, func(t *testing.T) {
+			begun, canceled := make(chan struct{}, 3), make(chan struct{}, 3)
+			_, addr := start(t, testLimits, func(ctx context.Context, _ *Request) *Response {
+				begun <- struct{}{}
+				<-ctx.Done()
+				canceled <- struct{}{}
+				return &Response{Abort: true}
+			})
+			c := dial(t, addr)
+			c.send(request)
+			n := strings.Count(request, "GET")
+			for range n {
+				<-begun
+			}
+			_ = c.conn.Close()
+			for range n {
+				<-canceled
+			}
+		})
+	}
+}
+
+func TestBodies(t *testing.T) {
+	_, addr := start(t, testLimits, echo)
+	long := strings.Repeat("x", 2*wholeBody)
+	c := dial(t, addr)
+	for _, body := range []string{"", "short", long} {
+		c.send(fmt.Sprintf("POST /b HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n\r\n%s", len(body), body))
+		_, got, _ := c.receive()
+		qt.Assert(t, got, qt.Equals, fmt.Sprintf("POST /b %d", len(body)))
+		c.send(fmt.Sprintf("POST /c HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n\r\n", max(len(body), 1), body+strings.Repeat("x", 1-min(len(body), 1))))
+		_, got, _ = c.receive()
+		qt.Assert(t, got, qt.Equals, fmt.Sprintf("POST /c %d", max(len(body), 1)))
+	}
+}
+
+func TestLimits(t *testing.T) {
+	for name, c := range map[string]struct {
+		request string
+		status  int
+	}{
+		"header":       {"GET / HTTP/1.1\r\nHost: h\r\nX: " + strings.Repeat("x", 8000) + "\r\n\r\n", 431},
+		"just over":    {"GET / HTTP/1.1\r\nHost: h\r\nX: " + strings.Repeat("x", 2000) + "\r\n\r\n", 431},
+		"body":         {"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 2000000\r\n\r\n", 413},
+		"chunked body": {"POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n20\r\n" + strings.Repeat("x", 32) + "\r\n0\r\n\r\n", 413},
+		"malformed":    {"nonsense\r\n\r\n", 400},
+	} {
+		t.Run(name, func(t *testing.T) {
+			limits := testLimits
+			if name == "chunked body" {
+				limits.BodyBytes = 16
+			}
+			_, addr := start(t, limits, echo)
+			caller := dial(t, addr)
+			caller.send(c.request)
+			status, _, header := caller.receive()
+			qt.Assert(t, status, qt.Equals, c.status)
+			qt.Assert(t, header.Get("Connection"), qt.Equals, "close")
+			caller.ended()
+		})
+	}
+}
+
+func TestSlowHeaderIsAnsweredWithATimeout(t *testing.T) {
+	limits := testLimits
+	limits.HeaderTimeout = time.Millisecond
+	_, addr := start(t, limits, echo)
+	c := dial(t, addr)
+	c.send("GET / HT")
+	status, _, _ := c.receive()
+	qt.Assert(t, status, qt.Equals, http.StatusRequestTimeout)
+	c.ended()
+}
+
+func TestIdleConnectionIsClosedAndABusyOneIsNot(t *testing.T) {
+	limits := testLimits
+	limits.IdleTimeout = time.Millisecond
+	release := make(chan struct{})
+	_, addr := start(t, limits, func(ctx context.Context, r *Request) *Response {
+		<-release
+		return echo(ctx, r)
+	})
+	idle := dial(t, addr)
+	busy := dial(t, addr)
+	busy.send(get("/1"))
+	idle.ended()
+	close(release)
+	status, _, _ := busy.receive()
+	qt.Assert(t, status, qt.Equals, 200)
+	busy.ended()
+}
+
+func TestLetGoAsksCallersToClose(t *testing.T) {
+	s, addr := start(t, testLimits, echo)
+	c, quiet := dial(t, addr), dial(t, addr)
+	c.send(get("/1"))
+	_, _, header := c.receive()
+	qt.Assert(t, header.Get("Connection"), qt.Equals, "")
+	s.LetGo()
+	c.send(get("/2"))
+	_, _, header = c.receive()
+	qt.Assert(t, header.Get("Connection"), qt.Equals, "close")
+	c.ended()
+	for s.Open() < 1 { // the quiet connection is accepted
+		time.Sleep(time.Millisecond)
+	}
+	s.CloseIdle()
+	quiet.ended()
+}
+
+func TestPartialAnswerNeverLooksWhole(t *testing.T) {
+	for name, length := range map[string]int64{"stated length": 100, "chunked": -1} {
+		t.Run(name, func(t *testing.T) {
+			_, addr := start(t, testLimits, func(context.Context, *Request) *Response {
+				broken := io.NopCloser(io.MultiReader(strings.NewReader("half"), failing{}))
+				return &Response{Status: 200, Stream: broken, Length: length}
+			})
+			c := dial(t, addr)
+			c.send(get("/1"))
+			response, err := http.ReadResponse(c.r, nil)
+			qt.Assert(t, err, qt.IsNil)
+			_, err = io.ReadAll(response.Body)
+			qt.Assert(t, err, qt.IsNotNil)
+		})
+	}
+}
+
+type failing struct{}
+
+func (failing) Read([]byte) (int, error) { return 0, errors.New("cut off") }
+
+func TestExpectationIsAnsweredBeforeTheBody(t *testing.T) {
+	_, addr := start(t, testLimits, echo)
+	c := dial(t, addr)
+	c.send("POST /e HTTP/1.1\r\nHost: h\r\nExpect: 100-continue\r\nContent-Length: 2\r\n\r\n")
+	line, err := c.r.ReadString('\n')
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, strings.HasPrefix(line, "HTTP/1.1 100"), qt.IsTrue)
+	_, _ = c.r.ReadString('\n')
+	c.send("ok")
+	_, body, _ := c.receive()
+	qt.Assert(t, body, qt.Equals, "POST /e 2")
+}
+
+func TestRequestSmuggledInABodyIsNotServed(t *testing.T) {
+	served := make(chan string, 4)
+	_, addr := start(t, testLimits, func(ctx context.Context, r *Request) *Response {
+		served <- r.Path()
+		return echo(ctx, r)
+	})
+	c := dial(t, addr)
+	c.send("POST /outer HTTP/1.1\r\nHost: h\r\nContent-Length: 6\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n" + get("/after"))
+	status, _, _ := c.receive()
+	if status == 200 {
+		_, _, _ = c.receive()
+		paths := []string{<-served, <-served}
+		slices.Sort(paths)
+		qt.Assert(t, paths, qt.DeepEquals, []string{"/after", "/outer"})
+	}
+	qt.Assert(t, len(served), qt.Equals, 0)
+}
--- a/node/sidecar/entry.go
+++ b/node/sidecar/entry.go
@@ -510,6 +510,7 @@
 	if rep.answer.Status < http.StatusInternalServerError || !c.route.Idempotent {
 		return false
 	}
+	c.mayRun = true
 	return c.mayRepeat()
 }
 
@@ -526,7 +527,6 @@
 	if !paid {
 		return false
 	}
-	c.mayRun = true
 	c.failed = append(c.failed, c.lastNode())
 	c.stage = min(c.stage, stageFar)
 	repeats.Inc()
@@ -541,6 +541,7 @@
 	if reached || p.Run != model.RunNo {
 		c.sends++
 	}
+	c.mayRun = c.mayRun || p.Run != model.RunNo
 	switch {
 	case p.Run != model.RunNo && !c.route.Idempotent, p.Kind == problem.Quarantined:
 		return p
--- /dev/null
+++ b/node/sidecar/fixture_test.go
@@ -0,0 +1,360 @@
+package sidecar
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"zinniafall/policy/model"
+	"zinniafall/policy/routing"
+)
+
+var testDialect = Dialect{
+	RequestID: "X-Id", Deadline: "X-Deadline", Mark: "X-Mark", ExpectTarget: "X-Expect", Load: "X-Load",
+	NotRun: "X-Not-Run", Origin: "X-Origin", TargetID: "X-Target", ColdLeft: "X-Cold",
+}
+
+// memoryStore is the store's part that nodes use, without its timing.
+type memoryStore struct {
+	mu       sync.Mutex
+	keys     map[string]Item
+	history  []Item
+	revision uint64
+	lease    uint64
+	leases   map[Lease]bool
+	changed  chan struct{}
+	down     bool
+}
+
+var errDown = errors.New("the store is down")
+
+func newMemoryStore() *memoryStore {
+	return &memoryStore{keys: map[string]Item{}, leases: map[Lease]bool{}, changed: make(chan struct{})}
+}
+
+func (s *memoryStore) setDown(down bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.down = down
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+func (s *memoryStore) put(key string, value []byte, removed bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.set(key, value, removed)
+}
+
+func (s *memoryStore) set(key string, value []byte, removed bool) {
+	s.revision++
+	item := Item{Key: key, Value: value, Revision: s.revision, Removed: removed}
+	s.history = append(s.history, item)
+	s.keys[key] = item
+	if removed {
+		delete(s.keys, key)
+	}
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+func (s *memoryStore) has(key string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	_, ok := s.keys[key]
+	return ok
+}
+
+func (s *memoryStore) List(_ context.Context, prefix string) ([]Item, uint64, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.down {
+		return nil, 0, errDown
+	}
+	var out []Item
+	for key, item := range s.keys {
+		if strings.HasPrefix(key, prefix) {
+			out = append(out, item)
+		}
+	}
+	return out, s.revision, nil
+}
+
+func (s *memoryStore) Watch(ctx context.Context, prefix string, after uint64, wait time.Duration) ([]Item, uint64, error) {
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	for {
+		s.mu.Lock()
+		changed, down, revision := s.changed, s.down, s.revision
+		var out []Item
+		for _, item := range s.history {
+			if item.Revision > after && strings.HasPrefix(item.Key, prefix) {
+				out = append(out, item)
+			}
+		}
+		s.mu.Unlock()
+		if down {
+			return nil, 0, errDown
+		}
+		if len(out) > 0 {
+			return out, revision, nil
+		}
+		select {
+		case <-changed:
+		case <-timer.C:
+			return nil, revision, nil
+		case <-ctx.Done():
+			return nil, 0, ctx.Err()
+		}
+	}
+}
+
+func (s *memoryStore) Grant(context.Context, time.Duration) (Lease, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.down {
+		return 0, errDown
+	}
+	s.lease++
+	s.leases[Lease(s.lease)] = true
+	return Lease(s.lease), nil
+}
+
+func (s *memoryStore) Renew(_ context.Context, lease Lease) (bool, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.down {
+		return false, errDown
+	}
+	return s.leases[lease], nil
+}
+
+func (s *memoryStore) Write(_ context.Context, key string, value []byte, lease Lease) (bool, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.down {
+		return false, errDown
+	}
+	if !s.leases[lease] {
+		return false, nil
+	}
+	s.set(key, value, false)
+	return true, nil
+}
+
+func (s *memoryStore) End(_ context.Context, lease Lease) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.leases, lease)
+	return nil
+}
+
+// testOperators keeps the configuration as JSON.
+type testOperators struct{}
+
+type testDocument struct {
+	Revision model.Revision
+	Routes   []routing.Route
+	Services map[model.Service]routing.Service
+}
+
+func (testOperators) Prefix() string                { return "ops/" }
+func (testOperators) Configuration(key string) bool { return key == "ops/config" }
+
+func (testOperators) Evacuated(key string) (model.Domain, bool) {
+	domain, ok := strings.CutPrefix(key, "ops/out/")
+	return model.Domain(domain), ok
+}
+
+func (testOperators) Decode(raw []byte) (*routing.Table, error) {
+	var d testDocument
+	if err := json.Unmarshal(raw, &d); err != nil {
+		return nil, err
+	}
+	return routing.NewTable(d.Revision, d.Routes, d.Services, routing.Limits{})
+}
+
+// configure writes a configuration: idempotent requests at /safe/, others at
+// /unsafe/.
+func (s *memoryStore) configure(t *testing.T, revision model.Revision, services ...model.Service) {
+	d := testDocument{Revision: revision, Services: map[model.Service]routing.Service{}}
+	for _, name := range services {
+		d.Services[name] = routing.Service{HealthPath: "/health", ColdRate: 100}
+		for path, safe := range map[string]bool{"safe": true, "unsafe": false} {
+			d.Routes = append(d.Routes, routing.Route{
+				Name: path, Host: string(name), Prefix: "/" + path + "/", Backends: []routing.Backend{{Service: name, Weight: 1}},
+				Idempotent: safe, Timeout: 20 * time.Second, Objective: 10 * time.Second, MaxAttempts: 2,
+			})
+		}
+	}
+	raw, err := json.Marshal(d)
+	qt.Assert(t, err, qt.IsNil)
+	s.put("ops/config", raw, false)
+}
+
+// testTarget is a target that records what it runs.
+type testTarget struct {
+	server *httptest.Server
+	id     string
+
+	mu     sync.Mutex
+	ran    []*http.Request
+	handle http.HandlerFunc
+}
+
+func newTestTarget(t *testing.T, id string) *testTarget {
+	target := &testTarget{id: id}
+	target.server = httptest.NewServer(http.HandlerFunc(target.serve))
+	t.Cleanup(target.server.Close)
+	return target
+}
+
+func (x *testTarget) addr() string { return x.server.Listener.Addr().String() }
+
+func (x *testTarget) serve(w http.ResponseWriter, r *http.Request) {
+	w.Header().Set("X-Target", x.id)
+	w.Header().Set("X-Load", "0,0,8")
+	if r.URL.Path == "/health" {
+		return
+	}
+	if want := r.Header.Get("X-Expect"); want != x.id {
+		w.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
+	w.Header().Set("X-Id", r.Header.Get("X-Id"))
+	w.Header().Set("X-Mark", "mark of "+x.id)
+	x.mu.Lock()
+	x.ran = append(x.ran, r)
+	handle := x.handle
+	x.mu.Unlock()
+	if handle != nil {
+		handle(w, r)
+		return
+	}
+	_, _ = io.WriteString(w, "from "+x.id)
+}
+
+func (x *testTarget) onRequest(handle http.HandlerFunc) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.handle = handle
+}
+
+func (x *testTarget) requests() []*http.Request {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	return slices.Clone(x.ran)
+}
+
+func reset(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }
+
+func shed(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Del("X-Mark")
+	w.Header().Set("X-Not-Run", "1")
+	w.WriteHeader(http.StatusServiceUnavailable)
+}
+
+func fail(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusInternalServerError) }
+
+// testNode is a node and what it stands beside.
+type testNode struct {
+	*Node
+	t      *testing.T
+	target *testTarget
+}
+
+func freeAddr(t *testing.T) string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	qt.Assert(t, err, qt.IsNil)
+	defer func() { _ = l.Close() }()
+	return l.Addr().String()
+}
+
+// startNode starts a node beside a target.
+func startNode(t *testing.T, store Store, domain model.Domain, service model.Service, target *testTarget) *testNode {
+	return startNodeAt(t, store, domain, service, target, freeAddr(t))
+}
+
+func startNodeAt(t *testing.T, store Store, domain model.Domain, service model.Service, target *testTarget, peers string) *testNode {
+	n, err := Start(Options{
+		Settings: Settings{
+			Name: string(domain) + "/" + target.id, Domain: domain, Region: "r", Callers: freeAddr(t), Peers: peers,
+			Readiness: freeAddr(t), Announcements: freeAddr(t), Target: target.addr(), Service: service, Store: "127.0.0.1:1",
+			RepeatRatio: 1, RepeatWindow: time.Second, RepeatSlack: 1000, Grace: 20 * time.Second,
+		},
+		Dialect: testDialect, Store: store, Operators: testOperators{}, Log: io.Discard,
+		Control: func(*Node) (http.Handler, http.Handler) { return http.NotFoundHandler(), http.NotFoundHandler() },
+	})
+	qt.Assert(t, err, qt.IsNil)
+	t.Cleanup(n.Kill)
+	return &testNode{n, t, target}
+}
+
+// until waits for a condition that the code under test brings about.
+func until(t *testing.T, what string, condition func() bool) {
+	t.Helper()
+	for range 3000 {
+		if condition() {
+			return
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+	t.Fatalf("it did not come about that %s", what)
+}
+
+// knows waits until the node places calls on so many targets of a service.
+func (n *testNode) knows(service model.Service, targets int) {
+	n.t.Helper()
+	until(n.t, fmt.Sprintf("%s knows %d targets of %s", n.settings.Name, targets, service), func() bool {
+		return n.fleet.targets(service) == targets && n.configuration.current() != nil
+	})
+}
+
+// ready waits until the node's own target takes calls.
+func (n *testNode) ready() {
+	n.t.Helper()
+	until(n.t, n.settings.Name+" has its target", func() bool { return n.owner.report().Limit > 0 })
+}
+
+type answer struct {
+	status int
+	body   string
+	header http.Header
+}
+
+func (n *testNode) call(method, host, path string) answer {
+	n.t.Helper()
+	a, err := n.try(n.t.Context(), method, host, path)
+	qt.Assert(n.t, err, qt.IsNil)
+	return a
+}
+
+func (n *testNode) try(ctx context.Context, method, host, path string) (answer, error) {
+	r, err := http.NewRequestWithContext(ctx, method, "http://"+n.settings.Callers+path, nil)
+	if err != nil {
+		return answer{}, err
+	}
+	r.Host = host
+	r.Header.Set("X-Id", fmt.Sprintf("%s-%d", path, time.Now().UnixNano()))
+	r.Header.Set("X-Deadline", "15000")
+	r.Header.Set("X-Origin", "forged")
+	response, err := http.DefaultClient.Do(r)
+	if err != nil {
+		return answer{}, err
+	}
+	defer func() { _ = response.Body.Close() }()
+	body, err := io.ReadAll(response.Body)
+	return answer{response.StatusCode, string(body), response.Header}, err
+}
