Let two nodes of each failure domain follow the store for the others

Two watchers a failure domain follow the store now and tell the others at once; a node that hears no watcher for 1.6 s follows it itself.

--- a/node/sidecar/fleet.go
+++ b/node/sidecar/fleet.go
@@ -29,6 +29,8 @@
 	exchangePause = time.Second
 	// exchangeTimeout bounds one exchange.
 	exchangeTimeout = 800 * time.Millisecond
+	// pullPause is the least time between fetches of another node's records.
+	pullPause = 300 * time.Millisecond
 	// fleetSettle is the pause after a change of the fleet before the watch
 	// goes on: nodes come in groups.
 	fleetSettle = 400 * time.Millisecond
@@ -43,6 +45,10 @@
 	Records    []roster.Record `cbor:"5,keyasint,omitempty"`
 	// Notices are about requests that crash targets.
 	Notices [][]byte `cbor:"6,keyasint,omitempty"`
+	// Watching is true when the sender follows the store and reaches it.
+	Watching bool `cbor:"7,keyasint,omitempty"`
+	// Missing is true when the store lacks the receiver's entry.
+	Missing bool `cbor:"8,keyasint,omitempty"`
 }
 
 // fleet knows the other nodes.
@@ -57,14 +63,18 @@
 	poke   chan struct{}
 
 	follower *follower
+	watchers *roster.Watchers
+	// pulling is true while records are fetched from another node.
+	pulling bool
+	pulled  time.Time
 }
 
 func newFleet(n *Node) *fleet {
-	f := &fleet{node: n, roster: roster.New(n.self), poke: make(chan struct{}, 1)}
+	f := &fleet{node: n, roster: roster.New(n.self), poke: make(chan struct{}, 1), watchers: roster.NewWatchers(n.self, n.settings.Domain)}
 	f.self = roster.Record{Node: n.self, Process: n.process, Domain: n.settings.Domain, Region: n.settings.Region, Service: n.settings.Service, Sequence: 1}
 	f.follower = &follower{
 		store: n.store, log: n.log, name: "fleet", prefix: nodePrefix, settle: fleetSettle, wait: fleetWait,
-		all: f.listed, change: f.watched,
+		needed: f.follows, all: f.listed, change: f.watched,
 	}
 	f.render()
 	return f
@@ -84,6 +94,13 @@
 	poke(f.poke)
 }
 
+// follows reports whether this node follows the store itself.
+func (f *fleet) follows() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.watchers.Follow(time.Now())
+}
+
 // poke wakes a duty, unless it is awake.
 func poke(c chan struct{}) {
 	select {
@@ -162,9 +179,13 @@
 	}
 }
 
-// check asks a node directly whose entry vanished.
+// check asks a node directly whose entry vanished, and tells it so.
 func (f *fleet) check(node model.NodeAddr) {
-	f.node.goDuty(func() { f.exchange(node) })
+	f.node.goDuty(func() {
+		g := f.greeting()
+		g.Missing = true
+		f.exchange(node, g)
+	})
 }
 
 func (f *fleet) decode(item Item) (roster.Record, bool) {
@@ -241,34 +262,72 @@
 	return false
 }
 
-// converse compares notes with one other node after the other.
+// converse keeps in touch with other nodes. A node that follows the store
+// speaks to all nodes of its failure domain, which rely on it, and to one in
+// another; the others speak only when they hear no watcher.
 func (f *fleet) converse(ctx context.Context) {
 	for ctx.Err() == nil {
 		sleep(ctx, jitter(exchangePause))
-		if node := f.partner(); node != "" {
-			f.exchange(node)
-		}
-		f.mu.Lock()
-		gone := f.roster.Expire(time.Now(), f.follower.readable.Load())
-		f.mu.Unlock()
-		for _, record := range gone {
-			f.node.log.Info("node dropped", "part", "fleet", "peer", record.Node, "service", record.Service,
-				"store_readable", f.follower.readable.Load())
-			f.node.client.Forget(record.Node)
+		g := f.greeting()
+		for _, node := range f.partners() {
+			f.node.goDuty(func() { f.exchange(node, g) })
 		}
+		f.expire()
 		f.place()
 	}
 }
 
-// partner draws a node to exchange with.
-func (f *fleet) partner() model.NodeAddr {
+// expire drops the members that are gone.
+func (f *fleet) expire() {
+	f.mu.Lock()
+	now := time.Now()
+	readable := f.follower.readable.Load() || !f.watchers.Follow(now)
+	gone := f.roster.Expire(now, readable)
+	f.mu.Unlock()
+	for _, record := range gone {
+		f.node.log.Info("node dropped", "part", "fleet", "peer", record.Node, "service", record.Service, "store_readable", readable)
+		f.node.client.Forget(record.Node)
+	}
+}
+
+// partners returns the nodes to speak to now.
+func (f *fleet) partners() []model.NodeAddr {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	records := f.roster.Records()
-	if len(records) == 0 {
-		return ""
+	var near, far []model.NodeAddr
+	for _, r := range f.roster.Records() {
+		if r.Domain == f.self.Domain {
+			near = append(near, r.Node)
+		} else {
+			far = append(far, r.Node)
+		}
+	}
+	switch {
+	case f.watchers.Chosen():
+	case !f.watchers.Follow(time.Now()):
+		return nil
+	case len(near) > 0:
+		near = []model.NodeAddr{near[rand.IntN(len(near))]}
+	}
+	if len(far) > 0 {
+		near = append(near, far[rand.IntN(len(far))])
+	}
+	return near
+}
+
+// spread tells the nodes of the own failure domain at once what is new, if
+// they rely on this one.
+func (f *fleet) spread() {
+	f.mu.Lock()
+	chosen := f.watchers.Chosen()
+	f.mu.Unlock()
+	if !chosen {
+		return
+	}
+	g := f.greeting()
+	for _, node := range f.partners() {
+		f.node.goDuty(func() { f.exchange(node, g) })
 	}
-	return records[rand.IntN(len(records))].Node
 }
 
 func (f *fleet) greeting() greeting {
@@ -277,14 +336,15 @@
 	return greeting{
 		From: f.self, Revision: f.node.configuration.revision(), Evacuation: f.node.configuration.evacuated(),
 		Digest: roster.Digest(f.roster.Records(), f.self), Notices: f.node.quarantine.notices(),
+		Watching: f.follower.readable.Load(),
 	}
 }
 
 // exchange compares notes with one node.
-func (f *fleet) exchange(node model.NodeAddr) {
+func (f *fleet) exchange(node model.NodeAddr, g greeting) {
 	ctx, cancel := context.WithTimeout(f.node.ctx, exchangeTimeout)
 	defer cancel()
-	payload, err := cbor.Marshal(f.greeting())
+	payload, err := cbor.Marshal(g)
 	if err != nil {
 		f.node.log.Error("greeting not encoded", "part", "fleet", "error", err.Error())
 		return
@@ -310,8 +370,18 @@
 	now := time.Now()
 	f.mu.Lock()
 	f.roster.Heard(now, g.From)
-	f.roster.Told(now, g.Records)
+	if g.Watching {
+		f.watchers.Heard(now, g.From.Domain)
+	}
+	if g.Watching && len(g.Records) > 0 && !f.follower.readable.Load() {
+		f.roster.StoredAll(now, append(g.Records, g.From))
+	} else {
+		f.roster.Told(now, g.Records)
+	}
 	f.mu.Unlock()
+	if g.Missing {
+		poke(f.poke)
+	}
 	f.node.quarantine.heard(g.Notices)
 	f.node.configuration.setEvacuation(g.Evacuation, string(g.From.Node))
 	f.node.configuration.heard(g.Revision, g.From.Node)
@@ -323,17 +393,39 @@
 func (f *fleet) serve(stream streamWriter, payload []byte) {
 	theirs, ok := f.greeted(payload)
 	reply := f.greeting()
-	if ok && theirs.Digest != reply.Digest {
+	if ok && theirs.Digest != reply.Digest && (reply.Watching || !theirs.Watching) {
 		f.mu.Lock()
 		reply.Records = f.roster.Records()
 		f.mu.Unlock()
 	}
+	if ok && theirs.Watching && theirs.Digest != reply.Digest {
+		f.pull(theirs.From.Node)
+	}
 	body, err := cbor.Marshal(reply)
 	if err != nil || stream.Answer(&peer.Answer{Run: model.RunNo, Status: 200, Inline: true, Body: body}) != nil {
 		stream.Fail()
 	}
 }
 
+// pull fetches the records of a watcher, one at a time.
+func (f *fleet) pull(from model.NodeAddr) {
+	f.mu.Lock()
+	busy := f.pulling || time.Since(f.pulled) < pullPause
+	if !busy {
+		f.pulling, f.pulled = true, time.Now()
+	}
+	f.mu.Unlock()
+	if busy {
+		return
+	}
+	f.node.goDuty(func() {
+		f.exchange(from, f.greeting())
+		f.mu.Lock()
+		f.pulling = false
+		f.mu.Unlock()
+	})
+}
+
 // alone reports whether the node has not learned yet who else there is.
 func (f *fleet) alone() bool { return f.size() == 1 && !f.follower.readable.Load() }
 
@@ -371,7 +463,9 @@
 func (f *fleet) place() {
 	f.mu.Lock()
 	changed := f.roster.Changed()
-	records := append(f.roster.Records(), f.self)
+	others := f.roster.Records()
+	f.watchers.SetMembers(others)
+	records := append(others, f.self)
 	f.mu.Unlock()
 	evac := f.node.configuration.evacuated()
 	f.node.entry.setTargets(records, evac, changed)
--- a/node/sidecar/node.go
+++ b/node/sidecar/node.go
@@ -181,7 +181,7 @@
 func (n *Node) run() {
 	operators := &follower{
 		store: n.store, log: n.log, name: "operators", prefix: n.operators.Prefix(), settle: settleTime, wait: operatorWait,
-		all: n.configuration.listed, change: n.configuration.watched,
+		needed: n.fleet.follows, all: n.configuration.listed, change: n.configuration.watched,
 	}
 	n.goDuty(func() { operators.run(n.ctx) })
 	n.goDuty(func() { n.fleet.follower.run(n.ctx) })
@@ -235,6 +235,7 @@
 func (n *Node) configurationChanged(*routing.Table) {
 	n.target.configurationChanged()
 	n.fleet.place()
+	n.fleet.spread()
 }
 
 // evacuationChanged makes the parts follow the failure domains out of service.
@@ -242,6 +243,7 @@
 	n.owner.gate(dispatch.GateDomainOut, evac.out(n.settings.Domain))
 	n.target.tell()
 	n.fleet.place()
+	n.fleet.spread()
 }
 
 // Announce takes an announcement of the target beside this node.
--- a/node/sidecar/store.go
+++ b/node/sidecar/store.go
@@ -64,6 +64,8 @@
 	// the nodes also tell each other.
 	operatorWait = 2500 * time.Millisecond
 	fleetWait    = 10 * time.Second
+	// idlePause is the time between looks whether the store has to be followed.
+	idlePause = 100 * time.Millisecond
 	// firstPause and longestPause bound the wait after a failed call.
 	firstPause   = 100 * time.Millisecond
 	longestPause = time.Second
@@ -71,12 +73,15 @@
 
 // follower keeps a copy of the keys with one prefix.
 type follower struct {
-	store    Store
-	log      *events.Log
-	name     string
-	prefix   string
-	settle   time.Duration
-	wait     time.Duration // the longest that the store holds a watch
+	store  Store
+	log    *events.Log
+	name   string
+	prefix string
+	settle time.Duration
+	wait   time.Duration // the longest that the store holds a watch
+	// needed reports whether this node follows the store itself; otherwise
+	// others tell it what changes.
+	needed   func() bool
 	all      func(items []Item, revision uint64)
 	change   func(items []Item, revision uint64)
 	readable atomic.Bool
@@ -93,6 +98,9 @@
 		pause = min(2*pause, longestPause)
 	}
 	for ctx.Err() == nil {
+		if !f.idle(ctx) {
+			return
+		}
 		items, revision, err := f.store.List(ctx, f.prefix)
 		if err != nil {
 			failed(err)
@@ -105,6 +113,20 @@
 	}
 }
 
+// idle waits until the store has to be followed; false when the context ended.
+func (f *follower) idle(ctx context.Context) bool {
+	for !f.needed() {
+		if f.readable.Swap(false) {
+			f.log.Info("store left to the watchers", "part", "store", "watch", f.name)
+		}
+		sleep(ctx, idlePause)
+		if ctx.Err() != nil {
+			return false
+		}
+	}
+	return true
+}
+
 func (f *follower) regained(revision uint64) {
 	if !f.readable.Swap(true) {
 		f.log.Info("dependency regained", "part", "store", "watch", f.name, "store_revision", revision)
@@ -114,7 +136,7 @@
 // watch returns when the keys have to be listed anew.
 func (f *follower) watch(ctx context.Context, revision uint64, failed func(error)) {
 	cuts := 0
-	for ctx.Err() == nil {
+	for ctx.Err() == nil && f.needed() {
 		items, next, err := f.store.Watch(ctx, f.prefix, revision, f.wait)
 		switch {
 		case errors.Is(err, ErrHistoryLost):
--- /dev/null
+++ b/policy/roster/watchers.go
@@ -0,0 +1,72 @@
+package roster
+
+import (
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"zinniafall/policy/model"
+)
+
+const (
+	// watchersPerDomain is the number of nodes of a failure domain that follow
+	// the store for it: one may be cut off or die.
+	watchersPerDomain = 2
+	// heraldTime is the silence of the watchers after which a node follows the
+	// store itself. They speak once a second.
+	heraldTime = 1600 * time.Millisecond
+)
+
+// Watchers decides whether a node follows the store itself. A few nodes of
+// each failure domain do so for the others and tell them what changes, so that
+// the calls of the store grow with the failure domains and not with the nodes.
+// A node that hears no watcher whose view is up to date follows the store
+// itself: isolation costs calls and not freshness.
+type Watchers struct {
+	self   model.NodeAddr
+	domain model.Domain
+	chosen bool
+	heard  time.Time
+}
+
+// NewWatchers returns the decision of a node that has heard nothing yet.
+func NewWatchers(self model.NodeAddr, domain model.Domain) *Watchers {
+	return &Watchers{self: self, domain: domain, chosen: true}
+}
+
+// SetMembers takes the other nodes.
+func (w *Watchers) SetMembers(records []Record) {
+	own := []model.NodeAddr{w.self}
+	for _, r := range records {
+		if r.Domain == w.domain {
+			own = append(own, r.Node)
+		}
+	}
+	slices.SortFunc(own, func(a, b model.NodeAddr) int {
+		ha, hb := xxhash.Sum64String(string(a)), xxhash.Sum64String(string(b))
+		switch {
+		case ha < hb:
+			return -1
+		case ha > hb:
+			return 1
+		}
+		return 0
+	})
+	w.chosen = slices.Contains(own[:min(len(own), watchersPerDomain)], w.self)
+}
+
+// Heard takes a sign of a node that follows the store and reaches it.
+func (w *Watchers) Heard(now time.Time, domain model.Domain) {
+	if domain == w.domain {
+		w.heard = now
+	}
+}
+
+// Chosen reports whether the node follows the store for its failure domain.
+func (w *Watchers) Chosen() bool { return w.chosen }
+
+// Follow reports whether the node follows the store now.
+func (w *Watchers) Follow(now time.Time) bool {
+	return w.chosen || now.Sub(w.heard) > heraldTime
+}
