--- a/cmd/zinniafalld/sidecar.go
+++ b/cmd/zinniafalld/sidecar.go
@@ -10,6 +10,7 @@
 	"runtime"
 	"runtime/debug"
 	"syscall"
+	"time"
 
 	"zinniafall/node/sidecar"
 	"zinniafall/platform"
@@ -19,6 +20,9 @@
 // collection: processor time is scarcer than memory on these VMs.
 const collectorPercent = 200
 
+// settingsPause is the time between looks at the settings file.
+const settingsPause = time.Second
+
 // checkSidecar prints what is wrong with a platform's settings file.
 func checkSidecar(path string) int {
 	if _, code := loadSidecar(path); code != 0 {
@@ -53,14 +57,23 @@
 		fmt.Fprintln(os.Stderr, err)
 		return exitFailed
 	}
-	for s := range signals {
-		if s != syscall.SIGHUP {
-			break
+	// The settings file may change without a signal, too.
+	look := time.NewTicker(settingsPause)
+	defer look.Stop()
+	for {
+		select {
+		case <-look.C:
+			reload(node, path)
+			continue
+		case s := <-signals:
+			if s == syscall.SIGHUP {
+				reload(node, path)
+				continue
+			}
 		}
-		reload(node, path)
+		node.Stop(context.Background())
+		return 0
 	}
-	node.Stop(context.Background())
-	return 0
 }
 
 // reload takes a changed settings file. What a running node cannot change
--- a/node/sidecar/call_test.go
+++ b/node/sidecar/call_test.go
@@ -179,3 +179,12 @@
 	qt.Assert(t, (<-result).body, qt.Equals, "whole")
 	<-stopped
 }
+
+func TestReloadedServiceIsNamedAsTheOrigin(t *testing.T) {
+	entry, one, _ := pair(t)
+	s := entry.settings
+	s.Service = "renamed"
+	entry.Reload(s)
+	qt.Assert(t, entry.call(http.MethodGet, "back", "/safe/x").status, qt.Equals, 200)
+	qt.Assert(t, one.target.requests()[0].Header.Get("X-Origin"), qt.Equals, "renamed")
+}
--- a/node/sidecar/entry.go
+++ b/node/sidecar/entry.go
@@ -114,7 +114,7 @@
 func (e *entry) budget(service model.Service) *retry.Budget {
 	b := e.budgets[service]
 	if b == nil {
-		s := e.node.settings
+		s := e.node.live.Load()
 		window := max(s.RepeatWindow.Seconds(), 1)
 		b = retry.NewBudget(retry.Options{
 			RetryFraction:  s.RepeatRatio * repeatFraction,
@@ -127,6 +127,13 @@
 	return b
 }
 
+// forgetBudgets makes the budgets anew, by changed settings.
+func (e *entry) forgetBudgets() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	clear(e.budgets)
+}
+
 // call is one request on its way.
 type call struct {
 	node      *Node
@@ -212,7 +219,7 @@
 	c.request = peer.Request{
 		Kind: peer.KindCall, Revision: table.Revision, Service: c.service, From: n.self, ID: c.id,
 		Method: r.Method, URI: r.RequestURI, Host: r.Host, Header: c.fields(r),
-		Idempotent: route.Idempotent, Priority: route.Priority, Origin: n.settings.Service,
+		Idempotent: route.Idempotent, Priority: route.Priority, Origin: n.live.Load().Service,
 		Length: r.Length, Body: r.Body,
 		Fingerprint: quarantine.Of("", c.service, r.Method, r.RequestURI, r.Body),
 	}
--- a/node/sidecar/node.go
+++ b/node/sidecar/node.go
@@ -73,7 +73,9 @@
 
 // Node is one node.
 type Node struct {
+	// settings are those of the start; live holds what a reload may change.
 	settings  Settings
+	live      atomic.Pointer[Settings]
 	dialect   Dialect
 	store     Store
 	operators Operators
@@ -115,6 +117,7 @@
 		settings: s, dialect: opts.Dialect, store: opts.Store, operators: opts.Operators,
 		log: events.New(opts.Log, s.Name), self: model.NodeAddr(s.Peers), client: hop.NewClient(), metrics: metrics.NewSet(),
 	}
+	n.live.Store(&s)
 	if _, err := rand.Read(n.process[:]); err != nil {
 		return nil, oops.In("node").Wrap(err)
 	}
@@ -273,7 +276,7 @@
 func (n *Node) Stop(ctx context.Context) {
 	n.log.Info("node stopping", "part", "node", "calls", n.calls.Load())
 	began := time.Now()
-	end := began.Add(max(n.settings.Grace-stopMargin, leaveTime))
+	end := began.Add(max(n.live.Load().Grace-stopMargin, leaveTime))
 	ctx, cancel := context.WithDeadline(ctx, end)
 	defer cancel()
 	n.stopEnd.Store(&end)
@@ -313,5 +316,11 @@
 // Reload takes changed settings. The bounds and the target's service apply at
 // once; addresses are those of the start.
 func (n *Node) Reload(s Settings) {
-	n.log.Info("settings reloaded", "part", "node", "service", s.Service)
+	before := n.live.Swap(&s)
+	if *before == s {
+		return
+	}
+	n.entry.forgetBudgets()
+	moved := s.Callers != n.settings.Callers || s.Peers != n.settings.Peers || s.Target != n.settings.Target || s.Store != n.settings.Store
+	n.log.Info("settings reloaded", "part", "node", "service", s.Service, "grace_ms", s.Grace.Milliseconds(), "addresses_wait_for_restart", moved)
 }
