Give cold targets a part of the overshoot that they bear

The settings state what a cold target bears in one second (1.5 times the rate and 5); 1.2 times the rate and 3 are used.

--- a/node/sidecar/owner.go
+++ b/node/sidecar/owner.go
@@ -22,7 +22,7 @@
 }
 
 func newOwner(n *Node) *owner {
-	o := &owner{node: n, dispatch: dispatch.New(), waiting: make(map[dispatch.Ticket]chan *problem.Error)}
+	o := &owner{node: n, dispatch: dispatch.New(dispatch.Options{ColdOvershoot: n.settings.ColdOvershoot, ColdSlack: n.settings.ColdSlack}), waiting: make(map[dispatch.Ticket]chan *problem.Error)}
 	o.timer = time.AfterFunc(time.Hour, o.tick)
 	return o
 }
--- a/node/sidecar/settings.go
+++ b/node/sidecar/settings.go
@@ -42,6 +42,10 @@
 	RepeatRatio  float64
 	RepeatWindow time.Duration
 	RepeatSlack  float64
+	// ColdOvershoot and ColdSlack are what a cold target bears in one second:
+	// its stated rate times the one plus the other, in calls.
+	ColdOvershoot float64
+	ColdSlack     float64
 }
 
 // Check returns every problem of the settings, nil when there is none.
@@ -61,7 +65,7 @@
 	if s.Service == "" {
 		problems = append(problems, errors.New("the target's service is missing"))
 	}
-	if s.DrainTime < 0 || s.Grace < 0 || s.RepeatRatio < 0 || s.RepeatSlack < 0 || s.RepeatWindow < 0 {
+	if s.DrainTime < 0 || s.Grace < 0 || s.RepeatRatio < 0 || s.RepeatSlack < 0 || s.ColdOvershoot < 0 || s.ColdSlack < 0 || s.RepeatWindow < 0 {
 		problems = append(problems, errors.New("a bound is below zero"))
 	}
 	return errors.Join(problems...)
--- a/policy/dispatch/dispatch.go
+++ b/policy/dispatch/dispatch.go
@@ -3,9 +3,9 @@
 //
 // The owner is the only sender to its target, so it counts the calls in flight
 // itself. It keeps them under the target's knee, the part of the slots beyond
-// which targets slow down. A cold target gets calls at its stated rate, paced
-// by a token bucket with a small burst, so that no second holds more than the
-// rate and the burst together. Calls that find no slot wait in the order of
+// which targets slow down. A cold target gets calls at its stated rate and a
+// part of the overshoot that it bears, paced by a token bucket with a small
+// burst, so that no second holds more than the rate and the burst together. Calls that find no slot wait in the order of
 // their priority. Among equals those that can still be answered within their
 // objective go first: after a burst a queue in the order of arrival would serve
 // every call late, this one serves most of them in time and the others from
@@ -27,10 +27,11 @@
 	// when more than about four fifths of their slots are taken.
 	kneePercent = 80
 	percent     = 100
-	// coldShare is the part of the stated cold rate that is used, and
-	// coldBurst the number of calls that may come at once on top of it.
-	coldShare = 0.9
-	coldBurst = 2
+	// coldShare is the part of the overshoot that a cold target bears on its
+	// stated rate, and coldBurst the part of the slack, that are used. The rest
+	// covers calls that arrive closer together than they were sent.
+	coldShare = 0.4
+	coldBurst = 0.6
 	// serviceWeight is the share of one completion in the mean service time.
 	serviceWeight = 1.0 / 16
 	// initialServiceTime is assumed before the first completion.
@@ -138,6 +139,7 @@
 	learned  bool
 	sequence uint64
 
+	options   Options
 	coldUntil time.Time
 	coldRate  float64
 	tokens    float64
@@ -150,9 +152,18 @@
 	lastDone time.Time
 }
 
+// Options tell what a cold target bears beyond its stated rate.
+type Options struct {
+	// ColdOvershoot is the factor on the rate, and ColdSlack the number of
+	// calls on top of that, that may arrive in one second. Below 1 and 0 the
+	// rate itself and one call are used.
+	ColdOvershoot float64
+	ColdSlack     float64
+}
+
 // New returns an owner without a target.
-func New() *Owner {
-	return &Owner{gates: GateAbsent, running: make(map[Ticket]run), service: initialServiceTime, pace: 1}
+func New(options Options) *Owner {
+	return &Owner{options: options, gates: GateAbsent, running: make(map[Ticket]run), service: initialServiceTime, pace: 1}
 }
 
 // SetGate closes or opens a gate.
@@ -335,10 +346,18 @@
 	return o.tokens >= 1
 }
 
+// coldPace returns the rate at which a cold target gets calls, in calls a
+// second, and the calls that may come at once.
+func (o *Owner) coldPace() (rate, burst float64) {
+	rate = o.coldRate * (1 + coldShare*max(o.options.ColdOvershoot-1, 0))
+	return rate, max(coldBurst*o.options.ColdSlack, 1)
+}
+
 // fill adds the cold rate's tokens.
 func (o *Owner) fill(now time.Time) {
 	if now.After(o.filled) {
-		o.tokens = min(o.tokens+now.Sub(o.filled).Seconds()*o.coldRate*coldShare, coldBurst)
+		rate, burst := o.coldPace()
+		o.tokens = min(o.tokens+now.Sub(o.filled).Seconds()*rate, burst)
 		o.filled = now
 	}
 }
@@ -368,7 +387,8 @@
 	if o.Cold(now) && o.coldRate > 0 {
 		o.fill(now)
 		short := max(float64(ahead+1)-o.tokens, 0)
-		wait = max(wait, time.Duration(short/(o.coldRate*coldShare)*float64(time.Second)))
+		rate, _ := o.coldPace()
+		wait = max(wait, time.Duration(short/rate*float64(time.Second)))
 	}
 	return wait
 }
@@ -419,7 +439,8 @@
 	}
 	if o.Cold(now) && o.coldRate > 0 {
 		o.fill(now)
-		short := max(1-o.tokens, 0) / (o.coldRate * coldShare)
+		rate, _ := o.coldPace()
+		short := max(1-o.tokens, 0) / rate
 		next = earlier(next, now.Add(time.Duration(short*float64(time.Second))))
 		next = earlier(next, o.coldUntil)
 	}
@@ -569,7 +590,8 @@
 
 // coldLimit returns the calls that the cold rate keeps in flight.
 func (o *Owner) coldLimit(limit uint16) uint16 {
-	inFlight := o.coldRate * coldShare * o.service.Seconds()
+	rate, _ := o.coldPace()
+	inFlight := rate * o.service.Seconds()
 	return min(limit, uint16(max(inFlight, 1)))
 }
 
--- a/policy/dispatch/dispatch_test.go
+++ b/policy/dispatch/dispatch_test.go
@@ -13,7 +13,7 @@
 var start = time.Unix(1_000_000, 0)
 
 func ready(slots int) *Owner {
-	o := New()
+	o := New(Options{ColdOvershoot: 1.5, ColdSlack: 5})
 	o.SetGate(start, GateAbsent, false)
 	o.SetSlots(start, slots)
 	return o
@@ -55,7 +55,12 @@
 }
 
 func TestColdTargetGetsItsRateInEverySecond(t *testing.T) {
-	const rate = 29.0
+	for _, rate := range []float64{3, 11, 29, 200} {
+		coldSeconds(t, rate)
+	}
+}
+
+func coldSeconds(t *testing.T, rate float64) {
 	o := ready(100)
 	o.SetColdRate(rate)
 	o.SetCold(start, time.Minute)
@@ -77,7 +82,7 @@
 		}
 		qt.Assert(t, float64(n) <= rate*1.5+5, qt.IsTrue, qt.Commentf("%d calls in one second", n))
 	}
-	qt.Assert(t, len(starts) > int(5*rate*0.8), qt.IsTrue, qt.Commentf("%d calls in five seconds", len(starts)))
+	qt.Assert(t, len(starts) > int(5*rate*0.9), qt.IsTrue, qt.Commentf("%d calls in five seconds", len(starts)))
 }
 
 func TestClosedGateRefusesWhatWaits(t *testing.T) {
