Refuse late calls at once while few of them get a slot

Cause: under a lasting overload a call that will miss its objective waited 200 ms and was refused all the same.

--- a/policy/dispatch/dispatch.go
+++ b/policy/dispatch/dispatch.go
@@ -42,6 +42,12 @@
 	// maxLateWait is how long a call waits beyond the time at which it can no
 	// longer be answered within its objective.
 	maxLateWait = 200 * time.Millisecond
+	// lateWeight is the share of one late call in the share of those that were
+	// started, leastLateStarts the share below which late calls are refused at
+	// once, but for lateProbes that show when there is room again.
+	lateWeight      = 1.0 / 8
+	leastLateStarts = 0.4
+	lateProbes      = 1
 	// holdMargin is the part of the expected service time, and holdTrip the
 	// time for the way to another target, that a call keeps in hand which could
 	// go elsewhere.
@@ -145,11 +151,14 @@
 	tokens    float64
 	filled    time.Time
 
-	pace     float64
-	pacedAt  time.Time
-	foreign  int
-	readAt   time.Time
-	lastDone time.Time
+	pace    float64
+	pacedAt time.Time
+	foreign int
+	// lateStarts is the recent share of the calls that became late in the
+	// queue and were started all the same.
+	lateStarts float64
+	readAt     time.Time
+	lastDone   time.Time
 }
 
 // Options tell what a cold target bears beyond its stated rate.
@@ -163,7 +172,7 @@
 
 // New returns an owner without a target.
 func New(options Options) *Owner {
-	return &Owner{options: options, gates: GateAbsent, running: make(map[Ticket]run), service: initialServiceTime, pace: 1}
+	return &Owner{options: options, gates: GateAbsent, running: make(map[Ticket]run), service: initialServiceTime, pace: 1, lateStarts: 1}
 }
 
 // SetGate closes or opens a gate.
@@ -288,7 +297,8 @@
 	case q.Elsewhere:
 		return !start.Before(o.patience(q))
 	case q.late(start, o.service):
-		return o.lateQueued(now) >= o.slots || wait > maxLateWait
+		waiting := o.lateQueued(now)
+		return waiting >= o.slots || wait > maxLateWait || waiting >= lateProbes && o.lateStarts < leastLateStarts
 	}
 	return false
 }
@@ -470,6 +480,9 @@
 			refusal = o.overdue(now, q)
 		}
 		if refusal != nil {
+			if !q.Elsewhere && q.late(now, o.service) {
+				o.lateEnded(0)
+			}
 			out = append(out, Release{Ticket: q.Ticket, Refusal: refusal})
 		}
 		return refusal != nil
@@ -481,12 +494,20 @@
 		}
 		q := o.queue[at]
 		o.queue = slices.Delete(o.queue, at, at+1)
+		if q.late(now, o.service) {
+			o.lateEnded(1)
+		}
 		o.start(now, q.Ticket)
 		out = append(out, Release{Ticket: q.Ticket})
 	}
 	return out
 }
 
+// lateEnded learns what waiting is worth to a call that has become late.
+func (o *Owner) lateEnded(started float64) {
+	o.lateStarts += lateWeight * (started - o.lateStarts)
+}
+
 // first returns the place of the queued call that starts next, -1 for none.
 // The queue is in the order of arrival.
 func (o *Owner) first(now time.Time) int {
--- a/policy/dispatch/dispatch_test.go
+++ b/policy/dispatch/dispatch_test.go
@@ -175,6 +175,31 @@
 	qt.Assert(t, float64(inTime) >= 0.95*float64(after), qt.IsTrue, qt.Commentf("%d of %d in time", inTime, after))
 }
 
+// While every late call is refused in the end, new ones are refused at once,
+// and a call that is in time still waits.
+func TestLateCallsAreRefusedAtOnceWhileNoneGetsASlot(t *testing.T) {
+	o := ready(1)
+	_, _ = o.Offer(start, call(1, 0, 0))
+	now, ticket, waited := start, Ticket(1), 0
+	for range 20 {
+		for range 3 {
+			ticket++
+			c := call(ticket, 0, 0)
+			c.Objective = now
+			if _, refusal := o.Offer(now, c); refusal == nil {
+				waited++
+			}
+		}
+		now = now.Add(2 * maxLateWait)
+		o.Tick(now)
+	}
+	qt.Assert(t, waited < 40, qt.IsTrue, qt.Commentf("%d of 60 waited in vain", waited))
+	c := call(ticket+1, 0, 0)
+	c.Objective = now.Add(time.Minute)
+	_, refusal := o.Offer(now, c)
+	qt.Assert(t, refusal == nil, qt.IsTrue)
+}
+
 func TestCallWaitsForABetterPace(t *testing.T) {
 	o := ready(12)
 	o.Read(start, Reading{Pace: 5})
