Do not begin a request on a connection that is about to be closed

Cause, found by reading: the reader of a kept connection that got bytes or the end without a request waiting closed it a moment later; a request that took the connection in between was sent and cut off at once.

--- a/node/upstream/conn.go
+++ b/node/upstream/conn.go
@@ -65,13 +65,9 @@
 // do sends the request and waits for the answer's head.
 func (c *conn) do(ctx context.Context, r *Request) Result {
 	x := &exchange{request: r, result: make(chan Result, 1)}
-	c.mu.Lock()
-	if c.dead {
-		c.mu.Unlock()
-		return Result{Err: net.ErrClosed}
+	if !c.begin(x) {
+		return Result{Err: errEnded}
 	}
-	c.exchange = x
-	c.mu.Unlock()
 	stop := context.AfterFunc(ctx, c.close)
 	if r.Rest == nil && len(r.Body) <= inlineWrite {
 		if sent, err := c.write(r, x); err != nil {
@@ -98,6 +94,20 @@
 	return result
 }
 
+// errEnded reports a kept connection that ended before the request was sent.
+var errEnded = errors.New("the kept connection had ended")
+
+// begin makes the connection wait for an answer, unless it has ended.
+func (c *conn) begin(x *exchange) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.dead {
+		return false
+	}
+	c.exchange = x
+	return true
+}
+
 // stoppedAtEnd ends the watch on the request's context with the body.
 type stoppedAtEnd struct {
 	io.ReadCloser
@@ -199,7 +209,7 @@
 	defer c.close()
 	for {
 		_, err := c.reader.Peek(1)
-		x := c.current()
+		x := c.awaited()
 		if x == nil {
 			c.pool.forget(c)
 			if err == nil {
@@ -217,9 +227,15 @@
 	}
 }
 
-func (c *conn) current() *exchange {
+// awaited returns the request that waits for an answer. When there is none the
+// connection has ended, and from then on no request begins on it: one that did
+// would be closed right after it was sent.
+func (c *conn) awaited() *exchange {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if c.exchange == nil {
+		c.dead = true
+	}
 	return c.exchange
 }
 
--- a/node/upstream/upstream.go
+++ b/node/upstream/upstream.go
@@ -136,11 +136,16 @@
 
 // Do sends the request and waits for the head of the answer.
 func (p *Pool) Do(ctx context.Context, r *Request) Result {
-	c, err := p.take(ctx, r.Repeatable)
-	if err != nil {
-		return Result{Err: err, Refused: sockets.Refused(err)}
+	for {
+		c, err := p.take(ctx, r.Repeatable)
+		if err != nil {
+			return Result{Err: err, Refused: sockets.Refused(err)}
+		}
+		result := c.do(ctx, r)
+		if !errors.Is(result.Err, errEnded) {
+			return result
+		}
 	}
-	return c.do(ctx, r)
 }
 
 // take returns a kept connection that is young enough, or a new one.
--- a/node/upstream/upstream_test.go
+++ b/node/upstream/upstream_test.go
@@ -197,3 +197,26 @@
 	qt.Assert(t, result.Sent, qt.IsFalse)
 	qt.Assert(t, result.Refused, qt.IsTrue)
 }
+
+// A kept connection on which bytes arrive at the moment at which a request
+// takes it: the request must not be sent on it and then be cut off.
+func TestRequestDoesNotBeginOnAConnectionThatEnds(t *testing.T) {
+	p, conns := script(t, func(_ int, conn net.Conn, r *bufio.Reader) {
+		for {
+			id, ok := read(r)
+			if !ok {
+				return
+			}
+			respond(conn, id, "whole")
+		}
+	})
+	qt.Assert(t, p.Do(t.Context(), request("1")).Err, qt.IsNil)
+	p.mu.Lock()
+	kept := p.idle[0]
+	p.mu.Unlock()
+	qt.Assert(t, kept.awaited(), qt.IsNil) // its reader has seen stray bytes
+	qt.Assert(t, kept.begin(&exchange{}), qt.IsFalse)
+	result := p.Do(t.Context(), request("2"))
+	qt.Assert(t, result.Err, qt.IsNil)
+	qt.Assert(t, conns.Load(), qt.Equals, int64(2))
+}
