Judge each class of calls by its own time

Ruled out: cut nodes, as the log lines of the failed inner calls show owners that answered within 3 ms.

The owner learns the time of each route, and its queue looks at that; the wait for a slot is worked out from the calls that run. The way to the caller is at most a twelfth of an objective.

--- a/node/peer/message.go
+++ b/node/peer/message.go
@@ -84,6 +84,8 @@
 	Trace string `cbor:"20,keyasint,omitempty"`
 	// ID is the caller's own id of the request.
 	ID string `cbor:"21,keyasint,omitempty"`
+	// Class groups calls that take similarly long.
+	Class string `cbor:"29,keyasint,omitempty"`
 	// Priority orders calls that compete for the target; 0 is the highest.
 	Priority int `cbor:"22,keyasint,omitempty"`
 	// Objective is what remains of the time in which an answer is worth most.
--- a/node/sidecar/entry.go
+++ b/node/sidecar/entry.go
@@ -37,6 +37,9 @@
 	// callerTrip is the part of an objective that the way from and to the
 	// caller takes, about.
 	callerTrip = 20 * time.Millisecond
+	// callerTripShare bounds it to a part of a short objective: such are of
+	// calls that targets make through the node beside them.
+	callerTripShare = 12
 	// leastLeft is the time that must be left for another attempt.
 	leastLeft = 5 * time.Millisecond
 	// domainCost is what a call to another failure domain is counted for. It
@@ -219,7 +222,7 @@
 	c.request = peer.Request{
 		Kind: peer.KindCall, Revision: table.Revision, Service: c.service, From: n.self, ID: c.id,
 		Method: r.Method, URI: r.RequestURI, Host: r.Host, Header: c.fields(r),
-		Idempotent: route.Idempotent, Priority: route.Priority, Origin: n.live.Load().Service,
+		Idempotent: route.Idempotent, Class: route.Name, Priority: route.Priority, Origin: n.live.Load().Service,
 		Length: r.Length, Body: r.Body,
 		Fingerprint: quarantine.Of("", c.service, r.Method, r.RequestURI, r.Body),
 	}
@@ -382,7 +385,8 @@
 	request.Repeat = c.mayRun
 	request.Objective = request.Timeout
 	if c.route.Objective > 0 {
-		request.Objective = time.Until(c.received.Add(c.route.Objective - callerTrip))
+		trip := min(callerTrip, c.route.Objective/callerTripShare)
+		request.Objective = time.Until(c.received.Add(c.route.Objective - trip))
 	}
 	if node == c.node.self {
 		return c.local(ctx, &request)
--- a/node/sidecar/execute.go
+++ b/node/sidecar/execute.go
@@ -82,7 +82,7 @@
 	asked := time.Now()
 	n.target.freshen(ctx)
 	ticket, p := n.owner.admit(ctx, dispatch.Call{
-		Priority: j.request.Priority, Deadline: deadline, Objective: asked.Add(j.request.Objective), Elsewhere: j.request.Elsewhere, Hold: j.request.Hold,
+		Class: j.request.Class, Priority: j.request.Priority, Deadline: deadline, Objective: asked.Add(j.request.Objective), Elsewhere: j.request.Elsewhere, Hold: j.request.Hold,
 	})
 	waited := time.Since(asked)
 	admissionWait.Update(waited.Seconds())
--- a/policy/dispatch/dispatch.go
+++ b/policy/dispatch/dispatch.go
@@ -53,6 +53,8 @@
 	// go elsewhere.
 	holdMargin = 1.25
 	holdTrip   = 8 * time.Millisecond
+	// maxClasses bounds the classes whose time is learned.
+	maxClasses = 1024
 	// maxQueued bounds the calls that wait.
 	maxQueued = 256
 	// minRetryAfter and maxRetryAfter bound the advice in a refusal.
@@ -81,6 +83,8 @@
 // Call asks for a slot.
 type Call struct {
 	Ticket Ticket
+	// Class groups calls that take similarly long, such as those of a route.
+	Class string
 	// Priority orders the queue; 0 is the highest.
 	Priority int
 	// Deadline is when nobody waits for the answer any more.
@@ -121,6 +125,7 @@
 
 // run is a call in flight.
 type run struct {
+	class   string
 	started time.Time
 	pace    float64
 }
@@ -128,20 +133,31 @@
 type queued struct {
 	Call
 	offered time.Time
+	// work is the expected time of the call at the usual pace.
+	work time.Duration
 }
 
-// late reports whether the call would miss its objective if it started now.
-func (q queued) late(now time.Time, service time.Duration) bool {
-	return now.Add(service).After(q.Objective)
+// late reports whether the call would miss its objective if it started then,
+// at a pace.
+func (q queued) late(start time.Time, pace float64) bool {
+	return start.Add(q.at(pace)).After(q.Objective)
 }
 
+// at returns the expected time of the call at a pace.
+func (q queued) at(pace float64) time.Duration { return time.Duration(float64(q.work) * pace) }
+
+// needed is the time that must be left for the call to be worth starting.
+func (q queued) needed() time.Duration { return q.at(finishShare) }
+
 // Owner decides for one target. It is not safe for concurrent use.
 type Owner struct {
-	gates    Gate
-	slots    int
-	running  map[Ticket]run
-	queue    []queued
+	gates   Gate
+	slots   int
+	running map[Ticket]run
+	queue   []queued
+	// service is the mean time of all calls, classes that of each class.
 	service  time.Duration
+	classes  map[string]time.Duration
 	learned  bool
 	sequence uint64
 
@@ -172,7 +188,7 @@
 
 // New returns an owner without a target.
 func New(options Options) *Owner {
-	return &Owner{options: options, gates: GateAbsent, running: make(map[Ticket]run), service: initialServiceTime, pace: 1, lateStarts: 1}
+	return &Owner{options: options, gates: GateAbsent, running: make(map[Ticket]run), classes: make(map[string]time.Duration), service: initialServiceTime, pace: 1, lateStarts: 1}
 }
 
 // SetGate closes or opens a gate.
@@ -260,9 +276,13 @@
 	return now.Sub(o.pacedAt), !o.pacedAt.IsZero()
 }
 
-// serviceTime returns the expected time of one call that starts now.
-func (o *Owner) serviceTime(now time.Time) time.Duration {
-	return time.Duration(float64(o.service) * max(o.Pace(now), 1))
+// work returns the expected time of a call of the class at the usual pace. A
+// class that is not known yet takes no time, so that it can become known.
+func (o *Owner) work(class string) time.Duration {
+	if !o.learned {
+		return 0
+	}
+	return o.classes[class]
 }
 
 // Offer asks to run a call. A nil refusal with start true starts it now; with
@@ -272,12 +292,12 @@
 	if p := o.closed(); p != nil {
 		return false, p
 	}
-	if p := o.hopeless(now, c.Deadline); p != nil {
+	q := queued{Call: c, offered: now, work: o.work(c.Class)}
+	if p := q.hopeless(now); p != nil {
 		return false, p
 	}
-	q := queued{Call: c, offered: now}
 	if o.free(now) && o.paced(now, q) && o.first(now) < 0 {
-		o.start(now, c.Ticket)
+		o.start(now, c)
 		return true, nil
 	}
 	wait := o.predictedWait(now, c.Priority)
@@ -292,11 +312,11 @@
 func (o *Owner) turnsAway(now time.Time, q queued, wait time.Duration) bool {
 	start := now.Add(wait)
 	switch {
-	case len(o.queue) >= maxQueued, !start.Add(o.needed()).Before(q.Deadline):
+	case len(o.queue) >= maxQueued, !start.Add(q.needed()).Before(q.Deadline):
 		return true
 	case q.Elsewhere:
 		return !start.Before(o.patience(q))
-	case q.late(start, o.service):
+	case q.late(start, 1):
 		waiting := o.lateQueued(now)
 		return waiting >= o.slots || wait > maxLateWait || waiting >= lateProbes && o.lateStarts < leastLateStarts
 	}
@@ -305,10 +325,11 @@
 
 // paced reports whether the call may start at the present pace.
 func (o *Owner) paced(now time.Time, q queued) bool {
-	if o.Pace(now) < slowPace || !q.late(now, o.serviceTime(now)) {
+	pace := o.Pace(now)
+	if pace < slowPace || !q.late(now, pace) {
 		return true
 	}
-	return !q.Elsewhere && now.Sub(q.offered) >= maxSlowWait && now.Add(o.serviceTime(now)).Before(q.Deadline)
+	return !q.Elsewhere && now.Sub(q.offered) >= maxSlowWait && now.Add(q.at(pace)).Before(q.Deadline)
 }
 
 // Held reports whether a call waits for a better pace only.
@@ -318,9 +339,9 @@
 
 // lateQueued counts the queued calls that will miss their objective.
 func (o *Owner) lateQueued(now time.Time) int {
-	n, service := 0, o.service
+	n := 0
 	for _, q := range o.queue {
-		if q.late(now, service) {
+		if q.late(now, 1) {
 			n++
 		}
 	}
@@ -329,16 +350,8 @@
 
 func bounded(wait time.Duration) time.Duration { return min(max(wait, minRetryAfter), maxRetryAfter) }
 
-// needed is the time that must be left for a call to be worth starting.
-func (o *Owner) needed() time.Duration {
-	if !o.learned {
-		return 0
-	}
-	return time.Duration(finishShare * float64(o.service))
-}
-
-func (o *Owner) hopeless(now time.Time, deadline time.Time) *problem.Error {
-	if now.Add(o.needed()).Before(deadline) {
+func (q queued) hopeless(now time.Time) *problem.Error {
+	if now.Add(q.needed()).Before(q.Deadline) {
 		return nil
 	}
 	return problem.New(problem.DeadlineExceeded, model.RunNo, "the call cannot be answered before its deadline")
@@ -372,27 +385,28 @@
 	}
 }
 
-func (o *Owner) start(now time.Time, t Ticket) {
+func (o *Owner) start(now time.Time, c Call) {
 	if o.Cold(now) {
 		o.fill(now)
 		o.tokens--
 	}
-	o.running[t] = run{started: now, pace: max(o.Pace(now), 1)}
+	o.running[c.Ticket] = run{class: c.Class, started: now, pace: max(o.Pace(now), 1)}
 }
 
 // predictedWait returns the time until a call of the priority that comes now
 // would start.
 func (o *Owner) predictedWait(now time.Time, priority int) time.Duration {
-	ahead, service := 0, o.service
+	ahead, work := 0, time.Duration(0)
 	for _, q := range o.queue {
-		if q.Priority < priority || q.Priority == priority && !q.late(now, service) {
+		if q.Priority < priority || q.Priority == priority && !q.late(now, 1) {
 			ahead++
+			work += q.work
 		}
 	}
 	limit := max(o.limit(now), 1)
 	wait := time.Duration(0)
 	if len(o.running) >= limit {
-		wait = o.service * time.Duration(ahead+1) / time.Duration(limit)
+		wait = (o.meanRunning() + work) / time.Duration(limit)
 	}
 	if o.Cold(now) && o.coldRate > 0 {
 		o.fill(now)
@@ -403,6 +417,19 @@
 	return wait
 }
 
+// meanRunning returns the mean expected time of the calls in flight.
+func (o *Owner) meanRunning() time.Duration {
+	sum := time.Duration(0)
+	for _, r := range o.running {
+		work := o.work(r.class)
+		if work == 0 {
+			work = o.service
+		}
+		sum += work
+	}
+	return sum / time.Duration(max(len(o.running), 1))
+}
+
 // Finish records the end of a call that was in flight. Answered says whether
 // its duration tells how long work takes.
 func (o *Owner) Finish(now time.Time, t Ticket, answered bool) []Release {
@@ -421,7 +448,14 @@
 		o.learned, o.service = true, usual
 	}
 	o.service += time.Duration(serviceWeight * float64(usual-o.service))
-	o.lastDone = now
+	known, ok := o.classes[r.class]
+	if !ok && len(o.classes) >= maxClasses {
+		return
+	}
+	if !ok {
+		known = usual
+	}
+	o.classes[r.class] = known + time.Duration(serviceWeight*float64(usual-known))
 }
 
 // Abandon drops a call that waits. It does nothing for one in flight, which
@@ -445,7 +479,7 @@
 		if slowEnd := q.offered.Add(maxSlowWait); slowEnd.After(now) {
 			next = earlier(next, slowEnd)
 		}
-		next = earlier(next, q.Deadline.Add(-o.needed()))
+		next = earlier(next, q.Deadline.Add(-q.needed()))
 	}
 	if o.Cold(now) && o.coldRate > 0 {
 		o.fill(now)
@@ -480,7 +514,7 @@
 			refusal = o.overdue(now, q)
 		}
 		if refusal != nil {
-			if !q.Elsewhere && q.late(now, o.service) {
+			if !q.Elsewhere && q.late(now, 1) {
 				o.lateEnded(0)
 			}
 			out = append(out, Release{Ticket: q.Ticket, Refusal: refusal})
@@ -494,10 +528,10 @@
 		}
 		q := o.queue[at]
 		o.queue = slices.Delete(o.queue, at, at+1)
-		if q.late(now, o.service) {
+		if q.late(now, 1) {
 			o.lateEnded(1)
 		}
-		o.start(now, q.Ticket)
+		o.start(now, q.Call)
 		out = append(out, Release{Ticket: q.Ticket})
 	}
 	return out
@@ -525,7 +559,7 @@
 	if q.Priority != earlier.Priority {
 		return q.Priority < earlier.Priority
 	}
-	return earlier.late(now, o.service) && !q.late(now, o.service)
+	return earlier.late(now, 1) && !q.late(now, 1)
 }
 
 // patience returns how long a queued call waits at the longest: as its entry
@@ -536,9 +570,9 @@
 		return q.offered
 	}
 	if q.Elsewhere {
-		return q.Objective.Add(-time.Duration(holdMargin*float64(o.service)) - holdTrip)
+		return q.Objective.Add(-q.at(holdMargin) - holdTrip)
 	}
-	inTime := q.Objective.Add(-o.service)
+	inTime := q.Objective.Add(-q.work)
 	if inTime.Before(q.offered) {
 		inTime = q.offered
 	}
@@ -546,7 +580,7 @@
 }
 
 func (o *Owner) overdue(now time.Time, q queued) *problem.Error {
-	if p := o.hopeless(now, q.Deadline); p != nil {
+	if p := q.hopeless(now); p != nil {
 		return p
 	}
 	if now.Before(o.patience(q)) || o.free(now) && (!q.Elsewhere || o.paced(now, q)) {
--- a/policy/dispatch/dispatch_test.go
+++ b/policy/dispatch/dispatch_test.go
@@ -85,6 +85,32 @@
 	qt.Assert(t, len(starts) > int(5*rate*0.9), qt.IsTrue, qt.Commentf("%d calls in five seconds", len(starts)))
 }
 
+// taught returns an owner that knows how long calls of a class take.
+func taught(slots int, class string, work time.Duration) *Owner {
+	o := ready(slots)
+	learned := start.Add(-time.Minute)
+	_, _ = o.Offer(learned, Call{Ticket: 1 << 40, Class: class, Deadline: start.Add(time.Hour), Objective: start.Add(time.Hour)})
+	o.Finish(learned.Add(work), 1<<40, true)
+	return o
+}
+
+// Short calls are judged by their own time, not by that of the long ones that
+// the target also runs.
+func TestClassesAreJudgedByTheirOwnTime(t *testing.T) {
+	o := taught(1, "long", 200*time.Millisecond)
+	_, _ = o.Offer(start, Call{Ticket: 1, Class: "short", Deadline: start.Add(time.Hour), Objective: start.Add(time.Hour)})
+	o.Finish(start.Add(20*time.Millisecond), 1, true)
+	now := start.Add(time.Second)
+	_, _ = o.Offer(now, Call{Ticket: 2, Class: "short", Deadline: now.Add(time.Hour), Objective: now.Add(time.Hour)})
+	short := Call{Ticket: 3, Class: "short", Deadline: now.Add(100 * time.Millisecond), Objective: now.Add(60 * time.Millisecond)}
+	_, refusal := o.Offer(now, short)
+	qt.Assert(t, refusal == nil, qt.IsTrue)
+	long := short
+	long.Ticket, long.Class, long.Deadline = 4, "long", now.Add(70*time.Millisecond)
+	_, refusal = o.Offer(now, long)
+	qt.Assert(t, refusal != nil, qt.IsTrue)
+}
+
 func TestClosedGateRefusesWhatWaits(t *testing.T) {
 	o := ready(1)
 	_, _ = o.Offer(start, call(1, 0, 0))
@@ -107,11 +133,12 @@
 }
 
 func TestQueuedCallIsRefusedOnceItIsLateForAWhile(t *testing.T) {
-	o := ready(1)
+	const work = 50 * time.Millisecond
+	o := taught(1, "", work)
 	_, _ = o.Offer(start, call(1, 0, 0))
 	_, refusal := o.Offer(start, call(2, 0, 300*time.Millisecond))
 	qt.Assert(t, refusal == nil, qt.IsTrue)
-	end := start.Add(300*time.Millisecond - initialServiceTime + maxLateWait)
+	end := start.Add(300*time.Millisecond - work + maxLateWait)
 	qt.Assert(t, o.Tick(end.Add(-time.Millisecond)), qt.HasLen, 0)
 	releases := o.Tick(end)
 	qt.Assert(t, releases, qt.HasLen, 1)
@@ -178,7 +205,7 @@
 // While every late call is refused in the end, new ones are refused at once,
 // and a call that is in time still waits.
 func TestLateCallsAreRefusedAtOnceWhileNoneGetsASlot(t *testing.T) {
-	o := ready(1)
+	o := taught(1, "", 50*time.Millisecond)
 	_, _ = o.Offer(start, call(1, 0, 0))
 	now, ticket, waited := start, Ticket(1), 0
 	for range 20 {
@@ -201,7 +228,7 @@
 }
 
 func TestCallWaitsForABetterPace(t *testing.T) {
-	o := ready(12)
+	o := taught(12, "", 50*time.Millisecond)
 	o.Read(start, Reading{Pace: 5})
 	ok, refusal := o.Offer(start, call(1, 0, 100*time.Millisecond))
 	qt.Assert(t, ok, qt.IsFalse)
@@ -217,6 +244,7 @@
 	o := ready(12)
 	now := start
 	var releases []Release
+	o = taught(12, "", 50*time.Millisecond)
 	o.Read(now, Reading{Pace: 5})
 	_, _ = o.Offer(now, call(1, 0, 100*time.Millisecond))
 	for len(releases) == 0 && now.Sub(start) < time.Second {
@@ -231,7 +259,7 @@
 // refused after 220 ms: it waits for the pace, and is not started at a pace at
 // which it cannot end before its deadline.
 func TestCallIsNotRefusedForThePaceAlone(t *testing.T) {
-	o := ready(12)
+	o := taught(12, "", 50*time.Millisecond)
 	o.Read(start, Reading{Pace: 5})
 	c := call(1, 0, 100*time.Millisecond)
 	c.Deadline = start.Add(500 * time.Millisecond)
@@ -246,7 +274,7 @@
 }
 
 func TestSlowTargetTurnsAwayWhatMayGoElsewhere(t *testing.T) {
-	o := ready(12)
+	o := taught(12, "", 50*time.Millisecond)
 	o.Read(start, Reading{Pace: 5})
 	c := call(1, 0, 100*time.Millisecond)
 	c.Elsewhere = true
@@ -256,7 +284,7 @@
 	_, refusal = o.Offer(start, c)
 	qt.Assert(t, refusal == nil, qt.IsTrue)
 	end := o.NextTick(start)
-	qt.Assert(t, end.Before(c.Objective.Add(-initialServiceTime)), qt.IsTrue)
+	qt.Assert(t, end.Before(c.Objective.Add(-50*time.Millisecond)), qt.IsTrue)
 	releases := o.Tick(end)
 	qt.Assert(t, releases, qt.HasLen, 1)
 	qt.Assert(t, releases[0].Refusal != nil, qt.IsTrue)
