--- a/node/sidecar/target.go
+++ b/node/sidecar/target.go
@@ -23,10 +23,10 @@
 	idleProbePause = 500 * time.Millisecond
 	seekPause      = 100 * time.Millisecond
 	// heldProbePause is the same while calls wait for a better pace.
-	heldProbePause = 15 * time.Millisecond
+	heldProbePause = 20 * time.Millisecond
 	// freshPace is the age up to which a reading of the pace decides on a
-	// call; paces last for about ten times as long.
-	freshPace = 15 * time.Millisecond
+	// call; paces last for several times as long.
+	freshPace = 20 * time.Millisecond
 	// freshenTimeout bounds the wait for a reading before a call.
 	freshenTimeout = 10 * time.Millisecond
 	// probeTimeout bounds one health request.
--- a/policy/dispatch/dispatch_test.go
+++ b/policy/dispatch/dispatch_test.go
@@ -234,6 +234,11 @@
 	qt.Assert(t, ok, qt.IsFalse)
 	qt.Assert(t, refusal == nil, qt.IsTrue)
 	qt.Assert(t, o.Held(start), qt.IsTrue)
+	unknown := call(3, 0, time.Minute)
+	unknown.Class = "unknown"
+	ok, refusal = o.Offer(start, unknown)
+	qt.Assert(t, !ok && refusal == nil, qt.IsTrue)
+	qt.Assert(t, o.Abandon(start, 3), qt.HasLen, 0)
 	ok, _ = o.Offer(start, call(2, 0, time.Minute)) // in time at any pace
 	qt.Assert(t, ok, qt.IsTrue)
 	releases := o.Read(start.Add(50*time.Millisecond), Reading{Pace: 1})
