--- a/node/sidecar/fleet.go
+++ b/node/sidecar/fleet.go
@@ -1,16 +1,11 @@
 package sidecar
 
 import (
-	"bytes"
-	"context"
 	"encoding/json"
 	"math/rand/v2"
 	"sync"
 	"time"
 
-	"github.com/fxamacker/cbor/v2"
-
-	"zinniafall/node/peer"
 	"zinniafall/policy/model"
 	"zinniafall/policy/placement"
 	"zinniafall/policy/roster"
@@ -41,21 +36,6 @@
 	fleetSettle = 400 * time.Millisecond
 )
 
-// greeting is what two nodes compare.
-type greeting struct {
-	From       roster.Record   `cbor:"1,keyasint"`
-	Revision   model.Revision  `cbor:"2,keyasint"`
-	Evacuation evacuation      `cbor:"3,keyasint"`
-	Digest     uint64          `cbor:"4,keyasint"`
-	Records    []roster.Record `cbor:"5,keyasint,omitempty"`
-	// Notices are about requests that crash targets.
-	Notices [][]byte `cbor:"6,keyasint,omitempty"`
-	// Watching is true when the sender follows the store and reaches it.
-	Watching bool `cbor:"7,keyasint,omitempty"`
-	// Missing is true when the store lacks the receiver's entry.
-	Missing bool `cbor:"8,keyasint,omitempty"`
-}
-
 // fleet knows the other nodes.
 type fleet struct {
 	node *Node
@@ -85,20 +65,6 @@
 	return f
 }
 
-// render prepares the entry for the store. Its state is left to direct
-// contact, so that only a new target changes the entry.
-func (f *fleet) render() {
-	entry := f.self
-	entry.State = model.TargetAbsent
-	text, err := json.Marshal(entry)
-	if err != nil {
-		f.node.log.Error("node entry not encoded", "part", "fleet", "error", err.Error())
-		return
-	}
-	f.stored = text
-	poke(f.poke)
-}
-
 // follows reports whether this node follows the store itself.
 func (f *fleet) follows() bool {
 	f.mu.Lock()
@@ -173,26 +139,6 @@
 	f.place()
 }
 
-// ownEntry writes this node's entry again when it vanished or is not the
-// newest, which a late write can bring about.
-func (f *fleet) ownEntry(item Item) {
-	f.mu.Lock()
-	lost := item.Removed || !bytes.Equal(item.Value, f.stored)
-	f.mu.Unlock()
-	if lost {
-		poke(f.poke)
-	}
-}
-
-// check asks a node directly whose entry vanished, and tells it so.
-func (f *fleet) check(node model.NodeAddr) {
-	f.node.goDuty(func() {
-		g := f.greeting()
-		g.Missing = true
-		f.exchange(node, g)
-	})
-}
-
 func (f *fleet) decode(item Item) (roster.Record, bool) {
 	var record roster.Record
 	if item.Removed {
@@ -206,118 +152,6 @@
 	return record, true
 }
 
-func (f *fleet) key() string { return nodePrefix + string(f.node.self) }
-
-// register keeps this node's entry in the store.
-func (f *fleet) register(ctx context.Context) {
-	var lease Lease
-	written := []byte(nil)
-	f.awaitTarget(ctx)
-	for ctx.Err() == nil {
-		f.mu.Lock()
-		want := f.stored
-		f.mu.Unlock()
-		pause := renewPause
-		var err error
-		if lease == 0 {
-			lease, err = f.node.store.Grant(ctx, leaseTime)
-			written = nil
-		}
-		switch {
-		case err != nil:
-		case !bytes.Equal(written, want):
-			var held bool
-			if held, err = f.node.store.Write(ctx, f.key(), want, lease); err == nil && held {
-				written = want
-			} else if err == nil {
-				lease, pause = 0, 0
-			}
-		default:
-			var held bool
-			if held, err = f.node.store.Renew(ctx, lease); err == nil && !held {
-				f.node.log.Info("lease lapsed", "part", "fleet", "lease", uint64(lease))
-				lease, pause = 0, 0
-			}
-		}
-		if err != nil {
-			pause = renewRetry
-		}
-		if f.pause(ctx, pause) && !f.verify(ctx, written) {
-			written = nil
-		}
-	}
-	if lease != 0 {
-		end, cancel := context.WithTimeout(context.WithoutCancel(ctx), exchangeTimeout)
-		defer cancel()
-		if err := f.node.store.End(end, lease); err != nil {
-			f.node.log.Info("lease not ended", "part", "fleet", "error", err.Error())
-		}
-	}
-}
-
-// verify reads the own entry, of which there was word that it is missing or
-// old, and reports whether it is as written. The word may be from before the
-// write, and a read costs less than a change that wakes all watchers.
-func (f *fleet) verify(ctx context.Context, written []byte) bool {
-	sleep(ctx, verifyPause)
-	select {
-	case <-f.poke: // answered by this look, too
-	default:
-	}
-	items, _, err := f.node.store.List(ctx, f.key())
-	if err != nil {
-		return false
-	}
-	for _, item := range items {
-		if item.Key == f.key() {
-			return bytes.Equal(item.Value, written)
-		}
-	}
-	return false
-}
-
-// awaitTarget waits a short time for the target to be known.
-func (f *fleet) awaitTarget(ctx context.Context) {
-	began := time.Now()
-	for ctx.Err() == nil && time.Since(began) < firstEntryPause {
-		f.mu.Lock()
-		known := f.self.Slots > 0
-		f.mu.Unlock()
-		if known {
-			return
-		}
-		sleep(ctx, idlePause)
-	}
-}
-
-// pause waits and reports whether the entry has to be written again.
-func (f *fleet) pause(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(jitter(d))
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	case <-f.poke:
-		return true
-	}
-	return false
-}
-
-// converse keeps in touch with other nodes. A node that follows the store
-// speaks to all nodes of its failure domain, which rely on it, and to one in
-// another; the others speak only when they hear no watcher.
-func (f *fleet) converse(ctx context.Context) {
-	for ctx.Err() == nil {
-		sleep(ctx, jitter(exchangePause))
-		g := f.greeting()
-		for _, node := range f.partners() {
-			f.node.goDuty(func() { f.exchange(node, g) })
-		}
-		f.expire()
-		f.place()
-	}
-}
-
 // expire drops the members that are gone.
 func (f *fleet) expire() {
 	f.mu.Lock()
@@ -331,142 +165,6 @@
 	}
 }
 
-// partners returns the nodes to speak to now.
-func (f *fleet) partners() []model.NodeAddr {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	var near, far []model.NodeAddr
-	for _, r := range f.roster.Records() {
-		if r.Domain == f.self.Domain {
-			near = append(near, r.Node)
-		} else {
-			far = append(far, r.Node)
-		}
-	}
-	switch {
-	case f.watchers.Chosen():
-	case !f.watchers.Follow(time.Now()):
-		return nil
-	case len(near) > 0:
-		near = []model.NodeAddr{near[rand.IntN(len(near))]}
-	}
-	if len(far) > 0 {
-		near = append(near, far[rand.IntN(len(far))])
-	}
-	return near
-}
-
-// spread tells the nodes of the own failure domain at once what is new, if
-// they rely on this one.
-func (f *fleet) spread() {
-	f.mu.Lock()
-	chosen := f.watchers.Chosen()
-	f.mu.Unlock()
-	if !chosen {
-		return
-	}
-	g := f.greeting()
-	for _, node := range f.partners() {
-		f.node.goDuty(func() { f.exchange(node, g) })
-	}
-}
-
-func (f *fleet) greeting() greeting {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return greeting{
-		From: f.self, Revision: f.node.configuration.revision(), Evacuation: f.node.configuration.evacuated(),
-		Digest: roster.Digest(f.roster.Records(), f.self), Notices: f.node.quarantine.notices(),
-		Watching: f.follower.readable.Load(),
-	}
-}
-
-// exchange compares notes with one node.
-func (f *fleet) exchange(node model.NodeAddr, g greeting) {
-	ctx, cancel := context.WithTimeout(f.node.ctx, exchangeTimeout)
-	defer cancel()
-	payload, err := cbor.Marshal(g)
-	if err != nil {
-		f.node.log.Error("greeting not encoded", "part", "fleet", "error", err.Error())
-		return
-	}
-	x, err := f.node.client.Open(ctx, node, &peer.Request{Kind: peer.KindExchange, Inline: true, Body: payload, From: f.node.self})
-	if err != nil {
-		return // expected of a node that is gone; the roster drops it
-	}
-	defer x.Close()
-	answer, err := x.Receive()
-	if err != nil {
-		return
-	}
-	f.greeted(answer.Body)
-}
-
-// greeted takes another node's greeting.
-func (f *fleet) greeted(payload []byte) (g greeting, ok bool) {
-	if err := cbor.Unmarshal(payload, &g); err != nil {
-		f.node.log.Warn("greeting unreadable", "part", "fleet", "error", err.Error())
-		return g, false
-	}
-	now := time.Now()
-	f.mu.Lock()
-	f.roster.Heard(now, g.From)
-	if g.Watching {
-		f.watchers.Heard(now, g.From.Domain)
-	}
-	if g.Watching && len(g.Records) > 0 && !f.follower.readable.Load() {
-		f.roster.StoredAll(now, append(g.Records, g.From))
-	} else {
-		f.roster.Told(now, g.Records)
-	}
-	f.mu.Unlock()
-	if g.Missing {
-		poke(f.poke)
-	}
-	f.node.quarantine.heard(g.Notices)
-	f.node.configuration.setEvacuation(g.Evacuation, string(g.From.Node))
-	f.node.configuration.heard(g.Revision, g.From.Node)
-	f.place()
-	return g, true
-}
-
-// serve answers a greeting.
-func (f *fleet) serve(stream streamWriter, payload []byte) {
-	theirs, ok := f.greeted(payload)
-	reply := f.greeting()
-	if ok && theirs.Digest != reply.Digest && (reply.Watching || !theirs.Watching) {
-		f.mu.Lock()
-		reply.Records = f.roster.Records()
-		f.mu.Unlock()
-	}
-	if ok && theirs.Watching && theirs.Digest != reply.Digest {
-		f.pull(theirs.From.Node)
-	}
-	body, err := cbor.Marshal(reply)
-	if err != nil || stream.Answer(&peer.Answer{Run: model.RunNo, Status: 200, Inline: true, Body: body}) != nil {
-		stream.Fail()
-	}
-}
-
-// pull fetches the records of a watcher, one at a time.
-func (f *fleet) pull(from model.NodeAddr) {
-	f.mu.Lock()
-	busy := f.pulling || time.Since(f.pulled) < pullPause
-	if !busy {
-		f.pulling, f.pulled = true, time.Now()
-	}
-	f.mu.Unlock()
-	if busy {
-		return
-	}
-	f.node.goDuty(func() {
-		f.exchange(from, f.greeting())
-		f.mu.Lock()
-		f.pulling = false
-		f.mu.Unlock()
-	})
-}
-
 // alone reports whether the node has not learned yet who else there is.
 func (f *fleet) alone() bool { return f.size() == 1 && !f.follower.readable.Load() }
 
--- a/policy/dispatch/dispatch.go
+++ b/policy/dispatch/dispatch.go
@@ -15,7 +15,6 @@
 package dispatch
 
 import (
-	"slices"
 	"time"
 
 	"zinniafall/policy/model"
@@ -130,25 +129,6 @@
 	pace    float64
 }
 
-type queued struct {
-	Call
-	offered time.Time
-	// work is the expected time of the call at the usual pace.
-	work time.Duration
-}
-
-// late reports whether the call would miss its objective if it started then,
-// at a pace.
-func (q queued) late(start time.Time, pace float64) bool {
-	return start.Add(q.at(pace)).After(q.Objective)
-}
-
-// at returns the expected time of the call at a pace.
-func (q queued) at(pace float64) time.Duration { return time.Duration(float64(q.work) * pace) }
-
-// needed is the time that must be left for the call to be worth starting.
-func (q queued) needed() time.Duration { return q.at(finishShare) }
-
 // Owner decides for one target. It is not safe for concurrent use.
 type Owner struct {
 	gates   Gate
@@ -177,15 +157,6 @@
 	lastDone   time.Time
 }
 
-// Options tell what a cold target bears beyond its stated rate.
-type Options struct {
-	// ColdOvershoot is the factor on the rate, and ColdSlack the number of
-	// calls on top of that, that may arrive in one second. Below 1 and 0 the
-	// rate itself and one call are used.
-	ColdOvershoot float64
-	ColdSlack     float64
-}
-
 // New returns an owner without a target.
 func New(options Options) *Owner {
 	return &Owner{options: options, gates: GateAbsent, running: make(map[Ticket]run), classes: make(map[string]time.Duration), service: initialServiceTime, pace: 1, lateStarts: 1}
@@ -210,57 +181,6 @@
 	return o.settle(now)
 }
 
-// SetCold says for how long the target stays cold. A target that turns cold
-// starts with an empty burst.
-func (o *Owner) SetCold(now time.Time, left time.Duration) {
-	wasCold := o.Cold(now)
-	if left <= 0 {
-		o.coldUntil = time.Time{}
-		return
-	}
-	o.coldUntil = now.Add(left)
-	if !wasCold {
-		o.tokens, o.filled = 0, now
-	}
-}
-
-// ColdLeft returns how long the target stays cold.
-func (o *Owner) ColdLeft(now time.Time) time.Duration { return max(o.coldUntil.Sub(now), 0) }
-
-// Cold reports whether the target is cold.
-func (o *Owner) Cold(now time.Time) bool { return now.Before(o.coldUntil) }
-
-// Reading is the load that the target stated.
-type Reading struct {
-	// Running counts the calls at the target, from whatever sender.
-	Running int
-	// Slots is the number of calls that it runs at once; 0 when not stated.
-	Slots int
-	// Pace is how long work takes now relative to usual; 0 when not stated.
-	Pace float64
-}
-
-// Read takes in a load reading.
-func (o *Owner) Read(now time.Time, r Reading) []Release {
-	if r.Slots > 0 {
-		o.slots = r.Slots
-	}
-	o.foreign = max(0, r.Running-len(o.running))
-	o.readAt = now
-	if r.Pace > 0 {
-		o.pace, o.pacedAt = r.Pace, now
-	}
-	return o.settle(now)
-}
-
-// Pace returns the factor on the usual time of work, as far as it is known.
-func (o *Owner) Pace(now time.Time) float64 {
-	if now.Sub(o.pacedAt) > paceAge {
-		return 1
-	}
-	return o.pace
-}
-
 // limit returns the number of calls that may be in flight.
 func (o *Owner) limit(now time.Time) int {
 	limit := max(1, (o.slots*kneePercent+percent/4)/percent)
@@ -270,12 +190,6 @@
 	return limit
 }
 
-// PaceAge returns the age of the last pace reading; stated is false when the
-// target states none.
-func (o *Owner) PaceAge(now time.Time) (age time.Duration, stated bool) {
-	return now.Sub(o.pacedAt), !o.pacedAt.IsZero()
-}
-
 // work returns the expected time of a call of the class at the usual pace. A
 // class that is not known yet takes no time, so that it can become known.
 func (o *Owner) work(class string) time.Duration {
@@ -308,55 +222,6 @@
 	return false, nil
 }
 
-// turnsAway reports whether a call that cannot start now is refused.
-func (o *Owner) turnsAway(now time.Time, q queued, wait time.Duration) bool {
-	start := now.Add(wait)
-	switch {
-	case len(o.queue) >= maxQueued, !start.Add(q.needed()).Before(q.Deadline):
-		return true
-	case q.Elsewhere:
-		return !start.Before(o.patience(q))
-	case q.late(start, 1):
-		waiting := o.lateQueued(now)
-		return waiting >= o.slots || wait > maxLateWait || waiting >= lateProbes && o.lateStarts < leastLateStarts
-	}
-	return false
-}
-
-// paced reports whether the call may start at the present pace.
-func (o *Owner) paced(now time.Time, q queued) bool {
-	pace := o.Pace(now)
-	if pace < slowPace || q.work > 0 && !q.late(now, pace) {
-		return true
-	}
-	return !q.Elsewhere && now.Sub(q.offered) >= maxSlowWait && now.Add(q.at(pace)).Before(q.Deadline)
-}
-
-// Held reports whether a call waits for a better pace only.
-func (o *Owner) Held(now time.Time) bool {
-	return len(o.queue) > 0 && o.Pace(now) >= slowPace && len(o.running) < o.limit(now)
-}
-
-// lateQueued counts the queued calls that will miss their objective.
-func (o *Owner) lateQueued(now time.Time) int {
-	n := 0
-	for _, q := range o.queue {
-		if q.late(now, 1) {
-			n++
-		}
-	}
-	return n
-}
-
-func bounded(wait time.Duration) time.Duration { return min(max(wait, minRetryAfter), maxRetryAfter) }
-
-func (q queued) hopeless(now time.Time) *problem.Error {
-	if now.Add(q.needed()).Before(q.Deadline) {
-		return nil
-	}
-	return problem.New(problem.DeadlineExceeded, model.RunNo, "the call cannot be answered before its deadline")
-}
-
 // free reports whether a call may start now.
 func (o *Owner) free(now time.Time) bool {
 	if len(o.running) >= o.limit(now) {
@@ -369,22 +234,6 @@
 	return o.tokens >= 1
 }
 
-// coldPace returns the rate at which a cold target gets calls, in calls a
-// second, and the calls that may come at once.
-func (o *Owner) coldPace() (rate, burst float64) {
-	rate = o.coldRate * (1 + coldShare*max(o.options.ColdOvershoot-1, 0))
-	return rate, max(coldBurst*o.options.ColdSlack, 1)
-}
-
-// fill adds the cold rate's tokens.
-func (o *Owner) fill(now time.Time) {
-	if now.After(o.filled) {
-		rate, burst := o.coldPace()
-		o.tokens = min(o.tokens+now.Sub(o.filled).Seconds()*rate, burst)
-		o.filled = now
-	}
-}
-
 func (o *Owner) start(now time.Time, c Call) {
 	if o.Cold(now) {
 		o.fill(now)
@@ -393,43 +242,6 @@
 	o.running[c.Ticket] = run{class: c.Class, started: now, pace: max(o.Pace(now), 1)}
 }
 
-// predictedWait returns the time until a call of the priority that comes now
-// would start.
-func (o *Owner) predictedWait(now time.Time, priority int) time.Duration {
-	ahead, work := 0, time.Duration(0)
-	for _, q := range o.queue {
-		if q.Priority < priority || q.Priority == priority && !q.late(now, 1) {
-			ahead++
-			work += q.work
-		}
-	}
-	limit := max(o.limit(now), 1)
-	wait := time.Duration(0)
-	if len(o.running) >= limit {
-		wait = (o.meanRunning() + work) / time.Duration(limit)
-	}
-	if o.Cold(now) && o.coldRate > 0 {
-		o.fill(now)
-		short := max(float64(ahead+1)-o.tokens, 0)
-		rate, _ := o.coldPace()
-		wait = max(wait, time.Duration(short/rate*float64(time.Second)))
-	}
-	return wait
-}
-
-// meanRunning returns the mean expected time of the calls in flight.
-func (o *Owner) meanRunning() time.Duration {
-	sum := time.Duration(0)
-	for _, r := range o.running {
-		work := o.work(r.class)
-		if work == 0 {
-			work = o.service
-		}
-		sum += work
-	}
-	return sum / time.Duration(max(len(o.running), 1))
-}
-
 // Finish records the end of a call that was in flight. Answered says whether
 // its duration tells how long work takes.
 func (o *Owner) Finish(now time.Time, t Ticket, answered bool) []Release {
@@ -458,13 +270,6 @@
 	o.classes[r.class] = known + time.Duration(serviceWeight*float64(usual-known))
 }
 
-// Abandon drops a call that waits. It does nothing for one in flight, which
-// Finish ends.
-func (o *Owner) Abandon(now time.Time, t Ticket) []Release {
-	o.queue = slices.DeleteFunc(o.queue, func(q queued) bool { return q.Ticket == t })
-	return o.settle(now)
-}
-
 // Tick does what is due at this time.
 func (o *Owner) Tick(now time.Time) []Release { return o.settle(now) }
 
@@ -501,95 +306,6 @@
 	return a
 }
 
-// settle refuses the queued calls that must not run and starts those that can.
-func (o *Owner) settle(now time.Time) []Release {
-	if len(o.queue) == 0 {
-		return nil
-	}
-	var out []Release
-	closed := o.closed()
-	o.queue = slices.DeleteFunc(o.queue, func(q queued) bool {
-		refusal := closed
-		if refusal == nil {
-			refusal = o.overdue(now, q)
-		}
-		if refusal != nil {
-			if !q.Elsewhere && q.late(now, 1) {
-				o.lateEnded(0)
-			}
-			out = append(out, Release{Ticket: q.Ticket, Refusal: refusal})
-		}
-		return refusal != nil
-	})
-	for o.free(now) {
-		at := o.first(now)
-		if at < 0 {
-			break
-		}
-		q := o.queue[at]
-		o.queue = slices.Delete(o.queue, at, at+1)
-		if q.late(now, 1) {
-			o.lateEnded(1)
-		}
-		o.start(now, q.Call)
-		out = append(out, Release{Ticket: q.Ticket})
-	}
-	return out
-}
-
-// lateEnded learns what waiting is worth to a call that has become late.
-func (o *Owner) lateEnded(started float64) {
-	o.lateStarts += lateWeight * (started - o.lateStarts)
-}
-
-// first returns the place of the queued call that starts next, -1 for none.
-// The queue is in the order of arrival.
-func (o *Owner) first(now time.Time) int {
-	best := -1
-	for i, q := range o.queue {
-		if o.paced(now, q) && (best < 0 || o.before(now, q, o.queue[best])) {
-			best = i
-		}
-	}
-	return best
-}
-
-// before reports whether a call goes before one that came earlier.
-func (o *Owner) before(now time.Time, q, earlier queued) bool {
-	if q.Priority != earlier.Priority {
-		return q.Priority < earlier.Priority
-	}
-	return earlier.late(now, 1) && !q.late(now, 1)
-}
-
-// patience returns how long a queued call waits at the longest: as its entry
-// says if it can go elsewhere, otherwise until it would miss its objective and
-// a short time beyond.
-func (o *Owner) patience(q queued) time.Time {
-	if q.Elsewhere && !q.Hold {
-		return q.offered
-	}
-	if q.Elsewhere {
-		return q.Objective.Add(-q.at(holdMargin) - holdTrip)
-	}
-	inTime := q.Objective.Add(-q.work)
-	if inTime.Before(q.offered) {
-		inTime = q.offered
-	}
-	return inTime.Add(maxLateWait)
-}
-
-func (o *Owner) overdue(now time.Time, q queued) *problem.Error {
-	if p := q.hopeless(now); p != nil {
-		return p
-	}
-	if now.Before(o.patience(q)) || o.free(now) && (!q.Elsewhere || o.paced(now, q)) {
-		return nil
-	}
-	wait := o.predictedWait(now, q.Priority)
-	return problem.New(problem.Overloaded, model.RunNo, "the target had no slot in time").After(bounded(wait))
-}
-
 // closed returns why no call may start, or nil.
 func (o *Owner) closed() *problem.Error {
 	switch {
@@ -643,31 +359,5 @@
 	return r
 }
 
-// coldLimit returns the calls that the cold rate keeps in flight.
-func (o *Owner) coldLimit(limit uint16) uint16 {
-	rate, _ := o.coldPace()
-	inFlight := rate * o.service.Seconds()
-	return min(limit, uint16(max(inFlight, 1)))
-}
-
 // Running returns the number of calls in flight.
 func (o *Owner) Running() int { return len(o.running) }
-
-// SetColdRate sets the rate that the target bears while it is cold.
-func (o *Owner) SetColdRate(rate float64) {
-	if rate > 0 {
-		o.coldRate = rate
-	}
-}
-
-// ReadPace takes in the part of a reading that does not depend on which calls
-// it counts: an answer states the load at its own end.
-func (o *Owner) ReadPace(now time.Time, r Reading) []Release {
-	if r.Slots > 0 {
-		o.slots = r.Slots
-	}
-	if r.Pace > 0 {
-		o.pace, o.pacedAt = r.Pace, now
-	}
-	return o.settle(now)
-}
