--- a/node/sidecar/call_test.go
+++ b/node/sidecar/call_test.go
@@ -104,6 +104,18 @@
 	qt.Assert(t, n.call(http.MethodGet, "back", "/safe/x").status, qt.Equals, http.StatusServiceUnavailable)
 }
 
+func TestRequestWithoutAnIDIsRejected(t *testing.T) {
+	entry, one, _ := pair(t)
+	r, err := http.NewRequest(http.MethodGet, "http://"+entry.settings.Callers+"/safe/x", nil)
+	qt.Assert(t, err, qt.IsNil)
+	r.Host = "back"
+	response, err := http.DefaultClient.Do(r)
+	qt.Assert(t, err, qt.IsNil)
+	defer func() { _ = response.Body.Close() }()
+	qt.Assert(t, response.StatusCode, qt.Equals, http.StatusBadRequest)
+	qt.Assert(t, one.target.requests(), qt.HasLen, 0)
+}
+
 func TestNodeWithoutConfigurationRefuses(t *testing.T) {
 	n := startNode(t, newMemoryStore(), "a", "front", newTestTarget(t, "t0"))
 	qt.Assert(t, n.Ready(), qt.Not(qt.Equals), "")
