--- a/node/sidecar/fleet.go
+++ b/node/sidecar/fleet.go
@@ -33,7 +33,7 @@
 	pullPause = 300 * time.Millisecond
 	// fleetSettle is the pause after a change of the fleet before the watch
 	// goes on: nodes come in groups.
-	fleetSettle = 400 * time.Millisecond
+	fleetSettle = 800 * time.Millisecond
 )
 
 // fleet knows the other nodes.
@@ -59,7 +59,7 @@
 	f.self = roster.Record{Node: n.self, Process: n.process, Domain: n.settings.Domain, Region: n.settings.Region, Service: n.settings.Service, Sequence: 1}
 	f.follower = &follower{
 		store: n.store, log: n.log, name: "fleet", prefix: nodePrefix, settle: fleetSettle, wait: fleetWait,
-		needed: f.follows, all: f.listed, change: f.watched,
+		needed: f.follows, listed: make(chan struct{}), all: f.listed, change: f.watched,
 	}
 	f.render()
 	return f
@@ -203,7 +203,7 @@
 	f.mu.Lock()
 	changed := f.roster.Changed()
 	others := f.roster.Records()
-	f.watchers.SetMembers(others)
+	f.watchers.SetMembers(time.Now(), others)
 	records := append(others, f.self)
 	f.mu.Unlock()
 	evac := f.node.configuration.evacuated()
--- a/node/sidecar/store.go
+++ b/node/sidecar/store.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -64,6 +65,8 @@
 	// the nodes also tell each other.
 	operatorWait = 2500 * time.Millisecond
 	fleetWait    = 10 * time.Second
+	// awaitTime bounds the wait of one follower for the first list of another.
+	awaitTime = 300 * time.Millisecond
 	// idlePause is the time between looks whether the store has to be followed.
 	idlePause = 100 * time.Millisecond
 	// firstPause and longestPause bound the wait after a failed call.
@@ -81,7 +84,12 @@
 	wait   time.Duration // the longest that the store holds a watch
 	// needed reports whether this node follows the store itself; otherwise
 	// others tell it what changes.
-	needed   func() bool
+	needed func() bool
+	// after is closed when another follower has listed its keys, which may show
+	// that this one is not needed; nil waits for none.
+	after    <-chan struct{}
+	listed   chan struct{}
+	once     sync.Once
 	all      func(items []Item, revision uint64)
 	change   func(items []Item, revision uint64)
 	readable atomic.Bool
@@ -109,10 +117,26 @@
 		f.regained(revision)
 		pause = firstPause
 		f.all(items, revision)
+		f.once.Do(func() { close(f.listed) })
+		f.await(ctx)
 		f.watch(ctx, revision, failed)
 	}
 }
 
+// await gives the other follower a short time to list its keys.
+func (f *follower) await(ctx context.Context) {
+	if f.after == nil {
+		return
+	}
+	timer := time.NewTimer(awaitTime)
+	defer timer.Stop()
+	select {
+	case <-f.after:
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
 // idle waits until the store has to be followed; false when the context ended.
 func (f *follower) idle(ctx context.Context) bool {
 	for !f.needed() {
--- a/policy/roster/watchers.go
+++ b/policy/roster/watchers.go
@@ -35,8 +35,9 @@
 	return &Watchers{self: self, domain: domain, chosen: true}
 }
 
-// SetMembers takes the other nodes.
-func (w *Watchers) SetMembers(records []Record) {
+// SetMembers takes the other nodes. A node that learns that others follow the
+// store gives them the time to speak.
+func (w *Watchers) SetMembers(now time.Time, records []Record) {
 	own := []model.NodeAddr{w.self}
 	for _, r := range records {
 		if r.Domain == w.domain {
@@ -53,7 +54,11 @@
 		}
 		return 0
 	})
-	w.chosen = slices.Contains(own[:min(len(own), watchersPerDomain)], w.self)
+	chosen := slices.Contains(own[:min(len(own), watchersPerDomain)], w.self)
+	if w.chosen && !chosen {
+		w.heard = now
+	}
+	w.chosen = chosen
 }
 
 // Heard takes a sign of a node that follows the store and reaches it.
--- a/policy/roster/watchers_test.go
+++ b/policy/roster/watchers_test.go
@@ -27,7 +27,7 @@
 		following := 0
 		for i, w := range watchers {
 			others := append(append([]Record(nil), records[:i]...), records[i+1:]...)
-			w.SetMembers(others)
+			w.SetMembers(start, others)
 			w.Heard(start, "a")
 			if w.Follow(start) {
 				following++
@@ -40,7 +40,7 @@
 func TestNodeThatHearsNoWatcherFollowsTheStore(t *testing.T) {
 	records, watchers := domainOf(22)
 	for _, w := range watchers {
-		w.SetMembers(records)
+		w.SetMembers(start, records)
 		w.Heard(start, "a")
 		if w.Chosen() {
 			continue
@@ -56,3 +56,16 @@
 func TestNodeFollowsTheStoreUntilItKnowsOthers(t *testing.T) {
 	qt.Assert(t, NewWatchers("x", "a").Follow(start), qt.IsTrue)
 }
+
+func TestNodeGivesTheWatchersTimeToSpeak(t *testing.T) {
+	records, watchers := domainOf(22)
+	following := 0
+	for _, w := range watchers {
+		w.SetMembers(start, records)
+		if w.Follow(start.Add(heraldTime)) {
+			following++
+		}
+		qt.Assert(t, w.Follow(start.Add(heraldTime+time.Millisecond)), qt.IsTrue)
+	}
+	qt.Assert(t, following <= watchersPerDomain, qt.IsTrue)
+}
