--- a/policy/dispatch/dispatch.go
+++ b/policy/dispatch/dispatch.go
@@ -216,7 +216,7 @@
 	}
 	wait := o.predictedWait(now, c.Priority)
 	if o.turnsAway(now, q, wait) {
-		return false, problem.New(problem.Overloaded, model.RunNo, "the target has no slot in time").After(bounded(wait))
+		return false, problem.New(problem.Overloaded, model.RunNo, "the target has no slot in time").After(o.advice(wait))
 	}
 	o.queue = append(o.queue, q)
 	return false, nil
--- a/policy/dispatch/dispatch_test.go
+++ b/policy/dispatch/dispatch_test.go
@@ -221,6 +221,11 @@
 		o.Tick(now)
 	}
 	qt.Assert(t, waited < 40, qt.IsTrue, qt.Commentf("%d of 60 waited in vain", waited))
+	probe, again := call(ticket+2, 0, 0), call(ticket+3, 0, 0)
+	probe.Objective, again.Objective = now, now
+	_, _ = o.Offer(now, probe)
+	_, told := o.Offer(now, again)
+	qt.Assert(t, told.RetryAfter, qt.Equals, maxRetryAfter)
 	c := call(ticket+1, 0, 0)
 	c.Objective = now.Add(time.Minute)
 	_, refusal := o.Offer(now, c)
--- a/policy/dispatch/queue.go
+++ b/policy/dispatch/queue.go
@@ -53,7 +53,15 @@
 	return n
 }
 
-func bounded(wait time.Duration) time.Duration { return min(max(wait, minRetryAfter), maxRetryAfter) }
+// advice returns when a refused caller should come back. While late calls get
+// no slot the load is lasting, and a caller that comes back at once is only
+// refused again.
+func (o *Owner) advice(wait time.Duration) time.Duration {
+	if o.lateStarts < leastLateStarts {
+		return maxRetryAfter
+	}
+	return min(max(wait, minRetryAfter), maxRetryAfter)
+}
 
 func (q queued) hopeless(now time.Time) *problem.Error {
 	if now.Add(q.needed()).Before(q.Deadline) {
@@ -192,5 +200,5 @@
 		return nil
 	}
 	wait := o.predictedWait(now, q.Priority)
-	return problem.New(problem.Overloaded, model.RunNo, "the target had no slot in time").After(bounded(wait))
+	return problem.New(problem.Overloaded, model.RunNo, "the target had no slot in time").After(o.advice(wait))
 }
