--- a/policy/dispatch/dispatch.go
+++ b/policy/dispatch/dispatch.go
@@ -52,6 +52,9 @@
 	// go elsewhere.
 	holdMargin = 1.25
 	holdTrip   = 8 * time.Millisecond
+	// unknownShare is the part of its objective that a call of an unknown class
+	// is taken to need: objectives are three to four times the usual work.
+	unknownShare = 4
 	// maxClasses bounds the classes whose time is learned.
 	maxClasses = 1024
 	// maxQueued bounds the calls that wait.
@@ -190,13 +193,13 @@
 	return limit
 }
 
-// work returns the expected time of a call of the class at the usual pace. A
-// class that is not known yet takes no time, so that it can become known.
-func (o *Owner) work(class string) time.Duration {
-	if !o.learned {
-		return 0
+// expected returns the expected time of a call at the usual pace. Of a class
+// that is not known yet it is taken to be a part of the objective.
+func (o *Owner) expected(now time.Time, c Call) time.Duration {
+	if known, ok := o.classes[c.Class]; ok {
+		return known
 	}
-	return o.classes[class]
+	return max(c.Objective.Sub(now), 0) / unknownShare
 }
 
 // Offer asks to run a call. A nil refusal with start true starts it now; with
@@ -206,7 +209,7 @@
 	if p := o.closed(); p != nil {
 		return false, p
 	}
-	q := queued{Call: c, offered: now, work: o.work(c.Class)}
+	q := queued{Call: c, offered: now, work: o.expected(now, c)}
 	if p := q.hopeless(now); p != nil {
 		return false, p
 	}
--- a/policy/dispatch/dispatch_test.go
+++ b/policy/dispatch/dispatch_test.go
@@ -239,11 +239,19 @@
 	qt.Assert(t, ok, qt.IsFalse)
 	qt.Assert(t, refusal == nil, qt.IsTrue)
 	qt.Assert(t, o.Held(start), qt.IsTrue)
-	unknown := call(3, 0, time.Minute)
+	unknown := call(3, 0, 100*time.Millisecond) // may need a quarter of that
 	unknown.Class = "unknown"
 	ok, refusal = o.Offer(start, unknown)
 	qt.Assert(t, !ok && refusal == nil, qt.IsTrue)
 	qt.Assert(t, o.Abandon(start, 3), qt.HasLen, 0)
+	// Replays a start of the whole fleet: the first calls of each class waited
+	// at a slow target until their objective had passed.
+	unknown.Elsewhere, unknown.Hold = true, true
+	_, refusal = o.Offer(start, unknown)
+	qt.Assert(t, refusal == nil, qt.IsTrue)
+	left := o.Tick(start.Add(75 * time.Millisecond))
+	qt.Assert(t, left, qt.HasLen, 1)
+	qt.Assert(t, left[0].Refusal != nil, qt.IsTrue)
 	ok, _ = o.Offer(start, call(2, 0, time.Minute)) // in time at any pace
 	qt.Assert(t, ok, qt.IsTrue)
 	releases := o.Read(start.Add(50*time.Millisecond), Reading{Pace: 1})
--- a/policy/dispatch/pace.go
+++ b/policy/dispatch/pace.go
@@ -73,7 +73,7 @@
 // paced reports whether the call may start at the present pace.
 func (o *Owner) paced(now time.Time, q queued) bool {
 	pace := o.Pace(now)
-	if pace < slowPace || q.work > 0 && !q.late(now, pace) {
+	if pace < slowPace || !q.late(now, pace) {
 		return true
 	}
 	return !q.Elsewhere && now.Sub(q.offered) >= maxSlowWait && now.Add(q.at(pace)).Before(q.Deadline)
--- a/policy/dispatch/queue.go
+++ b/policy/dispatch/queue.go
@@ -98,8 +98,8 @@
 func (o *Owner) meanRunning() time.Duration {
 	sum := time.Duration(0)
 	for _, r := range o.running {
-		work := o.work(r.class)
-		if work == 0 {
+		work, ok := o.classes[r.class]
+		if !ok {
 			work = o.service
 		}
 		sum += work
