Spread news in a failure domain by a tree and send only changed records

Greetings carry what changed in the last 2.5 s, all records are fetched at most every 2.5 s, and each node tells four others of news.

--- a/node/sidecar/exchange.go
+++ b/node/sidecar/exchange.go
@@ -14,11 +14,14 @@
 
 // greeting is what two nodes compare.
 type greeting struct {
-	From       roster.Record   `cbor:"1,keyasint"`
-	Revision   model.Revision  `cbor:"2,keyasint"`
-	Evacuation evacuation      `cbor:"3,keyasint"`
-	Digest     uint64          `cbor:"4,keyasint"`
-	Records    []roster.Record `cbor:"5,keyasint,omitempty"`
+	From       roster.Record  `cbor:"1,keyasint"`
+	Revision   model.Revision `cbor:"2,keyasint"`
+	Evacuation evacuation     `cbor:"3,keyasint"`
+	Digest     uint64         `cbor:"4,keyasint"`
+	// Records are all that the sender knows when Whole is set, otherwise those
+	// that changed lately.
+	Records []roster.Record `cbor:"5,keyasint,omitempty"`
+	Whole   bool            `cbor:"9,keyasint,omitempty"`
 	// Notices are about requests that crash targets.
 	Notices [][]byte `cbor:"6,keyasint,omitempty"`
 	// Watching is true when the sender follows the store and reaches it.
@@ -76,17 +79,14 @@
 	return near
 }
 
-// spread tells the nodes of the own failure domain at once what is new, if
-// they rely on this one.
+// spread tells the nodes below this one in the failure domain's tree at once
+// what is new. The watchers' next greeting reaches those that it misses.
 func (f *fleet) spread() {
 	f.mu.Lock()
-	chosen := f.watchers.Chosen()
+	children := f.watchers.Children()
 	f.mu.Unlock()
-	if !chosen {
-		return
-	}
 	g := f.greeting()
-	for _, node := range f.partners() {
+	for _, node := range children {
 		f.node.goDuty(func() { f.exchange(node, g) })
 	}
 }
@@ -94,8 +94,14 @@
 func (f *fleet) greeting() greeting {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	now := time.Now()
+	var recent []roster.Record
+	if f.follower.readable.Load() {
+		recent = f.roster.Recent(now.Add(-recentTime), maxRecent)
+	}
 	return greeting{
-		From: f.self, Revision: f.node.configuration.revision(), Evacuation: f.node.configuration.evacuated(),
+		Records: recent,
+		From:    f.self, Revision: f.node.configuration.revision(), Evacuation: f.node.configuration.evacuated(),
 		Digest: roster.Digest(f.roster.Records(), f.self), Notices: f.node.quarantine.notices(),
 		Watching: f.follower.readable.Load(),
 	}
@@ -134,9 +140,14 @@
 	if g.Watching {
 		f.watchers.Heard(now, g.From.Domain)
 	}
-	if g.Watching && len(g.Records) > 0 && !f.follower.readable.Load() {
+	switch following := f.follower.readable.Load(); {
+	case g.Watching && g.Whole && !following:
 		f.roster.StoredAll(now, append(g.Records, g.From))
-	} else {
+	case g.Watching && !following:
+		for _, record := range g.Records {
+			f.roster.Stored(now, record)
+		}
+	default:
 		f.roster.Told(now, g.Records)
 	}
 	f.mu.Unlock()
@@ -156,7 +167,7 @@
 	reply := f.greeting()
 	if ok && theirs.Digest != reply.Digest && (reply.Watching || !theirs.Watching) {
 		f.mu.Lock()
-		reply.Records = f.roster.Records()
+		reply.Records, reply.Whole = f.roster.Records(), true
 		f.mu.Unlock()
 	}
 	if ok && theirs.Watching && theirs.Digest != reply.Digest {
--- a/node/sidecar/fleet.go
+++ b/node/sidecar/fleet.go
@@ -29,8 +29,13 @@
 	exchangePause = time.Second
 	// exchangeTimeout bounds one exchange.
 	exchangeTimeout = 800 * time.Millisecond
-	// pullPause is the least time between fetches of another node's records.
-	pullPause = 300 * time.Millisecond
+	// pullPause is the least time between fetches of all records of another
+	// node: what changed lately comes with each greeting.
+	pullPause = 2500 * time.Millisecond
+	// recentTime is the age up to which a changed record comes with a greeting,
+	// and maxRecent the number of such records.
+	recentTime = 2500 * time.Millisecond
+	maxRecent  = 64
 	// fleetSettle is the pause after a change of the fleet before the watch
 	// goes on: nodes come in groups.
 	fleetSettle = 800 * time.Millisecond
--- a/policy/dispatch/dispatch.go
+++ b/policy/dispatch/dispatch.go
@@ -29,7 +29,7 @@
 	// coldShare is the part of the overshoot that a cold target bears on its
 	// stated rate, and coldBurst the part of the slack, that are used. The rest
 	// covers calls that arrive closer together than they were sent.
-	coldShare = 0.4
+	coldShare = 0.7
 	coldBurst = 0.6
 	// serviceWeight is the share of one completion in the mean service time.
 	serviceWeight = 1.0 / 16
--- a/policy/roster/roster.go
+++ b/policy/roster/roster.go
@@ -55,6 +55,8 @@
 	stored bool
 	// heard is the time of the last direct contact, or of the first word.
 	heard time.Time
+	// changed is when the record last changed.
+	changed time.Time
 }
 
 // Roster is not safe for concurrent use.
@@ -147,7 +149,10 @@
 		m = &member{heard: now}
 		r.members[record.Node] = m
 	}
-	r.changed = r.changed || m.Record != record
+	if m.Record != record {
+		r.changed = true
+		m.changed = now
+	}
 	m.Record = record
 	return m
 }
@@ -194,6 +199,18 @@
 	return out
 }
 
+// Recent returns up to most records that changed since a time, for nodes that
+// are nearly up to date.
+func (r *Roster) Recent(since time.Time, most int) []Record {
+	var out []Record
+	for _, m := range r.members {
+		if m.changed.After(since) && len(out) < most {
+			out = append(out, m.Record)
+		}
+	}
+	return out
+}
+
 // Digest is equal on two nodes that hold the same records, each other's own
 // included.
 func Digest(records []Record, self Record) uint64 {
--- a/policy/roster/roster_test.go
+++ b/policy/roster/roster_test.go
@@ -71,3 +71,15 @@
 	b.Sequence++
 	qt.Assert(t, Digest([]Record{b}, a), qt.Not(qt.Equals), Digest([]Record{record("a", 1, 1)}, record("b", 2, 1)))
 }
+
+func TestRecentRecordsAreThoseThatChanged(t *testing.T) {
+	r := New("self")
+	r.Heard(start, record("a", 1, 1))
+	r.Heard(start, record("b", 2, 1))
+	later := start.Add(time.Second)
+	r.Heard(later, record("a", 1, 1)) // a sign of life, no change
+	r.Heard(later, record("b", 2, 2))
+	recent := r.Recent(start, 10)
+	qt.Assert(t, recent, qt.DeepEquals, []Record{record("b", 2, 2)})
+	qt.Assert(t, r.Recent(start.Add(-time.Second), 1), qt.HasLen, 1)
+}
--- a/policy/roster/watchers.go
+++ b/policy/roster/watchers.go
@@ -13,6 +13,8 @@
 	// watchersPerDomain is the number of nodes of a failure domain that follow
 	// the store for it: one may be cut off or die.
 	watchersPerDomain = 2
+	// fanOut is the number of nodes that one node tells of news.
+	fanOut = 4
 	// heraldTime is the silence of the watchers after which a node follows the
 	// store itself. They speak once a second.
 	heraldTime = 1600 * time.Millisecond
@@ -27,7 +29,9 @@
 	self   model.NodeAddr
 	domain model.Domain
 	chosen bool
-	heard  time.Time
+	// children are the nodes that this one tells of news.
+	children []model.NodeAddr
+	heard    time.Time
 }
 
 // NewWatchers returns the decision of a node that has heard nothing yet.
@@ -59,6 +63,8 @@
 		w.heard = now
 	}
 	w.chosen = chosen
+	at := slices.Index(own, w.self)
+	w.children = slices.Clone(own[min(fanOut*at+1, len(own)):min(fanOut*(at+1)+1, len(own))])
 }
 
 // Heard takes a sign of a node that follows the store and reaches it.
@@ -71,6 +77,11 @@
 // Chosen reports whether the node follows the store for its failure domain.
 func (w *Watchers) Chosen() bool { return w.chosen }
 
+// Children returns the nodes of the failure domain that this one tells of news
+// at once. Together they form a tree with the watchers at its top, so that no
+// link carries a large configuration more than a few times.
+func (w *Watchers) Children() []model.NodeAddr { return w.children }
+
 // Follow reports whether the node follows the store now.
 func (w *Watchers) Follow(now time.Time) bool {
 	return w.chosen || now.Sub(w.heard) > heraldTime
--- a/policy/roster/watchers_test.go
+++ b/policy/roster/watchers_test.go
@@ -69,3 +69,21 @@
 	}
 	qt.Assert(t, following <= watchersPerDomain, qt.IsTrue)
 }
+
+func TestNewsReachesEachNodeOfTheDomainOnce(t *testing.T) {
+	for _, n := range []int{1, 2, 5, 22, 75} {
+		records, watchers := domainOf(n)
+		told := map[model.NodeAddr]int{}
+		for i, w := range watchers {
+			w.SetMembers(start, append(append([]Record(nil), records[:i]...), records[i+1:]...))
+			qt.Assert(t, len(w.Children()) <= fanOut, qt.IsTrue)
+			for _, child := range w.Children() {
+				told[child]++
+			}
+		}
+		qt.Assert(t, told, qt.HasLen, n-1) // all but the top of the tree
+		for node, times := range told {
+			qt.Assert(t, times, qt.Equals, 1, qt.Commentf("%s", node))
+		}
+	}
+}
