--- a/node/peer/message.go
+++ b/node/peer/message.go
@@ -94,8 +94,6 @@
 	Elsewhere bool `cbor:"24,keyasint,omitempty"`
 	// Hold lets a call that could go elsewhere wait for its slot.
 	Hold bool `cbor:"28,keyasint,omitempty"`
-	// Repeat is true when an earlier attempt of the call may have run.
-	Repeat bool `cbor:"25,keyasint,omitempty"`
 	// Origin is the service on whose VM the call began.
 	Origin model.Service `cbor:"26,keyasint,omitempty"`
 	// From is the address of the entry.
--- a/node/sidecar/offer.go
+++ b/node/sidecar/offer.go
@@ -94,7 +94,6 @@
 	request.Timeout = time.Until(c.deadline)
 	request.Elsewhere = c.stage != stageLast
 	request.Hold = c.stage == stageHold
-	request.Repeat = c.mayRun
 	request.Objective = request.Timeout
 	if c.route.Objective > 0 {
 		trip := min(callerTrip, c.route.Objective/callerTripShare)
--- a/node/sidecar/settings.go
+++ b/node/sidecar/settings.go
@@ -29,11 +29,8 @@
 	Store string
 	// Descriptors that the process may have open.
 	Descriptors int
-	// MemoryMB and CPUShare are what the VM gives the process.
+	// MemoryMB is the memory that the VM gives the process.
 	MemoryMB int
-	CPUShare float64
-	// DrainTime is how long a target serves after it said that it leaves.
-	DrainTime time.Duration
 	// Grace is the time between the request to stop and the kill.
 	Grace time.Duration
 	// RepeatRatio, RepeatWindow and RepeatSlack bound the repeats that reach
@@ -65,7 +62,7 @@
 	if s.Service == "" {
 		problems = append(problems, errors.New("the target's service is missing"))
 	}
-	if s.DrainTime < 0 || s.Grace < 0 || s.RepeatRatio < 0 || s.RepeatSlack < 0 || s.ColdOvershoot < 0 || s.ColdSlack < 0 || s.RepeatWindow < 0 {
+	if s.Grace < 0 || s.RepeatRatio < 0 || s.RepeatSlack < 0 || s.ColdOvershoot < 0 || s.ColdSlack < 0 || s.RepeatWindow < 0 {
 		problems = append(problems, errors.New("a bound is below zero"))
 	}
 	return errors.Join(problems...)
--- a/node/sidecar/target.go
+++ b/node/sidecar/target.go
@@ -80,7 +80,6 @@
 	health   *upstream.Pool
 	mutes    int
 	answered time.Time // last answer of any kind
-	heard    time.Time // last announcement
 	wake     chan struct{}
 	// asked is closed at the end of the health request that calls wait for.
 	asked chan struct{}
@@ -146,7 +145,7 @@
 	wasLeaving := t.left
 	t.found = false
 	t.id, t.born, t.sequence = a.ID, a.Born, a.Sequence
-	t.service, t.slots, t.heard = a.Service, a.Slots, time.Now()
+	t.service, t.slots = a.Service, a.Slots
 	t.left = a.Draining
 	if t.addr != a.Address {
 		t.addr = a.Address
--- a/policy/dispatch/dispatch.go
+++ b/policy/dispatch/dispatch.go
@@ -157,7 +157,6 @@
 	// queue and were started all the same.
 	lateStarts float64
 	readAt     time.Time
-	lastDone   time.Time
 }
 
 // New returns an owner without a target.
@@ -361,6 +360,3 @@
 	}
 	return r
 }
-
-// Running returns the number of calls in flight.
-func (o *Owner) Running() int { return len(o.running) }
--- a/policy/dispatch/dispatch_test.go
+++ b/policy/dispatch/dispatch_test.go
@@ -259,10 +259,9 @@
 }
 
 func TestSlowTargetRunsWhatHasNowhereElseToGo(t *testing.T) {
-	o := ready(12)
+	o := taught(12, "", 50*time.Millisecond)
 	now := start
 	var releases []Release
-	o = taught(12, "", 50*time.Millisecond)
 	o.Read(now, Reading{Pace: 5})
 	_, _ = o.Offer(now, call(1, 0, 100*time.Millisecond))
 	for len(releases) == 0 && now.Sub(start) < time.Second {
