Remember withdrawals and doubt announcements against the target's health

An announcement from before the withdrawal arrived two seconds late and made the target ready again. Ruled out by the node's log: the store's outage and a restart after the acknowledgment.

Withdrawals are remembered by id and start, whatever is known. The same hole after an acknowledged draining of an earlier process: an announcement as ready of a target whose health says otherwise is believed after a second one, a second later.

--- a/node/sidecar/target.go
+++ b/node/sidecar/target.go
@@ -41,6 +41,13 @@
 	// defaultColdRate is assumed for a cold target of a service that the
 	// configuration does not describe, in requests a second.
 	defaultColdRate = 5.0
+	// illnessAge is the age up to which a health answer casts doubt on an
+	// announcement, and doubtTime how long the doubt lasts: announcements come
+	// every second or two, and late ones together.
+	illnessAge = time.Second
+	doubtTime  = time.Second
+	// maxWithdrawn bounds the withdrawals that are remembered.
+	maxWithdrawn = 64
 	// maxSlots bounds what a target may state.
 	maxSlots = 10_000
 )
@@ -61,6 +68,19 @@
 	Born int64
 }
 
+// withdrawal is the word of a target that it leaves at once.
+type withdrawal struct {
+	// born is the start of its process, or the latest that it can be when it
+	// was not stated, in Unix milliseconds.
+	born int64
+}
+
+// illness is the last health answer of a target that says it is not ready.
+type illness struct {
+	id string
+	at time.Time
+}
+
 // target is the target beside this node.
 type target struct {
 	node *Node
@@ -73,8 +93,15 @@
 	sequence int64
 	// found is true while the target is known by its health only; its start is
 	// then later than born.
-	found    bool
-	left     bool // said that it leaves
+	found bool
+	left  bool // said that it leaves
+	// withdrawn holds the targets that withdrew, whatever is known of them: an
+	// announcement may arrive after the withdrawal that it precedes.
+	withdrawn map[string]withdrawal
+	// doubted is when a target was first announced as ready whose health says
+	// otherwise; zero when there is no doubt.
+	doubted  time.Time
+	ill      illness
 	addr     string
 	pool     *upstream.Pool
 	health   *upstream.Pool
@@ -86,7 +113,7 @@
 }
 
 func newTarget(n *Node) *target {
-	t := &target{node: n, service: n.settings.Service, addr: n.settings.Target, wake: make(chan struct{}, 1)}
+	t := &target{node: n, service: n.settings.Service, addr: n.settings.Target, wake: make(chan struct{}, 1), withdrawn: make(map[string]withdrawal)}
 	t.connect()
 	return t
 }
@@ -140,6 +167,7 @@
 		return nil
 	}
 	fresh := a.ID != t.id || a.Born != t.born
+	a.Draining = a.Draining || t.leaves(a, fresh)
 	known := t.id == a.ID && t.found
 	restarted := t.id != "" && fresh && !known
 	wasLeaving := t.left
@@ -162,6 +190,31 @@
 	return nil
 }
 
+// leaves reports whether a target that announces itself as ready has said
+// otherwise. A node that has just started does not know what its predecessor
+// was told, and the announcement may be late: when the target's own health says
+// that it is not ready, only a later announcement is believed.
+func (t *target) leaves(a Announcement, fresh bool) bool {
+	if w, ok := t.withdrawn[a.ID]; ok && a.Born <= w.born {
+		return true
+	}
+	now := time.Now()
+	switch {
+	case fresh && t.ill.id == a.ID && now.Sub(t.ill.at) < illnessAge:
+		t.doubted = now
+	case fresh:
+		t.doubted = time.Time{}
+	}
+	if t.doubted.IsZero() {
+		return false
+	}
+	if now.Sub(t.doubted) < doubtTime {
+		return true
+	}
+	t.doubted = time.Time{}
+	return false
+}
+
 // old reports an announcement that was overtaken by a later one or by a later
 // target at the address.
 func (t *target) old(a Announcement) bool {
@@ -207,6 +260,17 @@
 	if mine {
 		t.left = true
 	}
+	until := born
+	if until == 0 && mine {
+		until = t.born
+	}
+	if until == 0 {
+		until = time.Now().UnixMilli()
+	}
+	if len(t.withdrawn) >= maxWithdrawn {
+		clear(t.withdrawn)
+	}
+	t.withdrawn[id] = withdrawal{born: until}
 	t.mu.Unlock()
 	t.node.log.Info("target withdrew", "part", "target", "target", id, "born", born, "current", mine)
 	if mine {
@@ -403,6 +467,9 @@
 	cold, stated := milliseconds(r.Header.Get(t.node.dialect.ColdLeft))
 	t.mu.Lock()
 	fresh := id != t.id
+	if r.Status != http.StatusOK {
+		t.ill = illness{id: id, at: time.Now()}
+	}
 	adopt := fresh && r.Status == http.StatusOK && (loaded && load.Slots > 0)
 	if adopt {
 		t.id, t.slots, t.sequence, t.left, t.found = id, load.Slots, 0, false, true
--- a/node/sidecar/target_test.go
+++ b/node/sidecar/target_test.go
@@ -121,3 +121,38 @@
 		qt.Assert(t, ok, qt.IsFalse, qt.Commentf("%q", text))
 	}
 }
+
+// Replays hunt-1fc9-15 on trla-perth: a node that had just started was told by
+// its target, which it did not know yet, that it leaves; an announcement from
+// before came late and made the target ready again.
+func TestLateAnnouncementDoesNotUndoAWithdrawal(t *testing.T) {
+	_, one, _ := pair(t)
+	one.Withdraw("t9", 0)
+	late := one.announcement(time.Now().Add(-time.Minute).UnixMilli(), 21)
+	late.ID = "t9"
+	qt.Assert(t, one.Announce(late), qt.IsNil)
+	qt.Assert(t, one.owner.closed(dispatch.GateDraining), qt.IsTrue)
+	// A later start under the same id is a new target.
+	again := late
+	again.Born, again.Sequence = time.Now().Add(time.Minute).UnixMilli(), 1
+	qt.Assert(t, one.Announce(again), qt.IsNil)
+	qt.Assert(t, one.owner.closed(dispatch.GateDraining), qt.IsFalse)
+}
+
+func TestAnnouncementAgainstTheTargetsHealthIsDoubted(t *testing.T) {
+	_, one, _ := pair(t)
+	target := one.Node.target
+	ready := one.announcement(100, 5)
+	ready.ID = "t9"
+	target.mu.Lock()
+	target.ill = illness{id: "t9", at: time.Now()}
+	target.mu.Unlock()
+	qt.Assert(t, one.Announce(ready), qt.IsNil)
+	qt.Assert(t, one.owner.closed(dispatch.GateDraining), qt.IsTrue)
+	target.mu.Lock()
+	target.doubted = target.doubted.Add(-doubtTime)
+	target.mu.Unlock()
+	ready.Sequence++
+	qt.Assert(t, one.Announce(ready), qt.IsNil)
+	qt.Assert(t, one.owner.closed(dispatch.GateDraining), qt.IsFalse)
+}
