--- a/node/sidecar/call_test.go
+++ b/node/sidecar/call_test.go
@@ -200,3 +200,35 @@
 	qt.Assert(t, entry.call(http.MethodGet, "back", "/safe/x").status, qt.Equals, 200)
 	qt.Assert(t, one.target.requests()[0].Header.Get("X-Origin"), qt.Equals, "renamed")
 }
+
+// From the id of a failed request its log tells the outcome, the owners that
+// were asked, and what the owner's decision rested on.
+func TestFailedRequestCanBeTracedByItsID(t *testing.T) {
+	entry, one, two := pair(t)
+	one.target.onRequest(reset)
+	two.target.onRequest(reset)
+	qt.Assert(t, entry.call(http.MethodPost, "back", "/unsafe/x").status, qt.Equals, http.StatusBadGateway)
+	var outcome map[string]any
+	until(t, "the entry has logged the request", func() bool {
+		for _, line := range entry.logged.lines("entry") {
+			outcome = line
+		}
+		return outcome != nil
+	})
+	qt.Assert(t, outcome["msg"], qt.Equals, "request target-failed")
+	qt.Assert(t, outcome["run"], qt.Equals, "unknown")
+	qt.Assert(t, outcome["attempts"], qt.HasLen, 1)
+	for _, field := range []string{"request", "route", "service", "revision", "configuration_age_ms", "targets_known", "detail"} {
+		qt.Assert(t, outcome[field], qt.IsNotNil, qt.Commentf("%s", field))
+	}
+	until(t, "the owner has logged its part", func() bool {
+		for _, n := range []*testNode{one, two} {
+			for _, line := range n.logged.lines("owner") {
+				if line["request"] == outcome["request"] && line["pace_age_ms"] != nil && line["in_flight"] != nil {
+					return true
+				}
+			}
+		}
+		return false
+	})
+}
--- a/node/sidecar/fixture_test.go
+++ b/node/sidecar/fixture_test.go
@@ -270,11 +270,38 @@
 
 func fail(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusInternalServerError) }
 
+// logBuffer keeps what a node logs.
+type logBuffer struct {
+	mu   sync.Mutex
+	text strings.Builder
+}
+
+func (b *logBuffer) Write(p []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.text.Write(p)
+}
+
+// lines returns the decoded lines of a part.
+func (b *logBuffer) lines(part string) []map[string]any {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	var out []map[string]any
+	for _, text := range strings.Split(b.text.String(), "\n") {
+		var line map[string]any
+		if json.Unmarshal([]byte(text), &line) == nil && line["part"] == part {
+			out = append(out, line)
+		}
+	}
+	return out
+}
+
 // testNode is a node and what it stands beside.
 type testNode struct {
 	*Node
 	t      *testing.T
 	target *testTarget
+	logged *logBuffer
 }
 
 // lastPort is below the ports that the system gives to outgoing connections,
@@ -299,18 +326,19 @@
 }
 
 func startNodeAt(t *testing.T, store Store, domain model.Domain, service model.Service, target *testTarget, peers string) *testNode {
+	logged := &logBuffer{}
 	n, err := Start(Options{
 		Settings: Settings{
 			Name: string(domain) + "/" + target.id, Domain: domain, Region: "r", Callers: freeAddr(), Peers: peers,
 			Readiness: freeAddr(), Announcements: freeAddr(), Target: target.addr(), Service: service, Store: "127.0.0.1:1",
 			RepeatRatio: 1, RepeatWindow: time.Second, RepeatSlack: 1000, Grace: 20 * time.Second,
 		},
-		Dialect: testDialect, Store: store, Operators: testOperators{}, Log: io.Discard,
+		Dialect: testDialect, Store: store, Operators: testOperators{}, Log: logged,
 		Control: func(*Node) (http.Handler, http.Handler) { return http.NotFoundHandler(), http.NotFoundHandler() },
 	})
 	qt.Assert(t, err, qt.IsNil)
 	t.Cleanup(n.Kill)
-	return &testNode{n, t, target}
+	return &testNode{n, t, target, logged}
 }
 
 // until waits for a condition that the code under test brings about.
