Check the platform's settings with the same command

check takes the platform's TOML, too, and a settings file that cannot be read exits with 2 like other bad settings. A test target no longer reads its id without its lock: the race detector found nothing else in the sidecar's packages (one run each of sidecar, front, hop, upstream, events).

--- a/cmd/zinniafalld/main.go
+++ b/cmd/zinniafalld/main.go
@@ -3,11 +3,11 @@
 
 import (
 	"context"
-	"errors"
 	"flag"
 	"fmt"
 	"os"
 	"os/signal"
+	"path/filepath"
 	"strconv"
 	"syscall"
 
@@ -30,11 +30,9 @@
 	run := app.Command("run", "Run the node until it is told to stop.")
 	runFile := run.Flag("settings", "The settings file (JSON).").Required().String()
 	check := app.Command("check", "Check a settings file and print every problem.")
-	checkFile := check.Flag("settings", "The settings file (JSON).").Required().String()
+	checkFile := check.Flag("settings", "The settings file: JSON, or the TOML of the users' platform.").Required().String()
 	side := app.Command("sidecar", "Run the node on the users' platform, with the platform's settings file.")
 	sideFile := side.Flag("settings", "The platform's settings file (TOML).").Default(platform.SettingsPath()).String()
-	checkSide := app.Command("check-sidecar", "Check a settings file of the users' platform and print every problem.")
-	checkSideFile := checkSide.Flag("settings", "The platform's settings file (TOML).").Default(platform.SettingsPath()).String()
 	switch kingpin.MustParse(app.Parse(os.Args[1:])) {
 	case run.FullCommand():
 		os.Exit(runNode(*runFile))
@@ -42,26 +40,27 @@
 		os.Exit(checkSettings(*checkFile))
 	case side.FullCommand():
 		os.Exit(runSidecar(*sideFile))
-	case checkSide.FullCommand():
-		os.Exit(checkSidecar(*checkSideFile))
 	}
 }
 
-// load reads the settings and prints what is wrong with them.
+// platformSettings is the ending of the settings files of the users' platform.
+const platformSettings = ".toml"
+
+// load reads the settings and prints what is wrong with them, which may be that
+// they cannot be read.
 func load(path string) (*static.Settings, int) {
 	settings, err := static.Load(path)
 	if err == nil {
 		return settings, 0
 	}
 	fmt.Fprintln(os.Stderr, err)
-	var problems *static.ProblemsError
-	if errors.As(err, &problems) {
-		return nil, exitSettings
-	}
-	return nil, exitFailed
+	return nil, exitSettings
 }
 
 func checkSettings(path string) int {
+	if filepath.Ext(path) == platformSettings {
+		return checkSidecar(path)
+	}
 	_, code := load(path)
 	if code == 0 {
 		fmt.Println("The settings are sound.")
--- a/node/sidecar/fixture_test.go
+++ b/node/sidecar/fixture_test.go
@@ -226,17 +226,20 @@
 func (x *testTarget) addr() string { return x.server.Listener.Addr().String() }
 
 func (x *testTarget) serve(w http.ResponseWriter, r *http.Request) {
-	w.Header().Set("X-Target", x.id)
+	x.mu.Lock()
+	id := x.id
+	x.mu.Unlock()
+	w.Header().Set("X-Target", id)
 	w.Header().Set("X-Load", "0,0,8")
 	if r.URL.Path == "/health" {
 		return
 	}
-	if want := r.Header.Get("X-Expect"); want != x.id {
+	if want := r.Header.Get("X-Expect"); want != id {
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
 	w.Header().Set("X-Id", r.Header.Get("X-Id"))
-	w.Header().Set("X-Mark", "mark of "+x.id)
+	w.Header().Set("X-Mark", "mark of "+id)
 	x.mu.Lock()
 	x.ran = append(x.ran, r)
 	handle := x.handle
@@ -245,7 +248,7 @@
 		handle(w, r)
 		return
 	}
-	_, _ = io.WriteString(w, "from "+x.id)
+	_, _ = io.WriteString(w, "from "+id)
 }
 
 func (x *testTarget) onRequest(handle http.HandlerFunc) {
