--- a/node/sidecar/fleet.go
+++ b/node/sidecar/fleet.go
@@ -54,6 +54,9 @@
 
 	follower *follower
 	watchers *roster.Watchers
+	// unregistered is true while the registration cannot reach the store; only
+	// its own duty reads it.
+	unregistered bool
 	// pulling is true while records are fetched from another node.
 	pulling bool
 	pulled  time.Time
--- a/node/sidecar/register.go
+++ b/node/sidecar/register.go
@@ -70,6 +70,7 @@
 		if err != nil {
 			pause = renewRetry
 		}
+		f.noteStore(err)
 		if f.pause(ctx, pause) && !f.verify(ctx, written) {
 			written = nil
 		}
@@ -83,6 +84,19 @@
 	}
 }
 
+// noteStore logs when the store is lost to the registration and regained: nodes
+// that leave the watching to others have no other sign of it.
+func (f *fleet) noteStore(err error) {
+	switch {
+	case err != nil && !f.unregistered:
+		f.unregistered = true
+		f.node.log.Warn("dependency lost", "part", "store", "watch", "registration", "error", err.Error())
+	case err == nil && f.unregistered:
+		f.unregistered = false
+		f.node.log.Info("dependency regained", "part", "store", "watch", "registration")
+	}
+}
+
 // verify reads the own entry, of which there was word that it is missing or
 // old, and reports whether it is as written. The word may be from before the
 // write, and a read costs less than a change that wakes all watchers.
