Use the usual terms for lost nodes and failing health checks

Read as a newcomer: names such as buried, herald, illness and mute were metaphors. Names only, and the reason beside an error that is not logged.

--- a/node/sidecar/announce.go
+++ b/node/sidecar/announce.go
@@ -10,11 +10,11 @@
 )
 
 const (
-	// illnessAge is the age up to which a health answer casts doubt on an
+	// unhealthyAge is the age up to which a health answer casts doubt on an
 	// announcement, and doubtTime how long the doubt lasts: announcements come
 	// every second or two, and late ones together.
-	illnessAge = time.Second
-	doubtTime  = time.Second
+	unhealthyAge = time.Second
+	doubtTime    = time.Second
 	// maxWithdrawn bounds the withdrawals that are remembered.
 	maxWithdrawn = 64
 	// maxSlots bounds what a target may state.
@@ -44,8 +44,8 @@
 	born int64
 }
 
-// illness is the last health answer of a target that says it is not ready.
-type illness struct {
+// unhealthyReport is the last health answer of a target that says it is not ready.
+type unhealthyReport struct {
 	id string
 	at time.Time
 }
@@ -98,7 +98,7 @@
 	}
 	now := time.Now()
 	switch {
-	case fresh && t.ill.id == a.ID && now.Sub(t.ill.at) < illnessAge:
+	case fresh && t.unhealthy.id == a.ID && now.Sub(t.unhealthy.at) < unhealthyAge:
 		t.doubted = now
 	case fresh:
 		t.doubted = time.Time{}
--- a/node/sidecar/exchange.go
+++ b/node/sidecar/exchange.go
@@ -123,7 +123,7 @@
 	defer x.Close()
 	answer, err := x.Receive()
 	if err != nil {
-		return
+		return // the same; a node that lives is asked again within seconds
 	}
 	f.greeted(answer.Body)
 }
--- a/node/sidecar/probe.go
+++ b/node/sidecar/probe.go
@@ -27,9 +27,9 @@
 	freshenTimeout = 10 * time.Millisecond
 	// probeTimeout bounds one health request.
 	probeTimeout = 400 * time.Millisecond
-	// mutesToDown is the number of health requests in a row without an answer
+	// unansweredToDown is the number of health requests in a row without an answer
 	// after which a target that answers nothing else either is down.
-	mutesToDown = 3
+	unansweredToDown = 3
 	// defaultHealthPath is asked until the configuration names another.
 	defaultHealthPath = "/health"
 )
@@ -122,7 +122,7 @@
 		Method: http.MethodGet, URI: t.healthPath(), Host: addr, Header: http.Header{}, Repeatable: true,
 	})
 	if result.Response == nil {
-		t.mute(result)
+		t.noAnswer(result)
 		return
 	}
 	if result.Response.Stream != nil {
@@ -131,11 +131,11 @@
 	t.reading(result.Response)
 }
 
-// mute takes a health request without an answer.
-func (t *target) mute(result upstream.Result) {
+// noAnswer takes a health request without an answer.
+func (t *target) noAnswer(result upstream.Result) {
 	t.mu.Lock()
-	t.mutes++
-	down := result.Refused || t.mutes >= mutesToDown && time.Since(t.answered) > mutesToDown*probeTimeout
+	t.unanswered++
+	down := result.Refused || t.unanswered >= unansweredToDown && time.Since(t.answered) > unansweredToDown*probeTimeout
 	id := t.id
 	t.mu.Unlock()
 	if down {
@@ -157,7 +157,7 @@
 // alive notes an answer of the target.
 func (t *target) alive() {
 	t.mu.Lock()
-	t.answered, t.mutes = time.Now(), 0
+	t.answered, t.unanswered = time.Now(), 0
 	id := t.id
 	t.mu.Unlock()
 	if t.node.owner.closed(dispatch.GateDown) {
@@ -178,7 +178,7 @@
 	t.mu.Lock()
 	fresh := id != t.id
 	if r.Status != http.StatusOK {
-		t.ill = illness{id: id, at: time.Now()}
+		t.unhealthy = unhealthyReport{id: id, at: time.Now()}
 	}
 	adopt := fresh && r.Status == http.StatusOK && (loaded && load.Slots > 0)
 	if adopt {
--- a/node/sidecar/target.go
+++ b/node/sidecar/target.go
@@ -36,14 +36,14 @@
 	withdrawn map[string]withdrawal
 	// doubted is when a target was first announced as ready whose health says
 	// otherwise; zero when there is no doubt.
-	doubted  time.Time
-	ill      illness
-	addr     string
-	pool     *upstream.Pool
-	health   *upstream.Pool
-	mutes    int
-	answered time.Time // last answer of any kind
-	wake     chan struct{}
+	doubted    time.Time
+	unhealthy  unhealthyReport
+	addr       string
+	pool       *upstream.Pool
+	health     *upstream.Pool
+	unanswered int
+	answered   time.Time // last answer of any kind
+	wake       chan struct{}
 	// asked is closed at the end of the health request that calls wait for.
 	asked chan struct{}
 }
--- a/node/sidecar/target_test.go
+++ b/node/sidecar/target_test.go
@@ -145,7 +145,7 @@
 	ready := one.announcement(100, 5)
 	ready.ID = "t9"
 	target.mu.Lock()
-	target.ill = illness{id: "t9", at: time.Now()}
+	target.unhealthy = unhealthyReport{id: "t9", at: time.Now()}
 	target.mu.Unlock()
 	qt.Assert(t, one.Announce(ready), qt.IsNil)
 	qt.Assert(t, one.owner.closed(dispatch.GateDraining), qt.IsTrue)
--- a/policy/roster/roster.go
+++ b/policy/roster/roster.go
@@ -28,9 +28,9 @@
 	missingAfter = 5 * time.Second
 	// silentAfter is the same while the store cannot be read.
 	silentAfter = 60 * time.Second
-	// buriedFor is how long the word of third parties does not bring a dropped
+	// dropMemory is how long the word of third parties does not bring a dropped
 	// process back.
-	buriedFor = 30 * time.Second
+	dropMemory = 30 * time.Second
 )
 
 // Record is what a node tells of itself.
@@ -63,13 +63,13 @@
 type Roster struct {
 	self    model.NodeAddr
 	members map[model.NodeAddr]*member
-	buried  map[model.ProcessID]time.Time
+	dropped map[model.ProcessID]time.Time
 	changed bool
 }
 
 // New returns a roster without members.
 func New(self model.NodeAddr) *Roster {
-	return &Roster{self: self, members: make(map[model.NodeAddr]*member), buried: make(map[model.ProcessID]time.Time)}
+	return &Roster{self: self, members: make(map[model.NodeAddr]*member), dropped: make(map[model.ProcessID]time.Time)}
 }
 
 // Stored takes one entry of the store.
@@ -132,7 +132,7 @@
 		if record.Node == r.self || record.Node == "" {
 			continue
 		}
-		if at, ok := r.buried[record.Process]; ok && now.Sub(at) < buriedFor {
+		if at, ok := r.dropped[record.Process]; ok && now.Sub(at) < dropMemory {
 			continue
 		}
 		m := r.members[record.Node]
@@ -170,13 +170,13 @@
 			continue
 		}
 		gone = append(gone, m.Record)
-		r.buried[m.Process] = now
+		r.dropped[m.Process] = now
 		delete(r.members, node)
 		r.changed = true
 	}
-	for process, at := range r.buried {
-		if now.Sub(at) >= buriedFor {
-			delete(r.buried, process)
+	for process, at := range r.dropped {
+		if now.Sub(at) >= dropMemory {
+			delete(r.dropped, process)
 		}
 	}
 	return gone
--- a/policy/roster/watchers.go
+++ b/policy/roster/watchers.go
@@ -15,9 +15,9 @@
 	watchersPerDomain = 2
 	// fanOut is the number of nodes that one node tells of news.
 	fanOut = 4
-	// heraldTime is the silence of the watchers after which a node follows the
+	// watcherSilence is the silence of the watchers after which a node follows the
 	// store itself. They speak once a second.
-	heraldTime = 1600 * time.Millisecond
+	watcherSilence = 1600 * time.Millisecond
 )
 
 // Watchers decides whether a node follows the store itself. A few nodes of
@@ -84,5 +84,5 @@
 
 // Follow reports whether the node follows the store now.
 func (w *Watchers) Follow(now time.Time) bool {
-	return w.chosen || now.Sub(w.heard) > heraldTime
+	return w.chosen || now.Sub(w.heard) > watcherSilence
 }
--- a/policy/roster/watchers_test.go
+++ b/policy/roster/watchers_test.go
@@ -45,11 +45,11 @@
 		if w.Chosen() {
 			continue
 		}
-		qt.Assert(t, w.Follow(start.Add(heraldTime)), qt.IsFalse)
-		w.Heard(start.Add(heraldTime), "b") // another domain's does not count
-		qt.Assert(t, w.Follow(start.Add(heraldTime+time.Millisecond)), qt.IsTrue)
-		w.Heard(start.Add(2*heraldTime), "a")
-		qt.Assert(t, w.Follow(start.Add(2*heraldTime)), qt.IsFalse)
+		qt.Assert(t, w.Follow(start.Add(watcherSilence)), qt.IsFalse)
+		w.Heard(start.Add(watcherSilence), "b") // another domain's does not count
+		qt.Assert(t, w.Follow(start.Add(watcherSilence+time.Millisecond)), qt.IsTrue)
+		w.Heard(start.Add(2*watcherSilence), "a")
+		qt.Assert(t, w.Follow(start.Add(2*watcherSilence)), qt.IsFalse)
 	}
 }
 
@@ -62,10 +62,10 @@
 	following := 0
 	for _, w := range watchers {
 		w.SetMembers(start, records)
-		if w.Follow(start.Add(heraldTime)) {
+		if w.Follow(start.Add(watcherSilence)) {
 			following++
 		}
-		qt.Assert(t, w.Follow(start.Add(heraldTime+time.Millisecond)), qt.IsTrue)
+		qt.Assert(t, w.Follow(start.Add(watcherSilence+time.Millisecond)), qt.IsTrue)
 	}
 	qt.Assert(t, following <= watchersPerDomain, qt.IsTrue)
 }
