Begin no request between a stop's last look and its end

Cause: a stopping node waited until no call was under way, closed its idle connections and ended. A request that came between the last look and the end was read, given to a target and cut off with the process; a connection that was busy at that moment could begin another. Answers that asked the caller to close also ended what the same caller had sent in a row behind them.

Change: closing the idle connections is final, no request begins after it, and the stop waits for what had begun; an answer asks the caller to close only when nothing of the connection is pending or arriving; calls carried for other nodes count until their answer is written, not only until the slot is free.

Tests (red before): TestNoRequestBeginsAfterTheIdleConnectionsAreClosed, TestStoppingAnswersAllThatWasSentInARow.

--- a/node/front/front.go
+++ b/node/front/front.go
@@ -96,8 +96,11 @@
 
 // Server serves callers.
 type Server struct {
-	opts     Options
+	opts Options
+	// stopping is true when answers ask callers to close, ending when no further
+	// request may begin.
 	stopping atomic.Bool
+	ending   atomic.Bool
 	open     atomic.Int64
 	refused  atomic.Int64
 
@@ -142,8 +145,22 @@
 // answer.
 func (s *Server) LetGo() { s.stopping.Store(true) }
 
-// CloseIdle closes the connections on which nothing is under way.
+// Busy reports whether a request is under way or arriving.
+func (s *Server) Busy() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for c := range s.conns {
+		if c.busy() {
+			return true
+		}
+	}
+	return false
+}
+
+// CloseIdle closes the connections on which nothing is under way, and lets no
+// further request begin on the others.
 func (s *Server) CloseIdle() {
+	s.ending.Store(true)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for c := range s.conns {
@@ -243,12 +260,28 @@
 	_ = c.net.Close()
 }
 
-// begin notes that a request arrives; false when the connection was closed.
+// begin notes that a request arrives; false when the connection takes none.
 func (c *conn) begin() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.reading = !c.closed
-	return !c.closed
+	c.reading = !c.closed && !c.server.ending.Load()
+	return c.reading
+}
+
+// lastWhenStopping reports whether the answer at hand is the last of a stopping
+// server's connection. What the caller sent in a row is answered before, and
+// nothing begins after.
+func (c *conn) lastWhenStopping() bool {
+	if !c.server.stopping.Load() {
+		return false
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.pending > 1 || c.reading {
+		return false
+	}
+	c.closed = true
+	return true
 }
 
 // read takes requests until the caller or an error ends the connection.
@@ -295,7 +328,7 @@
 func (c *conn) busy() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.pending > 0
+	return c.pending > 0 || c.reading
 }
 
 // reject answers a request that could not be read, after those before it. The
--- a/node/front/front_test.go
+++ b/node/front/front_test.go
@@ -272,3 +272,54 @@
 	}
 	qt.Assert(t, len(served), qt.Equals, 0)
 }
+
+func TestStoppingAnswersAllThatWasSentInARow(t *testing.T) {
+	second := make(chan struct{})
+	s, addr := start(t, testLimits, func(ctx context.Context, r *Request) *Response {
+		if r.Path() == "/1" {
+			<-second
+		} else {
+			close(second)
+		}
+		return echo(ctx, r)
+	})
+	c := dial(t, addr)
+	s.LetGo()
+	c.send(get("/1") + get("/2"))
+	_, body, header := c.receive()
+	qt.Assert(t, body, qt.Equals, "GET /1 0")
+	qt.Assert(t, header.Get("Connection"), qt.Equals, "")
+	_, body, header = c.receive()
+	qt.Assert(t, body, qt.Equals, "GET /2 0")
+	qt.Assert(t, header.Get("Connection"), qt.Equals, "close")
+	c.ended()
+}
+
+func TestNoRequestBeginsAfterTheIdleConnectionsAreClosed(t *testing.T) {
+	arrived, release := make(chan string, 4), make(chan struct{})
+	s, addr := start(t, testLimits, func(ctx context.Context, r *Request) *Response {
+		arrived <- r.Path()
+		<-release
+		return echo(ctx, r)
+	})
+	busy := dial(t, addr)
+	busy.send(get("/1"))
+	qt.Assert(t, <-arrived, qt.Equals, "/1")
+	qt.Assert(t, s.Busy(), qt.IsTrue)
+	s.CloseIdle()
+	busy.send(get("/2"))
+	late := dial(t, addr)
+	late.send(get("/3"))
+	_ = late.conn.SetReadDeadline(time.Now().Add(5 * time.Second))
+	_, err := late.r.ReadByte()
+	qt.Assert(t, err, qt.IsNotNil)
+	close(release)
+	_, body, _ := busy.receive()
+	qt.Assert(t, body, qt.Equals, "GET /1 0")
+	_, err = busy.r.ReadByte()
+	qt.Assert(t, err, qt.IsNotNil)
+	qt.Assert(t, len(arrived), qt.Equals, 0)
+	for s.Busy() {
+		time.Sleep(time.Millisecond)
+	}
+}
--- a/node/front/write.go
+++ b/node/front/write.go
@@ -60,7 +60,7 @@
 	if r.Stream != nil {
 		defer func() { _ = r.Stream.Close() }()
 	}
-	last := s.last || s.http10 || c.server.stopping.Load()
+	last := s.last || s.http10 || c.lastWhenStopping()
 	bodiless := s.method == http.MethodHead || r.Status == http.StatusNoContent || r.Status == http.StatusNotModified
 	chunked := r.Stream != nil && r.Length < 0 && !s.http10
 	_ = c.net.SetWriteDeadline(time.Now().Add(writeTimeout))
--- a/node/sidecar/execute.go
+++ b/node/sidecar/execute.go
@@ -290,6 +290,9 @@
 }
 
 func (n *Node) serveCall(ctx context.Context, stream *hop.Stream) {
+	// A stop waits until the answer is on its way, not only for the slot.
+	n.calls.Add(1)
+	defer n.calls.Add(-1)
 	r := n.execute(ctx, job{
 		request: &stream.Request, body: stream,
 		admitted: func() error { return stream.Answer(&peer.Answer{Admitted: true}) },
--- a/node/sidecar/node.go
+++ b/node/sidecar/node.go
@@ -10,6 +10,7 @@
 package sidecar
 
 import (
+	"cmp"
 	"context"
 	"crypto/rand"
 	"errors"
@@ -60,10 +61,13 @@
 
 // Options configure a Node.
 type Options struct {
-	Settings  Settings
-	Dialect   Dialect
-	Store     Store
-	Operators Operators
+	Settings Settings
+	// Advertised is the address at which other nodes reach this one, when it is
+	// not the one that it listens on.
+	Advertised string
+	Dialect    Dialect
+	Store      Store
+	Operators  Operators
 	// Control answers the target's announcements and the platform's questions
 	// for readiness, in the platform's terms.
 	Control func(*Node) (announcements, readiness http.Handler)
@@ -102,7 +106,8 @@
 	listeners []net.Listener
 	servers   []*http.Server
 	stopping  atomic.Bool
-	calls     atomic.Int64
+	// calls under way, of callers and of other nodes.
+	calls atomic.Int64
 	// stopEnd is when a stop ends at the latest.
 	stopEnd atomic.Pointer[time.Time]
 }
@@ -115,7 +120,7 @@
 	}
 	n := &Node{
 		settings: s, dialect: opts.Dialect, store: opts.Store, operators: opts.Operators,
-		log: events.New(opts.Log, s.Name), self: model.NodeAddr(s.Peers), client: hop.NewClient(), metrics: metrics.NewSet(),
+		log: events.New(opts.Log, s.Name), self: model.NodeAddr(cmp.Or(opts.Advertised, s.Peers)), client: hop.NewClient(), metrics: metrics.NewSet(),
 	}
 	n.live.Store(&s)
 	if _, err := rand.Read(n.process[:]); err != nil {
@@ -285,14 +290,21 @@
 	n.target.tell()
 	n.front.LetGo()
 	sleep(ctx, leaveTime)
-	for ctx.Err() == nil && n.calls.Load()+int64(n.owner.report().InFlight) > 0 {
-		sleep(ctx, drainPoll)
-	}
+	n.await(ctx, func() bool { return n.calls.Load()+int64(n.owner.report().InFlight) == 0 })
+	// A request may have begun since the last look.
 	n.front.CloseIdle()
+	n.await(ctx, func() bool { return !n.front.Busy() && n.calls.Load()+int64(n.owner.report().InFlight) == 0 })
 	n.log.Info("node stopped", "part", "node", "calls_cut_off", n.calls.Load(), "seconds", time.Since(began).Seconds())
 	n.Kill()
 }
 
+// await waits until the condition holds.
+func (n *Node) await(ctx context.Context, holds func() bool) {
+	for ctx.Err() == nil && !holds() {
+		sleep(ctx, drainPoll)
+	}
+}
+
 // Kill ends the node at once.
 func (n *Node) Kill() {
 	n.cancel()
