Let a node advertise another address than it listens on

The store's entry, the roster and the placement already know a node by one address only, so the option replaces that one. Nothing changes without the option.

--- a/cmd/zinniafalld/main.go
+++ b/cmd/zinniafalld/main.go
@@ -33,13 +33,14 @@
 	checkFile := check.Flag("settings", "The settings file: JSON, or the TOML of the users' platform.").Required().String()
 	side := app.Command("sidecar", "Run the node on the users' platform, with the platform's settings file.")
 	sideFile := side.Flag("settings", "The platform's settings file (TOML).").Default(platform.SettingsPath()).String()
+	sideAdvertise := side.Flag("advertise", "The address (ip:port) at which other nodes reach this one, when it is not the one that it listens on.").String()
 	switch kingpin.MustParse(app.Parse(os.Args[1:])) {
 	case run.FullCommand():
 		os.Exit(runNode(*runFile))
 	case check.FullCommand():
 		os.Exit(checkSettings(*checkFile))
 	case side.FullCommand():
-		os.Exit(runSidecar(*sideFile))
+		os.Exit(runSidecar(*sideFile, *sideAdvertise))
 	}
 }
 
--- a/cmd/zinniafalld/sidecar.go
+++ b/cmd/zinniafalld/sidecar.go
@@ -41,8 +41,9 @@
 	return settings, 0
 }
 
-// runSidecar runs the node until it is told to stop.
-func runSidecar(path string) int {
+// runSidecar runs the node until it is told to stop. Other nodes reach it at the
+// advertised address, if there is one.
+func runSidecar(path, advertised string) int {
 	// One thread runs at a time on these VMs.
 	runtime.GOMAXPROCS(1)
 	debug.SetGCPercent(collectorPercent)
@@ -52,7 +53,7 @@
 	}
 	signals := make(chan os.Signal, 2)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
-	node, err := platform.Start(settings)
+	node, err := platform.Start(settings, advertised)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return exitFailed
