Share the tries of the nodes while the store fails

Cause: while the store failed, no watcher reached it, so every node followed it itself and tried once a second for each of its two watches, and the entry's renewal twice a second.

Change: nodes that hear others of their failure domain share the tries, about four a second beside the watchers; one that gets through tells all at once, and of two that stand in for the watchers the later in the order yields. A node that hears nobody keeps its pause of a second, at once when the others fall silent. Renewals back off up to their usual pause; the own entry is not read again when the write already answered the word that it was missing.

--- a/node/sidecar/exchange.go
+++ b/node/sidecar/exchange.go
@@ -39,21 +39,27 @@
 	})
 }
 
-// converse keeps in touch with other nodes. A node that follows the store
-// speaks to all nodes of its failure domain, which rely on it, and to one in
-// another; the others speak only when they hear no watcher.
+// converse keeps in touch with other nodes. A watcher, and a node that follows
+// the store in place of one, speaks to all nodes of its failure domain, which
+// rely on it, and to one in another; the others speak only when they hear no
+// watcher.
 func (f *fleet) converse(ctx context.Context) {
 	for ctx.Err() == nil {
 		sleep(ctx, jitter(exchangePause))
-		g := f.greeting()
-		for _, node := range f.partners() {
-			f.node.goDuty(func() { f.exchange(node, g) })
-		}
+		f.greet()
 		f.expire()
 		f.place()
 	}
 }
 
+// greet speaks to the partners now.
+func (f *fleet) greet() {
+	g := f.greeting()
+	for _, node := range f.partners() {
+		f.node.goDuty(func() { f.exchange(node, g) })
+	}
+}
+
 // partners returns the nodes to speak to now.
 func (f *fleet) partners() []model.NodeAddr {
 	f.mu.Lock()
@@ -67,7 +73,7 @@
 		}
 	}
 	switch {
-	case f.watchers.Chosen():
+	case f.watchers.Chosen(), f.watchers.StandsIn() && f.follower.readable.Load():
 	case !f.watchers.Follow(time.Now()):
 		return nil
 	case len(near) > 0:
@@ -137,7 +143,8 @@
 	now := time.Now()
 	f.mu.Lock()
 	f.roster.Heard(now, g.From)
-	if g.Watching {
+	f.watchers.Spoke(now, g.From.Domain)
+	if g.Watching && f.watchers.YieldsTo(g.From.Node, f.follower.readable.Load()) {
 		f.watchers.Heard(now, g.From.Domain)
 	}
 	switch following := f.follower.readable.Load(); {
--- a/node/sidecar/fleet.go
+++ b/node/sidecar/fleet.go
@@ -23,7 +23,8 @@
 	// firstEntryPause is how long a new node waits for its target before it
 	// enters itself, so that it does so once.
 	firstEntryPause = 2 * time.Second
-	// renewRetry is the pause after a failed call of the store.
+	// renewRetry is the first pause after a failed call of the store. It doubles
+	// up to renewPause: nodes that keep in touch don't need the entry.
 	renewRetry = 500 * time.Millisecond
 	// exchangePause is the time between exchanges with another node.
 	exchangePause = time.Second
@@ -67,7 +68,7 @@
 	f.self = roster.Record{Node: n.self, Process: n.process, Domain: n.settings.Domain, Region: n.settings.Region, Service: n.settings.Service, Sequence: 1}
 	f.follower = &follower{
 		store: n.store, log: n.log, name: "fleet", prefix: nodePrefix, settle: fleetSettle, wait: fleetWait,
-		needed: f.follows, listed: make(chan struct{}), all: f.listed, change: f.watched,
+		needed: f.follows, turn: f.turn, retryPause: f.retryPause, listed: make(chan struct{}), all: f.listed, change: f.watched,
 	}
 	f.render()
 	return f
@@ -80,6 +81,23 @@
 	return f.watchers.Follow(time.Now())
 }
 
+// turn is how long this node leaves the store to others that stand in.
+func (f *fleet) turn() time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if !f.watchers.StandsIn() {
+		return 0
+	}
+	return f.watchers.Turn()
+}
+
+// retryPause is the longest wait after a failed call of the store.
+func (f *fleet) retryPause() time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.watchers.RetryPause(time.Now(), longestPause)
+}
+
 // poke wakes a duty, unless it is awake.
 func poke(c chan struct{}) {
 	select {
@@ -117,11 +135,15 @@
 	}
 	f.mu.Lock()
 	f.roster.StoredAll(time.Now(), records)
+	standsIn := f.watchers.StandsIn()
 	f.mu.Unlock()
 	if !own {
 		poke(f.poke)
 	}
 	f.place()
+	if standsIn {
+		f.greet() // spares the others the same
+	}
 }
 
 func (f *fleet) watched(items []Item, _ uint64) {
--- a/node/sidecar/node.go
+++ b/node/sidecar/node.go
@@ -189,7 +189,7 @@
 func (n *Node) run() {
 	operators := &follower{
 		store: n.store, log: n.log, name: "operators", prefix: n.operators.Prefix(), settle: settleTime, wait: operatorWait,
-		needed: n.fleet.follows, after: n.fleet.follower.listed, listed: make(chan struct{}), all: n.configuration.listed, change: n.configuration.watched,
+		needed: n.fleet.follows, turn: n.fleet.turn, retryPause: n.fleet.retryPause, after: n.fleet.follower.listed, listed: make(chan struct{}), all: n.configuration.listed, change: n.configuration.watched,
 	}
 	n.goDuty(func() { operators.run(n.ctx) })
 	n.goDuty(func() { n.fleet.follower.run(n.ctx) })
--- a/node/sidecar/register.go
+++ b/node/sidecar/register.go
@@ -40,6 +40,7 @@
 func (f *fleet) register(ctx context.Context) {
 	var lease Lease
 	written := []byte(nil)
+	retry := renewRetry
 	f.awaitTarget(ctx)
 	for ctx.Err() == nil {
 		f.mu.Lock()
@@ -54,6 +55,7 @@
 		switch {
 		case err != nil:
 		case !bytes.Equal(written, want):
+			f.answerPoke() // by the write
 			var held bool
 			if held, err = f.node.store.Write(ctx, f.key(), want, lease); err == nil && held {
 				written = want
@@ -68,7 +70,9 @@
 			}
 		}
 		if err != nil {
-			pause = renewRetry
+			pause, retry = retry, min(2*retry, renewPause)
+		} else {
+			retry = renewRetry
 		}
 		f.noteStore(err)
 		if f.pause(ctx, pause) && !f.verify(ctx, written) {
@@ -102,10 +106,7 @@
 // write, and a read costs less than a change that wakes all watchers.
 func (f *fleet) verify(ctx context.Context, written []byte) bool {
 	sleep(ctx, verifyPause)
-	select {
-	case <-f.poke: // answered by this look, too
-	default:
-	}
+	f.answerPoke() // by this look, too
 	items, _, err := f.node.store.List(ctx, f.key())
 	if err != nil {
 		return false
@@ -118,6 +119,14 @@
 	return false
 }
 
+// answerPoke drops word that the own entry is missing or old.
+func (f *fleet) answerPoke() {
+	select {
+	case <-f.poke:
+	default:
+	}
+}
+
 // awaitTarget waits a short time for the target to be known.
 func (f *fleet) awaitTarget(ctx context.Context) {
 	began := time.Now()
--- a/node/sidecar/store.go
+++ b/node/sidecar/store.go
@@ -69,7 +69,8 @@
 	awaitTime = 300 * time.Millisecond
 	// idlePause is the time between looks whether the store has to be followed.
 	idlePause = 100 * time.Millisecond
-	// firstPause and longestPause bound the wait after a failed call.
+	// firstPause and longestPause bound the wait after a failed call of a node
+	// that shares the tries with no other.
 	firstPause   = 100 * time.Millisecond
 	longestPause = time.Second
 )
@@ -85,6 +86,9 @@
 	// needed reports whether this node follows the store itself; otherwise
 	// others tell it what changes.
 	needed func() bool
+	// turn is how long a node that begins to follow the store leaves it to
+	// others, and retryPause the longest wait after a failed call.
+	turn, retryPause func() time.Duration
 	// after is closed when another follower has listed its keys, which may show
 	// that this one is not needed; nil waits for none.
 	after    <-chan struct{}
@@ -93,17 +97,19 @@
 	all      func(items []Item, revision uint64)
 	change   func(items []Item, revision uint64)
 	readable atomic.Bool
+	// pause is the wait after the next failed call; only run reads it.
+	pause time.Duration
 }
 
 // run follows the prefix until the context ends.
 func (f *follower) run(ctx context.Context) {
-	pause := firstPause
+	f.pause = firstPause
 	failed := func(err error) {
-		if f.readable.Swap(false) || pause == firstPause {
+		if f.readable.Swap(false) || f.pause == firstPause {
 			f.log.Warn("dependency lost", "part", "store", "watch", f.name, "error", err.Error())
 		}
-		sleep(ctx, jitter(pause))
-		pause = min(2*pause, longestPause)
+		f.rest(ctx, f.pause)
+		f.pause = min(2*f.pause, longestPause)
 	}
 	for ctx.Err() == nil {
 		if !f.idle(ctx) {
@@ -115,7 +121,6 @@
 			continue
 		}
 		f.regained(revision)
-		pause = firstPause
 		f.all(items, revision)
 		f.once.Do(func() { close(f.listed) })
 		f.await(ctx)
@@ -147,11 +152,33 @@
 		if ctx.Err() != nil {
 			return false
 		}
+		if f.needed() {
+			sleep(ctx, f.turn())
+		}
 	}
 	return true
 }
 
+// rest waits after a failed call. A node that shares the tries leaves the quick
+// ones to the watchers. What it waits for may change meanwhile.
+func (f *follower) rest(ctx context.Context, pause time.Duration) {
+	share := jitter(time.Second).Seconds()
+	began := time.Now()
+	for ctx.Err() == nil && f.needed() {
+		most := f.retryPause()
+		if most <= longestPause {
+			most = min(pause, most)
+		}
+		left := time.Duration(float64(most)*share) - time.Since(began)
+		if left <= 0 {
+			return
+		}
+		sleep(ctx, min(left, idlePause))
+	}
+}
+
 func (f *follower) regained(revision uint64) {
+	f.pause = firstPause
 	if !f.readable.Swap(true) {
 		f.log.Info("dependency regained", "part", "store", "watch", f.name, "store_revision", revision)
 	}
--- a/policy/roster/watchers.go
+++ b/policy/roster/watchers.go
@@ -1,6 +1,7 @@
 package roster
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -18,20 +19,36 @@
 	// watcherSilence is the silence of the watchers after which a node follows the
 	// store itself. They speak once a second.
 	watcherSilence = 1600 * time.Millisecond
+	// turnStep is the lead that a node gives to each node that comes before it
+	// when both stand in for the watchers: a list of the store takes some 10 ms.
+	// longestTurn bounds it, since what operators change has to be known in 2 s.
+	turnStep    = 15 * time.Millisecond
+	longestTurn = 300 * time.Millisecond
+	// standIns is the number of nodes of a failure domain that try to reach the
+	// store at a time, beside the watchers, while none of them does.
+	standIns = 4
 )
 
 // Watchers decides whether a node follows the store itself. A few nodes of
 // each failure domain do so for the others and tell them what changes, so that
 // the calls of the store grow with the failure domains and not with the nodes.
 // A node that hears no watcher whose view is up to date follows the store
-// itself: isolation costs calls and not freshness.
+// itself: isolation costs calls and not freshness. When the store fails for all,
+// the nodes of a failure domain share the tries, since one that gets through
+// tells the others.
 type Watchers struct {
 	self   model.NodeAddr
 	domain model.Domain
 	chosen bool
+	// place of this node in the order in which nodes stand in, and size of the
+	// failure domain.
+	place, size int
 	// children are the nodes that this one tells of news.
 	children []model.NodeAddr
 	heard    time.Time
+	// spoke is when a node of the failure domain was heard last, whether it
+	// reaches the store or not.
+	spoke time.Time
 }
 
 // NewWatchers returns the decision of a node that has heard nothing yet.
@@ -48,22 +65,14 @@
 			own = append(own, r.Node)
 		}
 	}
-	slices.SortFunc(own, func(a, b model.NodeAddr) int {
-		ha, hb := xxhash.Sum64String(string(a)), xxhash.Sum64String(string(b))
-		switch {
-		case ha < hb:
-			return -1
-		case ha > hb:
-			return 1
-		}
-		return 0
-	})
+	slices.SortFunc(own, func(a, b model.NodeAddr) int { return cmp.Compare(order(a), order(b)) })
 	chosen := slices.Contains(own[:min(len(own), watchersPerDomain)], w.self)
 	if w.chosen && !chosen {
 		w.heard = now
 	}
 	w.chosen = chosen
 	at := slices.Index(own, w.self)
+	w.place, w.size = at, len(own)
 	w.children = slices.Clone(own[min(fanOut*at+1, len(own)):min(fanOut*(at+1)+1, len(own))])
 }
 
@@ -74,6 +83,41 @@
 	}
 }
 
+// order is the place of a node among the watchers and those that stand in.
+func order(node model.NodeAddr) uint64 { return xxhash.Sum64String(string(node)) }
+
+// YieldsTo reports whether this node leaves the store to another that reaches
+// it. Of two that both do, the later in the order yields.
+func (w *Watchers) YieldsTo(node model.NodeAddr, reaches bool) bool {
+	return !reaches || order(node) < order(w.self)
+}
+
+// Spoke takes any sign of a node.
+func (w *Watchers) Spoke(now time.Time, domain model.Domain) {
+	if domain == w.domain {
+		w.spoke = now
+	}
+}
+
+// StandsIn reports whether the node, when it follows the store, does so in place
+// of watchers that it once heard.
+func (w *Watchers) StandsIn() bool { return !w.chosen && !w.heard.IsZero() }
+
+// Turn is how long a node that stands in waits for those before it.
+func (w *Watchers) Turn() time.Duration {
+	return min(time.Duration(max(w.place-watchersPerDomain, 0))*turnStep, longestTurn)
+}
+
+// RetryPause is the longest wait between failed calls of the store, where usual
+// is that of a node alone. Nodes that hear others of their failure domain share
+// the tries.
+func (w *Watchers) RetryPause(now time.Time, usual time.Duration) time.Duration {
+	if w.chosen || now.Sub(w.spoke) > watcherSilence {
+		return usual
+	}
+	return max(usual*time.Duration(w.size-watchersPerDomain)/standIns, usual)
+}
+
 // Chosen reports whether the node follows the store for its failure domain.
 func (w *Watchers) Chosen() bool { return w.chosen }
 
--- a/policy/roster/watchers_test.go
+++ b/policy/roster/watchers_test.go
@@ -87,3 +87,50 @@
 		}
 	}
 }
+
+func TestOfTwoThatStandInOneYields(t *testing.T) {
+	_, watchers := domainOf(22)
+	for i, a := range watchers {
+		for _, b := range watchers[i+1:] {
+			qt.Assert(t, a.YieldsTo(b.self, true) != b.YieldsTo(a.self, true), qt.IsTrue)
+			qt.Assert(t, a.YieldsTo(b.self, false), qt.IsTrue) // one that does not reach the store
+		}
+	}
+}
+
+// Before, each of 22 nodes tried once a second for each of its watches.
+func TestNodesShareTheTriesWhileTheStoreFails(t *testing.T) {
+	const usual = time.Second
+	for _, n := range []int{1, 2, 3, 6, 22, 220} {
+		records, watchers := domainOf(n)
+		tries := 0.0
+		turns := map[time.Duration]int{}
+		for i, w := range watchers {
+			w.SetMembers(start, append(append([]Record(nil), records[:i]...), records[i+1:]...))
+			w.Spoke(start, "a")
+			pause := w.RetryPause(start, usual)
+			qt.Assert(t, pause >= usual, qt.IsTrue)
+			tries += usual.Seconds() / pause.Seconds()
+			if !w.Chosen() && w.Turn() < longestTurn {
+				turns[w.Turn()]++
+			}
+			// A node that hears nobody tries on its own.
+			qt.Assert(t, w.RetryPause(start.Add(watcherSilence+1), usual), qt.Equals, usual)
+			w.Spoke(start.Add(watcherSilence), "b")
+			qt.Assert(t, w.RetryPause(start.Add(watcherSilence+1), usual), qt.Equals, usual)
+		}
+		qt.Assert(t, tries <= watchersPerDomain+standIns+0.01, qt.IsTrue, qt.Commentf("%d nodes: %g tries", n, tries))
+		for turn, nodes := range turns {
+			qt.Assert(t, nodes, qt.Equals, 1, qt.Commentf("%s", turn))
+		}
+	}
+}
+
+func TestNodeStandsInOnlyForWatchersThatItKnew(t *testing.T) {
+	records, watchers := domainOf(22)
+	for i, w := range watchers {
+		qt.Assert(t, w.StandsIn(), qt.IsFalse)
+		w.SetMembers(start, append(append([]Record(nil), records[:i]...), records[i+1:]...))
+		qt.Assert(t, w.StandsIn(), qt.Equals, !w.Chosen())
+	}
+}
