Use no connection between nodes that the other end has closed

Cause: an entry kept connections to owners for 20 s. When an owner restarted, its kernel had closed them, but the entry saw that only after it had written a call: the write succeeded and the answer was an end of file. The call had not run, but that was not known, so it counted as a repeat of the budget or was answered 502. An idle connection is now looked at (one read that does not wait) before it is used.

Ruled out: a process that died with the call (the same count would show at the owner; none of these ids was in an owner's log).

Test (red before): TestConnectionThatTheOtherNodeClosedIsNotUsed.

--- a/node/hop/hop.go
+++ b/node/hop/hop.go
@@ -124,7 +124,9 @@
 		l := list[len(list)-1]
 		list = list[:len(list)-1]
 		c.idle[to] = list
-		if time.Since(l.since) < maxIdleTime {
+		// A request on a connection that the other end has closed would be lost,
+		// and whether it ran would not be known.
+		if time.Since(l.since) < maxIdleTime && sockets.Alive(l.conn) {
 			return l, true
 		}
 		_ = l.conn.Close()
--- a/node/hop/hop_test.go
+++ b/node/hop/hop_test.go
@@ -145,3 +145,59 @@
 	_, err = NewClient().Open(ctx, node, &peer.Request{Kind: peer.KindCall, Inline: true})
 	qt.Assert(t, errors.Is(err, peer.ErrNotSent), qt.IsTrue)
 }
+
+// A call must not be lost on a connection whose other end is known to be gone.
+func TestConnectionThatTheOtherNodeClosedIsNotUsed(t *testing.T) {
+	answer := handlerFunc(func(_ context.Context, s *Stream) {
+		_ = s.Answer(&peer.Answer{Run: model.RunYes, Status: 200, Inline: true})
+	})
+	l, err := sockets.Listen("127.0.0.1:0")
+	qt.Assert(t, err, qt.IsNil)
+	node := model.NodeAddr(l.Addr().String())
+	servers := make(chan *Server, 1)
+	servers <- NewServer(answer)
+	serving := make(chan struct{})
+	go func() {
+		defer close(serving)
+		for {
+			conn, err := l.Accept()
+			if err != nil {
+				return
+			}
+			s := <-servers
+			servers <- s
+			if s.track(conn) {
+				go func() {
+					defer s.untrack(conn)
+					s.serve(conn)
+				}()
+			}
+		}
+	}()
+	c := NewClient()
+	t.Cleanup(func() {
+		c.Close()
+		_ = l.Close()
+		<-serving
+		(<-servers).Close()
+	})
+	exchange := func() error {
+		x, err := c.Open(t.Context(), node, &peer.Request{Kind: peer.KindCall, Inline: true})
+		if err != nil {
+			return err
+		}
+		defer x.Close()
+		_, err = x.Receive()
+		return err
+	}
+	qt.Assert(t, exchange(), qt.IsNil)
+	qt.Assert(t, c.idle[node], qt.HasLen, 1)
+	kept := c.idle[node][0].conn
+	qt.Assert(t, sockets.Alive(kept), qt.IsTrue)
+	(<-servers).Close() // the node restarts
+	servers <- NewServer(answer)
+	for sockets.Alive(kept) {
+		time.Sleep(time.Millisecond)
+	}
+	qt.Assert(t, exchange(), qt.IsNil)
+}
--- a/node/sockets/sockets.go
+++ b/node/sockets/sockets.go
@@ -52,3 +52,24 @@
 
 // Refused reports that the peer's port is closed.
 func Refused(err error) bool { return errors.Is(err, syscall.ECONNREFUSED) }
+
+// Alive reports whether an idle connection is open, as far as is known here.
+// Bytes that nobody asked for count as its end.
+func Alive(conn net.Conn) bool {
+	c, ok := conn.(syscall.Conn)
+	if !ok {
+		return true
+	}
+	raw, err := c.SyscallConn()
+	if err != nil {
+		return false
+	}
+	alive := false
+	var one [1]byte
+	err = raw.Read(func(fd uintptr) bool {
+		_, err := syscall.Read(int(fd), one[:])
+		alive = errors.Is(err, syscall.EAGAIN)
+		return true
+	})
+	return alive && err == nil
+}
