Let a node without a configuration read it without the watchers

A node without a configuration serves nothing, so it reads the operators' keys itself.

Tests: TestNodeWithoutAConfigurationDoesNotWaitForWatchers (red before), TestAdviceGrowsWhileThereIsNoConfiguration.

--- a/node/sidecar/answer.go
+++ b/node/sidecar/answer.go
@@ -14,7 +14,7 @@
 )
 
 const (
-	// retryUnready is the advice of a node that has no configuration yet.
+	// retryUnready is the least advice of a node that has no configuration yet.
 	retryUnready = 300 * time.Millisecond
 	// retryDefault is the advice when the cause gives none.
 	retryDefault = 150 * time.Millisecond
--- a/node/sidecar/call.go
+++ b/node/sidecar/call.go
@@ -103,7 +103,7 @@
 	}
 	table := n.configuration.current()
 	if table == nil {
-		return problem.New(problem.ConfigurationLag, model.RunNo, "the node has no configuration yet").After(retryUnready)
+		return problem.New(problem.ConfigurationLag, model.RunNo, "the node has no configuration yet").After(n.configuration.retryAfter(c.received))
 	}
 	route := table.Match(r.Host, r.Path())
 	if route == nil {
--- a/node/sidecar/configuration.go
+++ b/node/sidecar/configuration.go
@@ -39,7 +39,8 @@
 // configuration is the newest configuration that this node knows. It never
 // goes back to an older one.
 type configuration struct {
-	node *Node
+	node  *Node
+	began time.Time
 
 	mu       sync.Mutex
 	table    *routing.Table
@@ -51,7 +52,7 @@
 }
 
 func newConfiguration(n *Node) *configuration {
-	return &configuration{node: n, changed: make(chan struct{})}
+	return &configuration{node: n, began: time.Now(), changed: make(chan struct{})}
 }
 
 // current returns the table in force, nil before the first.
@@ -76,6 +77,13 @@
 	return now.Sub(c.applied)
 }
 
+// retryAfter is the advice of a node that has no configuration yet. What keeps
+// it waiting is likely to last half as long again as it has; a caller that comes
+// back too early spends one of its tries.
+func (c *configuration) retryAfter(now time.Time) time.Duration {
+	return max(retryUnready, now.Sub(c.began)/2)
+}
+
 func (c *configuration) evacuated() evacuation {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/node/sidecar/fleet_test.go
+++ b/node/sidecar/fleet_test.go
@@ -1,10 +1,17 @@
 package sidecar
 
 import (
+	"context"
+	"encoding/json"
+	"fmt"
 	"net/http"
 	"testing"
+	"time"
 
 	qt "github.com/frankban/quicktest"
+
+	"zinniafall/policy/model"
+	"zinniafall/policy/roster"
 )
 
 func TestConfigurationNeverGoesBack(t *testing.T) {
@@ -106,3 +113,60 @@
 	n.knows("back", 0)
 	qt.Assert(t, n.fleet.size(), qt.Equals, 1)
 }
+
+// withheldStore keeps the operators' keys back until it is told.
+type withheldStore struct {
+	*memoryStore
+	given chan struct{}
+}
+
+func (s *withheldStore) List(ctx context.Context, prefix string) ([]Item, uint64, error) {
+	if prefix == (testOperators{}).Prefix() {
+		select {
+		case <-s.given:
+		case <-ctx.Done():
+			return nil, 0, ctx.Err()
+		}
+	}
+	return s.memoryStore.List(ctx, prefix)
+}
+
+// After a loss of all nodes the watchers have nothing to tell either.
+func TestNodeWithoutAConfigurationDoesNotWaitForWatchers(t *testing.T) {
+	store := &withheldStore{newMemoryStore(), make(chan struct{})}
+	store.configure(t, 1, "front")
+	peers := freeAddr()
+	decision := roster.NewWatchers(model.NodeAddr(peers), "a")
+	var others []roster.Record
+	for i := 1; decision.Chosen(); i++ {
+		r := roster.Record{Node: model.NodeAddr(fmt.Sprintf("127.0.0.1:%d", i)), Domain: "a", Service: "front", Sequence: 1}
+		others = append(others, r)
+		text, err := json.Marshal(r)
+		qt.Assert(t, err, qt.IsNil)
+		store.put(nodePrefix+string(r.Node), text, false)
+		decision.SetMembers(time.Now(), others)
+	}
+	n := startNodeAt(t, store, "a", "front", newTestTarget(t, "t0"), peers)
+	until(t, "the node knows the others", func() bool { return n.fleet.size() == len(others)+1 })
+	hear := func() {
+		n.fleet.mu.Lock()
+		defer n.fleet.mu.Unlock()
+		n.fleet.watchers.Heard(time.Now().Add(time.Hour), "a")
+	}
+	hear()
+	qt.Assert(t, n.fleet.follows(), qt.IsFalse)
+	qt.Assert(t, n.followsOperators(), qt.IsTrue)
+	close(store.given)
+	until(t, "the configuration is in force", func() bool { return n.configuration.revision() == 1 })
+	hear()
+	qt.Assert(t, n.followsOperators(), qt.IsFalse)
+}
+
+func TestAdviceGrowsWhileThereIsNoConfiguration(t *testing.T) {
+	c := newConfiguration(nil)
+	for after, want := range map[time.Duration]time.Duration{
+		0: retryUnready, 200 * time.Millisecond: retryUnready, time.Second: 500 * time.Millisecond, 4 * time.Second: 2 * time.Second,
+	} {
+		qt.Assert(t, c.retryAfter(c.began.Add(after)), qt.Equals, want, qt.Commentf("%s", after))
+	}
+}
--- a/node/sidecar/node.go
+++ b/node/sidecar/node.go
@@ -189,7 +189,7 @@
 func (n *Node) run() {
 	operators := &follower{
 		store: n.store, log: n.log, name: "operators", prefix: n.operators.Prefix(), settle: settleTime, wait: operatorWait,
-		needed: n.fleet.follows, turn: n.fleet.turn, retryPause: n.fleet.retryPause, after: n.fleet.follower.listed, listed: make(chan struct{}), all: n.configuration.listed, change: n.configuration.watched,
+		needed: n.followsOperators, turn: n.fleet.turn, retryPause: n.fleet.retryPause, after: n.fleet.follower.listed, listed: make(chan struct{}), all: n.configuration.listed, change: n.configuration.watched,
 	}
 	n.goDuty(func() { operators.run(n.ctx) })
 	n.goDuty(func() { n.fleet.follower.run(n.ctx) })
@@ -198,6 +198,12 @@
 	n.goDuty(func() { n.target.watch(n.ctx) })
 }
 
+// followsOperators reports whether this node reads the operators' keys itself. A
+// node without a configuration cannot serve, and does not wait for the watchers.
+func (n *Node) followsOperators() bool {
+	return n.configuration.current() == nil || n.fleet.follows()
+}
+
 // goDuty runs a goroutine that the end of the node waits for.
 func (n *Node) goDuty(duty func()) {
 	n.dutyMu.Lock()
