--- a/node/sidecar/node.go
+++ b/node/sidecar/node.go
@@ -119,7 +119,7 @@
 		debug.SetMemoryLimit(int64(float64(s.MemoryMB<<20) * memoryShare))
 	}
 	n := &Node{
-		settings: s, dialect: opts.Dialect, store: opts.Store, operators: opts.Operators,
+		settings: s, dialect: opts.Dialect, store: measuredStore{opts.Store}, operators: opts.Operators,
 		log: events.New(opts.Log, s.Name), self: model.NodeAddr(cmp.Or(opts.Advertised, s.Peers)), client: hop.NewClient(), metrics: metrics.NewSet(),
 	}
 	n.live.Store(&s)
--- a/node/sidecar/report.go
+++ b/node/sidecar/report.go
@@ -72,6 +72,12 @@
 // gauges registers what is read when metrics are fetched.
 func (n *Node) gauges() {
 	n.metrics.NewGauge(`zinniafall_configuration_revision`, func() float64 { return float64(n.configuration.revision()) })
+	n.metrics.NewGauge(`zinniafall_store_followed`, func() float64 {
+		if n.fleet.follower.readable.Load() {
+			return 1
+		}
+		return 0
+	})
 	n.metrics.NewGauge(`zinniafall_fleet_nodes`, func() float64 { return float64(n.fleet.size()) })
 	n.metrics.NewGauge(`zinniafall_caller_connections`, func() float64 { return float64(n.front.Open()) })
 	n.metrics.NewGauge(`zinniafall_caller_connections_refused`, func() float64 { return float64(n.front.Refused()) })
--- a/node/sidecar/store_test.go
+++ b/node/sidecar/store_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"io"
+	"net/http/httptest"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -83,3 +85,18 @@
 		qt.Assert(t, f.readable.Load(), qt.IsTrue)
 	})
 }
+
+func TestCallsOfTheStoreAreCounted(t *testing.T) {
+	store := newMemoryStore()
+	store.configure(t, 1, "front")
+	n := startNode(t, store, "a", "front", newTestTarget(t, "t0"))
+	until(t, "the node is entered", func() bool { return store.has(n.fleet.key()) })
+	until(t, "the store is followed", n.fleet.follower.readable.Load)
+	for _, line := range []string{`zinniafall_store_calls_total{call="list",result="ok"} `, `zinniafall_store_calls_total{call="write",result="ok"} `, "zinniafall_store_followed 1\n"} {
+		until(t, "the metrics have "+line, func() bool {
+			w := httptest.NewRecorder()
+			n.serveMetrics(w, nil)
+			return strings.Contains(w.Body.String(), line)
+		})
+	}
+}
