Name an evacuation as the cause when all targets are out of service

The refusals said that no target was known, beside targets_known 2. Ruled out: lost beliefs about targets (all nodes knew both).

Test (red before): TestRefusalNamesAnEvacuationAsItsCause.

--- a/node/sidecar/fleet_test.go
+++ b/node/sidecar/fleet_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -170,3 +171,17 @@
 		qt.Assert(t, c.retryAfter(c.began.Add(after)), qt.Equals, want, qt.Commentf("%s", after))
 	}
 }
+
+func TestRefusalNamesAnEvacuationAsItsCause(t *testing.T) {
+	store := newMemoryStore()
+	store.configure(t, 1, "front", "back")
+	entry := startNode(t, store, "a", "front", newTestTarget(t, "t0"))
+	one := startNode(t, store, "b", "back", newTestTarget(t, "t1"))
+	one.ready()
+	entry.knows("back", 1)
+	store.put("ops/out/b", []byte("{}"), false)
+	until(t, "the entry refuses", func() bool {
+		a := entry.call(http.MethodPost, "back", "/unsafe/x")
+		return a.status == http.StatusServiceUnavailable && strings.Contains(a.body, "all targets of back are in failure domains out of service")
+	})
+}
--- a/node/sidecar/offer.go
+++ b/node/sidecar/offer.go
@@ -81,11 +81,16 @@
 
 // noTarget says what the lack of a target means to the caller.
 func (c *call) noTarget(p *problem.Error) *problem.Error {
-	if p.Kind == problem.UnknownService {
-		// The service is configured: its targets are not known yet or gone.
-		return problem.New(problem.NoTarget, model.RunNo, "no target of "+string(c.service)+" is known").After(retryUnready)
+	if p.Kind != problem.UnknownService {
+		return p
 	}
-	return p
+	// The service is configured: its targets are not known yet, gone, or out of
+	// service.
+	detail := "no target of " + string(c.service) + " is known"
+	if c.node.fleet.targets(c.service) > 0 {
+		detail = "all targets of " + string(c.service) + " are in failure domains out of service"
+	}
+	return problem.New(problem.NoTarget, model.RunNo, detail).After(retryUnready)
 }
 
 // send offers the call to an owner and returns its answer.
