--- a/node/sidecar/store.go
+++ b/node/sidecar/store.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -188,7 +189,8 @@
 func (f *follower) watch(ctx context.Context, revision uint64, failed func(error)) {
 	cuts := 0
 	for ctx.Err() == nil && f.needed() {
-		items, next, err := f.store.Watch(ctx, f.prefix, revision, f.wait)
+		// Watches that end together would miss the same things together.
+		items, next, err := f.store.Watch(ctx, f.prefix, revision, f.wait-rand.N(f.wait/4))
 		switch {
 		case errors.Is(err, ErrHistoryLost):
 			f.log.Info("store history lost", "part", "store", "watch", f.name, "store_revision", revision)
