--- a/node/sidecar/call_test.go
+++ b/node/sidecar/call_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
 	"strconv"
 	"testing"
@@ -82,6 +83,27 @@
 	qt.Assert(t, len(one.target.requests())+len(two.target.requests()), qt.Equals, 3)
 }
 
+func TestRouteBoundsTheTargetsThatARequestReaches(t *testing.T) {
+	store := newMemoryStore()
+	store.configure(t, 1, "front", "back") // two attempts
+	entry := startNode(t, store, "a", "front", newTestTarget(t, "t0"))
+	var targets []*testTarget
+	for i := range 4 {
+		target := newTestTarget(t, fmt.Sprintf("t%d", i+1))
+		target.onRequest(fail)
+		targets = append(targets, target)
+		startNode(t, store, "a", "back", target).ready()
+	}
+	entry.knows("back", len(targets))
+	a := entry.call(http.MethodGet, "back", "/safe/x")
+	qt.Assert(t, a.status, qt.Equals, 500)
+	reached := 0
+	for _, target := range targets {
+		reached += len(target.requests())
+	}
+	qt.Assert(t, reached, qt.Equals, 2)
+}
+
 func TestShedCallIsRefusedAsNotRun(t *testing.T) {
 	entry, one, two := pair(t)
 	one.target.onRequest(shed)
