--- a/cmd/zinniafalld/sidecar.go
+++ b/cmd/zinniafalld/sidecar.go
@@ -47,12 +47,13 @@
 	// One thread runs at a time on these VMs.
 	runtime.GOMAXPROCS(1)
 	debug.SetGCPercent(collectorPercent)
+	// A hangup before this would end the process.
+	signals := make(chan os.Signal, 2)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
 	settings, code := loadSidecar(path)
 	if code != 0 {
 		return code
 	}
-	signals := make(chan os.Signal, 2)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
 	node, err := platform.Start(settings, advertised)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
