--- a/node/sidecar/call_test.go
+++ b/node/sidecar/call_test.go
@@ -2,12 +2,17 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"net/http"
+	"slices"
 	"strconv"
 	"testing"
 
 	qt "github.com/frankban/quicktest"
+
+	"zinniafall/policy/model"
+	"zinniafall/policy/routing"
 )
 
 // startEntryAndOwners starts an entry beside a target of the service front, and
@@ -127,6 +132,37 @@
 	qt.Assert(t, n.call(http.MethodGet, "back", "/safe/x").status, qt.Equals, http.StatusServiceUnavailable)
 }
 
+// A route that this release cannot serve refuses its requests, as not run, both
+// at the start and after a change; the other routes are served.
+func TestUnsupportedRouteIsRefusedAndTheOthersAreServed(t *testing.T) {
+	s := newMemoryStore()
+	configure := func(revision model.Revision) {
+		raw, err := json.Marshal(testDocument{
+			Revision: revision, Services: map[model.Service]routing.Service{"s": {HealthPath: "/health", ColdRate: 100}},
+			Routes: []routing.Route{
+				{Name: "all", Host: "s", Prefix: "/", Backends: []routing.Backend{{Service: "s", Weight: 1}}, MaxAttempts: 1},
+				{Name: "new", Host: "s", Prefix: "/new/", MaxAttempts: 1, Unsupported: "a type of a later release"},
+			},
+		})
+		qt.Assert(t, err, qt.IsNil)
+		s.put("ops/config", raw, false)
+	}
+	configure(1)
+	n := startNode(t, s, "d", "s", newTestTarget(t, "t"))
+	n.waitForOwnTarget()
+	for revision := range model.Revision(2) {
+		configure(revision + 1)
+		eventually(t, "the revision is in force", func() bool { return n.configuration.revision() == revision+1 })
+		refused := n.call(http.MethodGet, "s", "/new/1")
+		qt.Assert(t, refused.status, qt.Equals, http.StatusServiceUnavailable)
+		qt.Assert(t, refused.header.Get("Retry-After"), qt.Not(qt.Equals), "")
+		qt.Assert(t, n.call(http.MethodGet, "s", "/old").status, qt.Equals, http.StatusOK)
+	}
+	qt.Assert(t, n.target.requests(), qt.HasLen, 2)
+	reported := slices.DeleteFunc(n.log.lines("configuration"), func(line map[string]any) bool { return line["error"] == nil })
+	qt.Assert(t, reported, qt.HasLen, 2, qt.Commentf("%v", reported))
+}
+
 func TestRequestWithoutAnIDIsRejected(t *testing.T) {
 	entry, ownerA, _ := startEntryAndOwners(t)
 	r, err := http.NewRequest(http.MethodGet, "http://"+entry.settings.Callers+"/safe/x", nil)
--- a/node/sidecar/configuration.go
+++ b/node/sidecar/configuration.go
@@ -19,6 +19,8 @@
 	// maxDocumentBytes is the store's limit on a value, and so on a
 	// configuration.
 	maxDocumentBytes = 1 << 20
+	// maxLoggedProblems bounds the log lines about one configuration.
+	maxLoggedProblems = 10
 )
 
 // evacuation is the set of failure domains out of service at a revision of the
@@ -120,9 +122,21 @@
 	c.mu.Unlock()
 	c.node.log.Info("configuration applied", "part", "configuration", "source", source,
 		"revision", table.Revision, "routes", table.Routes(), "services", len(table.Services))
+	c.logProblems(table)
 	c.node.configurationChanged(table)
 }
 
+// logProblems logs the parts of a configuration that are not in force as written,
+// up to maxLoggedProblems of them, and their number.
+func (c *configuration) logProblems(table *routing.Table) {
+	for _, p := range table.Problems[:min(len(table.Problems), maxLoggedProblems)] {
+		c.node.log.Warn("part of the configuration not understood", "part", "configuration", "revision", table.Revision, "error", p.Error())
+	}
+	if n := len(table.Problems); n > maxLoggedProblems {
+		c.node.log.Warn("further parts of the configuration not understood", "part", "configuration", "revision", table.Revision, "parts", n-maxLoggedProblems)
+	}
+}
+
 // listed applies a list of all operators' keys.
 func (c *configuration) listed(items []Item, revision uint64) {
 	evac := evacuation{Revision: revision}
--- a/policy/problem/problem.go
+++ b/policy/problem/problem.go
@@ -18,6 +18,7 @@
 const (
 	Unauthenticated   Kind = "unauthenticated"
 	UnknownService    Kind = "unknown-service"
+	RouteUnsupported  Kind = "route-unsupported"
 	BadRequest        Kind = "bad-request"
 	BodyTooLarge      Kind = "body-too-large"
 	DeadlineExceeded  Kind = "deadline-exceeded"
@@ -58,6 +59,7 @@
 var kindInfos = map[Kind]kindInfo{
 	Unauthenticated:   {http.StatusUnauthorized, "Send the account's key in the Zinniafall-Account-Key header; an operator can issue a new one."},
 	UnknownService:    {http.StatusNotFound, "Name a configured service in the Host or Zinniafall-Service header."},
+	RouteUnsupported:  {http.StatusServiceUnavailable, "Correct the route in the configuration, or run a release of the node that supports it."},
 	BadRequest:        {http.StatusBadRequest, "Correct the header that the detail names and send the request again."},
 	BodyTooLarge:      {http.StatusRequestEntityTooLarge, "Send a smaller body, or ask the operator to raise limits.body_bytes."},
 	DeadlineExceeded:  {http.StatusGatewayTimeout, "Allow more time in Zinniafall-Timeout-Ms."},
