Bound the memory of downloads and let them outlast a caller's pause

Changes: answers over 128 KB are held in 8 MB shared by all of a node, up to 1 MB each, in parts that are freed as they are read; beyond that they are streamed at the pace of the caller. Bodies are sent in chunks of 32 KB from a pool. Long bodies get a silent peer timeout of 15 s between nodes and to the target, 10 s to callers. The parts of a cut body end with an error.

hop Open stays as it was for a partly written reused connection: an incomplete frame is never acted on, so to send the request again is safe; the comment says so now.

Each has a test that failed before.

--- a/node/front/front.go
+++ b/node/front/front.go
@@ -28,8 +28,8 @@
 	maxBufferedBody = 256 << 10
 	// bodyTimeout limits the time between reads of a body.
 	bodyTimeout = 10 * time.Second
-	// writeTimeout limits the time to write one part of a response.
-	writeTimeout = 10 * time.Second
+	// WriteTimeout limits the time for a caller to accept one part of a response.
+	WriteTimeout = 10 * time.Second
 	// lingerTimeout limits the wait for a caller to read the last response.
 	lingerTimeout = 500 * time.Millisecond
 	// readSlack is how many bytes may be buffered beyond the header limit.
--- a/node/front/write.go
+++ b/node/front/write.go
@@ -17,7 +17,7 @@
 	for p := range c.responses {
 		if p.interim {
 			if !ended {
-				_ = c.net.SetWriteDeadline(time.Now().Add(writeTimeout))
+				_ = c.net.SetWriteDeadline(time.Now().Add(WriteTimeout))
 				_, _ = w.WriteString("HTTP/1.1 100 Continue\r\n\r\n")
 				_ = w.Flush()
 			}
@@ -69,7 +69,7 @@
 	last := p.last || p.http10 || c.closeAfterResponse()
 	bodiless := p.method == http.MethodHead || r.Status == http.StatusNoContent || r.Status == http.StatusNotModified
 	chunked := r.Stream != nil && r.Length < 0 && !p.http10
-	_ = c.net.SetWriteDeadline(time.Now().Add(writeTimeout))
+	_ = c.net.SetWriteDeadline(time.Now().Add(WriteTimeout))
 	writeHead(w, r, last, bodiless, chunked)
 	if !bodiless && !c.writeBody(w, r, chunked) {
 		return false
@@ -135,7 +135,7 @@
 }
 
 func (d *deadlineWriter) Write(b []byte) (int, error) {
-	_ = d.conn.net.SetWriteDeadline(time.Now().Add(writeTimeout))
+	_ = d.conn.net.SetWriteDeadline(time.Now().Add(WriteTimeout))
 	n, err := d.w.Write(b)
 	if err == nil {
 		err = d.w.Flush()
--- a/node/hop/hop.go
+++ b/node/hop/hop.go
@@ -40,12 +40,18 @@
 	// chunkHeaderSize is the size in bytes of the length that precedes each
 	// chunk of a body.
 	chunkHeaderSize = 4
-	// maxChunk is the maximum length of a chunk in bytes.
-	maxChunk = 64 << 10
+	// maxChunk is the maximum length in bytes of a chunk that is received, and
+	// sentChunk that of one that is sent.
+	maxChunk  = 64 << 10
+	sentChunk = 32 << 10
 	// endOfBody is the chunk length that marks the end of a body.
 	endOfBody = 0
 	// writeTimeout limits the time for the other node to accept one message.
 	writeTimeout = 5 * time.Second
+	// bodyTimeout limits the time for the other node to accept one chunk of a
+	// body, which it passes on at the pace of its caller. It is longer than the
+	// time after which an entry gives up on a caller that does not read.
+	bodyTimeout = 15 * time.Second
 )
 
 var (
@@ -55,8 +61,9 @@
 
 // Client opens exchanges with other nodes. It is safe for concurrent use.
 type Client struct {
-	mu   sync.Mutex
-	idle map[model.NodeAddr][]*clientConn
+	mu     sync.Mutex
+	idle   map[model.NodeAddr][]*clientConn
+	closed bool
 }
 
 // NewClient returns a client without open connections.
@@ -67,6 +74,9 @@
 	conn      net.Conn
 	reader    *bufio.Reader
 	idleSince time.Time
+	// patient reports whether the silent peer timeout of the connection is that
+	// of a long body.
+	patient bool
 }
 
 // Exchange is a request that was sent and its answer.
@@ -84,10 +94,10 @@
 	bodyPending bool
 }
 
-// Open sends the request. If the error is peer.ErrNotSent, the other node
-// received nothing of it. The end of the context cancels the exchange. Open
-// returns once the request is written; Receive reads the answers. A failed
-// write on a new connection is peer.ErrOutcomeUnknown.
+// Open sends the request. Every error wraps peer.ErrNotSent: a request is one
+// frame, and the other node acts on a whole frame only, of which the failed write
+// has not sent the end. The end of the context cancels the exchange. Open returns
+// once the request is written; Receive reads the answers.
 func (c *Client) Open(ctx context.Context, to model.NodeAddr, request *peer.Request) (*Exchange, error) {
 	for {
 		cc, reused := c.takeIdle(to)
@@ -114,10 +124,14 @@
 	exchanges.Inc()
 	x := &Exchange{client: c, node: to, clientConn: cc, bodyPending: !request.Inline}
 	x.stop = context.AfterFunc(ctx, func() { _ = cc.conn.Close() })
+	if cc.patient {
+		cc.patient = false
+		sockets.SetSilentPeerTimeout(cc.conn, sockets.SilentPeerTimeout)
+	}
 	_ = cc.conn.SetWriteDeadline(time.Now().Add(writeTimeout))
 	if err := peer.Encode(cc.conn, request); err != nil {
 		x.Close()
-		return nil, errors.Join(peer.ErrOutcomeUnknown, err)
+		return nil, errors.Join(peer.ErrNotSent, err)
 	}
 	return x, nil
 }
@@ -143,11 +157,11 @@
 }
 
 // putIdle keeps the connection for the next exchange, or closes it if enough
-// connections to the node are idle.
+// connections to the node are idle or the client is closed.
 func (c *Client) putIdle(to model.NodeAddr, cc *clientConn) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if len(c.idle[to]) >= maxIdlePerNode {
+	if c.closed || len(c.idle[to]) >= maxIdlePerNode {
 		_ = cc.conn.Close()
 		return
 	}
@@ -187,10 +201,11 @@
 	}
 }
 
-// Close closes all idle connections.
+// Close closes all idle connections; those in use close when their exchange ends.
 func (c *Client) Close() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.closed = true
 	for node, list := range c.idle {
 		for _, cc := range list {
 			_ = cc.conn.Close()
@@ -216,7 +231,9 @@
 // SendBody sends a body that is not inline.
 func (x *Exchange) SendBody(body io.Reader) error {
 	x.bodyPending = false
-	return writeChunks(x.clientConn.conn, body)
+	long, err := writeChunks(x.clientConn.conn, body)
+	x.clientConn.patient = long
+	return err
 }
 
 // Read reads the body of the final answer. It returns io.EOF only at the end
@@ -292,23 +309,35 @@
 	return err
 }
 
+// chunkFrames holds the buffers in which chunks are sent.
+var chunkFrames = sync.Pool{New: func() any { return new([chunkHeaderSize + sentChunk]byte) }}
+
 // writeChunks sends a body and its end marker. If reading the body fails, the
 // end marker is not sent, so that a partial body cannot be mistaken for a
-// complete one.
-func writeChunks(conn net.Conn, body io.Reader) error {
-	frame := make([]byte, chunkHeaderSize+maxChunk)
-	for {
+// complete one. For a body of several chunks, it raises the silent peer timeout of
+// the connection to bodyTimeout, so that the other node may pause, and reports
+// long: the timeout must stay until the bytes in the socket's buffer have been
+// read, which the next exchange shows.
+func writeChunks(conn net.Conn, body io.Reader) (long bool, err error) {
+	buffer := chunkFrames.Get().(*[chunkHeaderSize + sentChunk]byte)
+	defer chunkFrames.Put(buffer)
+	frame := buffer[:]
+	for chunks := 0; ; chunks++ {
 		n, err := body.Read(frame[chunkHeaderSize:])
 		if n > 0 {
+			if chunks == 1 {
+				long = true
+				sockets.SetSilentPeerTimeout(conn, bodyTimeout)
+			}
 			if werr := writeChunk(conn, frame[:chunkHeaderSize+n]); werr != nil {
-				return werr
+				return long, werr
 			}
 		}
 		if err == io.EOF {
-			return writeChunk(conn, frame[:chunkHeaderSize])
+			return long, writeChunk(conn, frame[:chunkHeaderSize])
 		}
 		if err != nil {
-			return err
+			return long, err
 		}
 	}
 }
@@ -316,7 +345,7 @@
 // writeChunk sets the length in the header of the frame and sends it.
 func writeChunk(conn net.Conn, frame []byte) error {
 	binary.BigEndian.PutUint32(frame, uint32(len(frame)-chunkHeaderSize))
-	_ = conn.SetWriteDeadline(time.Now().Add(writeTimeout))
+	_ = conn.SetWriteDeadline(time.Now().Add(bodyTimeout))
 	_, err := conn.Write(frame)
 	return err
 }
--- a/node/hop/hop_test.go
+++ b/node/hop/hop_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"io"
+	"net"
 	"strings"
 	"testing"
 	"time"
@@ -22,7 +23,7 @@
 func (f handlerFunc) ServeRequest(ctx context.Context, _ string, s *Stream) { f(ctx, s) }
 
 func serve(t *testing.T, f handlerFunc) (*Client, model.NodeAddr) {
-	l, err := sockets.Listen("127.0.0.1:0")
+	l, err := sockets.Listen("127.0.0.1:0", sockets.SilentPeerTimeout)
 	qt.Assert(t, err, qt.IsNil)
 	s := NewServer(f)
 	done := make(chan struct{})
@@ -136,7 +137,7 @@
 func (failingReader) Read([]byte) (int, error) { return 0, errors.New("cut off") }
 
 func TestDialFailureReportsNotSent(t *testing.T) {
-	l, err := sockets.Listen("127.0.0.1:0")
+	l, err := sockets.Listen("127.0.0.1:0", sockets.SilentPeerTimeout)
 	qt.Assert(t, err, qt.IsNil)
 	node := model.NodeAddr(l.Addr().String())
 	_ = l.Close()
@@ -152,7 +153,7 @@
 	answer := handlerFunc(func(_ context.Context, s *Stream) {
 		_ = s.Answer(&peer.Answer{Run: model.RunYes, Status: 200, Inline: true})
 	})
-	l, err := sockets.Listen("127.0.0.1:0")
+	l, err := sockets.Listen("127.0.0.1:0", sockets.SilentPeerTimeout)
 	qt.Assert(t, err, qt.IsNil)
 	node := model.NodeAddr(l.Addr().String())
 	servers := make(chan *Server, 1)
@@ -202,3 +203,62 @@
 	}
 	qt.Assert(t, exchange(), qt.IsNil)
 }
+
+// The reading goroutine closes the channel of the chunks before the context ends.
+// A body that was cut off in between looked complete.
+func TestRequestBodyThatIsCutOffIsAnError(t *testing.T) {
+	var whole bytes.Buffer
+	_, err := writeChunks(bufferConn{Buffer: &whole}, strings.NewReader("whole body"))
+	qt.Assert(t, err, qt.IsNil)
+	for length := range whole.Len() + 1 {
+		stream := &Stream{chunks: make(chan []byte, 1), ctx: t.Context()}
+		go readBody(t.Context(), bytes.NewReader(whole.Bytes()[:length]), stream)
+		_, err := io.ReadAll(stream)
+		if length == whole.Len() {
+			qt.Assert(t, err, qt.IsNil)
+		} else {
+			qt.Assert(t, errors.Is(err, errCanceled), qt.IsTrue, qt.Commentf("%d bytes: %v", length, err))
+		}
+	}
+}
+
+// bufferConn collects what is written to it.
+type bufferConn struct {
+	net.Conn
+	*bytes.Buffer
+}
+
+func (c bufferConn) Read(p []byte) (int, error)       { return c.Buffer.Read(p) }
+func (c bufferConn) Write(p []byte) (int, error)      { return c.Buffer.Write(p) }
+func (c bufferConn) SetWriteDeadline(time.Time) error { return nil }
+
+// Closing the client must also close the connections that are in use at the time.
+func TestConnectionInUseIsNotKeptAfterClose(t *testing.T) {
+	closed := make(chan struct{})
+	c, node := serve(t, func(ctx context.Context, s *Stream) {
+		_ = s.Answer(&peer.Answer{Run: model.RunYes, Status: 200, Inline: true})
+		go func() {
+			<-ctx.Done()
+			close(closed)
+		}()
+	})
+	x, err := c.Open(t.Context(), node, &peer.Request{Kind: peer.KindCall, Inline: true})
+	qt.Assert(t, err, qt.IsNil)
+	_, err = x.Receive()
+	qt.Assert(t, err, qt.IsNil)
+	c.Close()
+	x.Close()
+	<-closed
+	qt.Assert(t, c.idle, qt.HasLen, 0)
+}
+
+// A request that is not written whole cannot have run, whatever came of the rest.
+func TestRequestThatIsNotWrittenWholeIsNotSent(t *testing.T) {
+	c, node := serve(t, func(_ context.Context, s *Stream) {
+		_ = s.Answer(&peer.Answer{Run: model.RunYes, Status: 200, Inline: true})
+	})
+	tooLong := &peer.Request{Kind: peer.KindCall, Inline: true, Body: make([]byte, 64<<20)}
+	_, err := c.Open(t.Context(), node, tooLong)
+	qt.Assert(t, errors.Is(err, peer.ErrNotSent), qt.IsTrue, qt.Commentf("%v", err))
+	qt.Assert(t, errors.Is(err, peer.ErrOutcomeUnknown), qt.IsFalse)
+}
--- a/node/hop/server.go
+++ b/node/hop/server.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"zinniafall/node/peer"
+	"zinniafall/node/sockets"
 )
 
 // Handler serves requests of other nodes.
@@ -99,19 +100,23 @@
 	// is the unread rest of the last part.
 	chunks chan []byte
 	chunk  []byte
-	ctx    context.Context
-	failed bool
+	// bodyErr is why the body ended before its end marker. It is set before
+	// chunks is closed.
+	bodyErr error
+	ctx     context.Context
+	failed  bool
 	// complete is set with the final answer, or after its body if one follows.
 	complete bool
 	// inline is Request.Inline as it was received.
 	inline bool
+	// long reports whether the body of the answer was long; see writeChunks.
+	long bool
 }
 
 // readSize is the maximum size of one read of a body, in bytes.
 const readSize = 16 << 10
 
-// errCanceled is the error for reading a body whose sender closed the
-// connection.
+// errCanceled is the error for reading a body that its sender did not complete.
 var errCanceled = errors.New("the entry closed the exchange")
 
 // serve handles the exchanges of one connection one after the other. A
@@ -127,8 +132,13 @@
 		readStreams(ctx, conn, streams)
 	}()
 	from := conn.RemoteAddr().String()
+	long := false
 	for stream := range streams {
+		if long {
+			sockets.SetSilentPeerTimeout(conn, sockets.SilentPeerTimeout)
+		}
 		s.handler.ServeRequest(ctx, from, stream)
+		long = stream.long
 		if !stream.reusable() {
 			_ = conn.Close()
 			break
@@ -174,23 +184,28 @@
 			select {
 			case stream.chunks <- chunk[:n]:
 			case <-ctx.Done():
+				stream.bodyErr = errCanceled
 				return false
 			}
 		}
+		if err == io.EOF {
+			return true
+		}
 		if err != nil {
-			return err == io.EOF
+			stream.bodyErr = errors.Join(errCanceled, err)
+			return false
 		}
 	}
 }
 
-// Read reads the body of the request. It returns errCanceled when it finds
-// that the context has ended.
+// Read reads the body of the request. It returns io.EOF only after the end marker.
+// If the sender closed the connection before, the error wraps errCanceled.
 func (s *Stream) Read(p []byte) (int, error) {
 	for len(s.chunk) == 0 {
 		select {
 		case chunk, ok := <-s.chunks:
-			if !ok && s.ctx.Err() != nil {
-				return 0, errCanceled
+			if !ok && s.bodyErr != nil {
+				return 0, s.bodyErr
 			}
 			if !ok {
 				return 0, io.EOF
@@ -218,8 +233,8 @@
 
 // SendBody sends the body of the answer.
 func (s *Stream) SendBody(body io.Reader) error {
-	err := writeChunks(s.conn, body)
-	s.complete = err == nil
+	long, err := writeChunks(s.conn, body)
+	s.long, s.complete = long, err == nil
 	return err
 }
 
@@ -240,7 +255,7 @@
 		select {
 		case _, ok := <-s.chunks:
 			if !ok {
-				return s.ctx.Err() == nil
+				return s.bodyErr == nil && s.ctx.Err() == nil
 			}
 		case <-s.ctx.Done():
 			return false
--- a/node/sidecar/execute.go
+++ b/node/sidecar/execute.go
@@ -1,7 +1,6 @@
 package sidecar
 
 import (
-	"bytes"
 	"context"
 	"errors"
 	"io"
@@ -17,14 +16,21 @@
 	"zinniafall/policy/problem"
 )
 
-// maxInlineAnswer is the size in bytes up to which an answer is sent in one
-// message.
-const maxInlineAnswer = 128 << 10
+const (
+	// maxInlineAnswer is the size in bytes up to which an answer is sent in one
+	// message.
+	maxInlineAnswer = upstream.MaxSmallBody
+	// answerBuffers is the memory for longer answers that a node holds for
+	// callers who read them slowly, in bytes.
+	answerBuffers = 8 << 20
+)
 
 // reply is the answer to a call, with the stream of a long body.
 type reply struct {
 	answer *peer.Answer
 	body   io.ReadCloser
+	// targetDone reports whether the target has sent the whole body.
+	targetDone bool
 }
 
 // refusedReply returns a reply without an answer of a target.
@@ -124,7 +130,8 @@
 }
 
 // run sends the call to the target. It releases the slot before it returns or, if
-// the answer has a body stream, when that is closed.
+// the target is still sending the body, when that is closed: a download to a slow
+// caller costs its target a slot for as long as it lasts.
 func (a *attempt) run(ctx context.Context) reply {
 	n := a.node
 	var body io.Reader
@@ -151,7 +158,7 @@
 	if answered {
 		n.crashes.recordSuccess(a.job.request.Fingerprint)
 	}
-	if r.body != nil {
+	if r.body != nil && !r.targetDone {
 		r.body = &slotReleaser{ReadCloser: r.body, finish: func() { n.owner.finish(a.ticket, false) }}
 		return r
 	}
@@ -206,7 +213,8 @@
 }
 
 // classify converts the target's result to a reply. The second result reports
-// whether the elapsed time is a valid sample of the service time.
+// whether the target answered with a success: only then is the elapsed time a valid
+// sample of the service time.
 func (a *attempt) classify(ctx context.Context, result upstream.Result) (reply, bool) {
 	if result.Response == nil {
 		return a.classifyFailure(ctx, result), false
@@ -224,15 +232,12 @@
 	answer := &peer.Answer{
 		Run: model.RunYes, Status: response.Status, Header: peer.FieldsOf(response.Header), Length: response.Length, Reached: true,
 	}
+	succeeded := response.Status < http.StatusInternalServerError
 	if response.Stream != nil {
-		return reply{answer: answer, body: response.Stream}, true
-	}
-	if len(response.Body) > maxInlineAnswer {
-		answer.Length = int64(len(response.Body))
-		return reply{answer: answer, body: io.NopCloser(bytes.NewReader(response.Body))}, true
+		return reply{answer: answer, body: response.Stream, targetDone: response.Complete}, succeeded
 	}
 	answer.Inline, answer.Body = true, response.Body
-	return reply{answer: answer}, response.Status < http.StatusInternalServerError
+	return reply{answer: answer}, succeeded
 }
 
 // notRunReply returns the reply for a call that the target received but did not
--- a/node/sidecar/fixture_test.go
+++ b/node/sidecar/fixture_test.go
@@ -190,7 +190,7 @@
 
 // configure writes a configuration with idempotent requests at /safe/ and
 // others at /unsafe/.
-func (s *memoryStore) configure(t *testing.T, revision model.Revision, services ...model.Service) {
+func (s *memoryStore) configure(t testing.TB, revision model.Revision, services ...model.Service) {
 	d := testDocument{Revision: revision, Services: map[model.Service]routing.Service{}}
 	for _, name := range services {
 		d.Services[name] = routing.Service{HealthPath: "/health", ColdRate: 100}
@@ -210,14 +210,15 @@
 type testTarget struct {
 	server *httptest.Server
 	id     string
+	slots  int // set before the target serves
 
 	mu     sync.Mutex
 	ran    []*http.Request
 	handle http.HandlerFunc
 }
 
-func newTestTarget(t *testing.T, id string) *testTarget {
-	target := &testTarget{id: id}
+func newTestTarget(t testing.TB, id string) *testTarget {
+	target := &testTarget{id: id, slots: 8}
 	target.server = httptest.NewServer(http.HandlerFunc(target.serve))
 	t.Cleanup(target.server.Close)
 	return target
@@ -230,7 +231,7 @@
 	id := x.id
 	x.mu.Unlock()
 	w.Header().Set("X-Target", id)
-	w.Header().Set("X-Load", "0,0,8")
+	w.Header().Set("X-Load", fmt.Sprintf("0,0,%d", x.slots))
 	if r.URL.Path == "/health" {
 		return
 	}
@@ -302,7 +303,7 @@
 // testNode is a node with its target and its log.
 type testNode struct {
 	*Node
-	t      *testing.T
+	t      testing.TB
 	target *testTarget
 	log    *logBuffer
 }
@@ -325,11 +326,11 @@
 }
 
 // startNode starts a node beside a target.
-func startNode(t *testing.T, store Store, domain model.Domain, service model.Service, target *testTarget) *testNode {
+func startNode(t testing.TB, store Store, domain model.Domain, service model.Service, target *testTarget) *testNode {
 	return startNodeAt(t, store, domain, service, target, freeAddr())
 }
 
-func startNodeAt(t *testing.T, store Store, domain model.Domain, service model.Service, target *testTarget, peerAddr string) *testNode {
+func startNodeAt(t testing.TB, store Store, domain model.Domain, service model.Service, target *testTarget, peerAddr string) *testNode {
 	log := &logBuffer{}
 	n, err := Start(Options{
 		Settings: Settings{
@@ -347,7 +348,7 @@
 
 // eventually waits for a condition, and fails the test if it does not hold
 // within about 15 s.
-func eventually(t *testing.T, what string, condition func() bool) {
+func eventually(t testing.TB, what string, condition func() bool) {
 	t.Helper()
 	for range 3000 {
 		if condition() {
--- a/node/sidecar/node.go
+++ b/node/sidecar/node.go
@@ -159,17 +159,19 @@
 	for _, l := range []struct {
 		name, address string
 		serve         func(net.Listener) error
+		silentPeer    time.Duration
 	}{
-		{"peers", n.settings.Peers, n.server.Serve},
-		{"announcements", n.settings.Announcements, n.httpServer(announcements)},
-		{"readiness", n.settings.Readiness, n.httpServer(readiness)},
-		{"metrics", n.settings.Metrics, n.httpServer(http.HandlerFunc(n.serveMetrics))},
-		{"callers", n.settings.Callers, n.front.Serve},
+		{"peers", n.settings.Peers, n.server.Serve, sockets.SilentPeerTimeout},
+		{"announcements", n.settings.Announcements, n.httpServer(announcements), sockets.SilentPeerTimeout},
+		{"readiness", n.settings.Readiness, n.httpServer(readiness), sockets.SilentPeerTimeout},
+		{"metrics", n.settings.Metrics, n.httpServer(http.HandlerFunc(n.serveMetrics)), sockets.SilentPeerTimeout},
+		// Callers may pause while they read a long answer.
+		{"callers", n.settings.Callers, n.front.Serve, front.WriteTimeout},
 	} {
 		if l.address == "" {
 			continue
 		}
-		listener, err := sockets.Listen(l.address)
+		listener, err := sockets.Listen(l.address, l.silentPeer)
 		if err != nil {
 			return oops.In("node").Hint("Set the address of " + l.name + " to one that is free on this VM.").Wrap(err)
 		}
--- a/node/sidecar/target.go
+++ b/node/sidecar/target.go
@@ -43,16 +43,18 @@
 	addr          string
 	pool          *upstream.Pool
 	health        *upstream.Pool
-	unanswered    int
-	answeredAt    time.Time // time of the last answer to any request
-	wake          chan struct{}
+	// buffers is the memory for long answers of the target.
+	buffers    *upstream.Buffers
+	unanswered int
+	answeredAt time.Time // time of the last answer to any request
+	wake       chan struct{}
 	// paceRefresh is closed when the health request that calls wait for has
 	// ended.
 	paceRefresh chan struct{}
 }
 
 func newTarget(n *Node) *target {
-	t := &target{node: n, service: n.settings.Service, addr: n.settings.Target, wake: make(chan struct{}, 1), withdrawals: make(map[string]withdrawal)}
+	t := &target{node: n, service: n.settings.Service, addr: n.settings.Target, wake: make(chan struct{}, 1), withdrawals: make(map[string]withdrawal), buffers: upstream.NewBuffers(answerBuffers)}
 	t.replacePools()
 	return t
 }
@@ -65,9 +67,9 @@
 		t.health.Close()
 	}
 	fields := upstream.Fields{RequestID: t.node.dialect.RequestID, Mark: t.node.dialect.Mark}
-	t.pool = upstream.NewPool(t.addr, fields, t.maxConnections())
+	t.pool = upstream.NewPool(t.addr, fields, t.maxConnections(), t.buffers)
 	// watchHealth and refreshPace send one health request at a time each.
-	t.health = upstream.NewPool(t.addr, fields, 2)
+	t.health = upstream.NewPool(t.addr, fields, 2, t.buffers)
 }
 
 // maxConnections returns the limit of the connections for calls: the service's
--- a/node/sockets/sockets.go
+++ b/node/sockets/sockets.go
@@ -13,9 +13,9 @@
 )
 
 const (
-	// userTimeout is the maximum time for which sent bytes may stay unacknowledged.
-	// It allows three retransmissions of a lost packet.
-	userTimeout = 1500 * time.Millisecond
+	// SilentPeerTimeout is the usual maximum time for which sent bytes may stay
+	// unacknowledged. It allows three retransmissions of a lost packet.
+	SilentPeerTimeout = 1500 * time.Millisecond
 	// keepAliveIdle, keepAliveInterval and keepAliveCount detect an unresponsive
 	// peer of an idle connection within three seconds.
 	keepAliveIdle     = time.Second
@@ -29,21 +29,41 @@
 
 // Dial opens a connection to the address.
 func Dial(ctx context.Context, addr string, timeout time.Duration) (net.Conn, error) {
-	d := net.Dialer{Timeout: timeout, KeepAliveConfig: keepAlive, Control: setUserTimeout}
+	d := net.Dialer{Timeout: timeout, KeepAliveConfig: keepAlive, Control: func(_, _ string, raw syscall.RawConn) error {
+		return setUserTimeout(raw, SilentPeerTimeout)
+	}}
 	return d.DialContext(ctx, "tcp4", addr)
 }
 
 // Listen listens on the address. The connections that it accepts detect an
-// unresponsive peer, too.
-func Listen(addr string) (net.Listener, error) {
-	c := net.ListenConfig{KeepAliveConfig: keepAlive, Control: setUserTimeout}
+// unresponsive peer, too: see SetSilentPeerTimeout for the timeout.
+func Listen(addr string, silentPeer time.Duration) (net.Listener, error) {
+	c := net.ListenConfig{KeepAliveConfig: keepAlive, Control: func(_, _ string, raw syscall.RawConn) error {
+		return setUserTimeout(raw, silentPeer)
+	}}
 	return c.Listen(context.Background(), "tcp4", addr)
 }
 
-func setUserTimeout(_, _ string, raw syscall.RawConn) error {
+// SetSilentPeerTimeout sets the maximum time for which bytes sent on the connection
+// may stay unacknowledged. The kernel also counts the time for which a live peer
+// does not read, so a long body needs as much as its reader may pause. It does
+// nothing for a connection that is not a TCP connection.
+func SetSilentPeerTimeout(conn net.Conn, timeout time.Duration) {
+	c, ok := conn.(syscall.Conn)
+	if !ok {
+		return
+	}
+	raw, err := c.SyscallConn()
+	if err != nil {
+		return // the connection is closed
+	}
+	_ = setUserTimeout(raw, timeout) // fails only on a closed connection
+}
+
+func setUserTimeout(raw syscall.RawConn, timeout time.Duration) error {
 	var err error
 	if e := raw.Control(func(fd uintptr) {
-		err = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, tcpUserTimeout, int(userTimeout.Milliseconds()))
+		err = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, tcpUserTimeout, int(timeout.Milliseconds()))
 	}); e != nil {
 		return e
 	}
--- a/node/upstream/conn.go
+++ b/node/upstream/conn.go
@@ -11,6 +11,8 @@
 	"strconv"
 	"sync"
 	"time"
+
+	"zinniafall/node/sockets"
 )
 
 // conn is one connection to the target. Its readLoop reads at all times, so that
@@ -155,6 +157,10 @@
 	if _, err := c.net.Write(head.Bytes()); err != nil {
 		return true, err
 	}
+	// The target may pause while it reads a long body. The timeout stays, since the
+	// last bytes may wait in the socket's buffer; markIdle does not let the
+	// connection be reused.
+	sockets.SetSilentPeerTimeout(c.net, bodyTimeout)
 	if err := c.writeStream(r, chunked); err != nil {
 		return true, err
 	}
@@ -300,24 +306,42 @@
 // keep reading from the connection.
 func (c *conn) deliver(x *exchange, response *http.Response) bool {
 	out := &Response{Status: response.StatusCode, Header: response.Header, Length: response.ContentLength}
-	buffered, err := io.ReadAll(io.LimitReader(response.Body, maxBufferedBody))
+	length := response.ContentLength
+	if response.Body == http.NoBody {
+		length = 0 // the answer to HEAD states the length of the body that it omits
+	}
+	head, whole, err := readSmall(response.Body, length)
+	var read *chunks
+	if err == nil && !whole {
+		read, whole, err = c.pool.buffers.readLarge(head, response.Body, length)
+	}
 	if err != nil {
 		x.result <- Result{Err: errors.Join(ErrCutOff, err), Sent: true}
 		return false
 	}
-	if len(buffered) < maxBufferedBody {
-		out.Body = buffered
-		reusable := c.markIdle(x, response)
-		if reusable {
-			c.pool.putIdle(c)
-		} else {
-			c.close()
-		}
-		x.result <- Result{Response: out, Sent: true}
-		return reusable
+	if !whole {
+		return c.deliverStream(x, response, out, read)
+	}
+	if read == nil {
+		out.Body = head
+	} else {
+		out.Stream, out.Complete = &bufferedBody{read}, true
+	}
+	reusable := c.markIdle(x, response)
+	if reusable {
+		c.pool.putIdle(c)
+	} else {
+		c.close()
 	}
+	x.result <- Result{Response: out, Sent: true}
+	return reusable
+}
+
+// deliverStream passes on a response whose body is read from the connection, after
+// the part that was read already. It returns when the body is closed.
+func (c *conn) deliverStream(x *exchange, response *http.Response, out *Response, read *chunks) bool {
 	end := make(chan bool, 1)
-	out.Stream = &streamedBody{reader: io.MultiReader(bytes.NewReader(buffered), response.Body), conn: c, end: end}
+	out.Stream = &streamedBody{read: read, rest: response.Body, conn: c, end: end}
 	x.result <- Result{Response: out, Sent: true}
 	if !<-end || !c.markIdle(x, response) {
 		return false
@@ -340,20 +364,33 @@
 	if stray {
 		strayBytes.Inc()
 	}
-	return x.written && !response.Close && !stray && c.skippedResponses == 0 && c.keepAlive > 0 && !c.closed
+	return x.written && x.request.RemainingBody == nil && !response.Close && !stray && c.skippedResponses == 0 && c.keepAlive > 0 && !c.closed
 }
 
-// streamedBody is a response body that is too long to buffer. It sends on end
+// bufferedBody is a whole response body in memory.
+type bufferedBody struct{ *chunks }
+
+// Close frees the memory of what was not read.
+func (b *bufferedBody) Close() error {
+	b.close()
+	return nil
+}
+
+// streamedBody is a response body that is read from the connection. It sends on end
 // whether the body was read to its end.
 type streamedBody struct {
-	reader io.Reader
-	conn   *conn
-	end    chan bool
-	once   sync.Once
+	read *chunks
+	rest io.Reader
+	conn *conn
+	end  chan bool
+	once sync.Once
 }
 
 func (b *streamedBody) Read(p []byte) (int, error) {
-	n, err := b.reader.Read(p)
+	if n, err := b.read.Read(p); err == nil {
+		return n, nil
+	}
+	n, err := b.rest.Read(p)
 	if err == io.EOF {
 		b.once.Do(func() { b.end <- true })
 	}
@@ -362,6 +399,7 @@
 
 // Close closes the connection unless the body was read to its end.
 func (b *streamedBody) Close() error {
+	b.read.close()
 	b.once.Do(func() {
 		b.end <- false
 		b.conn.close()
--- a/node/upstream/upstream.go
+++ b/node/upstream/upstream.go
@@ -42,6 +42,8 @@
 const (
 	// dialTimeout bounds dialing; the target is on the same VM.
 	dialTimeout = 500 * time.Millisecond
+	// bodyTimeout bounds how long the target may pause while it reads a long body.
+	bodyTimeout = 15 * time.Second
 	// keepAliveMargin is subtracted from the keep-alive timeout that the target
 	// states, which is in whole seconds.
 	keepAliveMargin = 1500 * time.Millisecond
@@ -56,9 +58,6 @@
 	maxInlineWrite = 32 << 10
 	// maxSkippedResponses bounds the late duplicates skipped on one connection.
 	maxSkippedResponses = 4
-	// maxBufferedBody is the length in bytes from which a response body is streamed
-	// instead of buffered.
-	maxBufferedBody = 1 << 20
 )
 
 // Fields holds the names of the header fields that match responses to requests.
@@ -92,10 +91,13 @@
 	Header http.Header
 	// Body is the whole body if Stream is nil.
 	Body []byte
-	// Stream reads a body that is too long to buffer. It returns io.EOF only at
-	// the end of a complete body.
+	// Stream reads a body longer than MaxSmallBody. It returns io.EOF only at the
+	// end of a complete body. It must be closed.
 	Stream io.ReadCloser
-	Length int64
+	// Complete reports whether the target has sent the whole body: Stream then
+	// reads it from memory.
+	Complete bool
+	Length   int64
 }
 
 // Result is the response to one request, or the reason why there is none.
@@ -113,6 +115,8 @@
 	addr   string
 	fields Fields
 	max    int
+	// buffers is the memory for long response bodies.
+	buffers *Buffers
 
 	mu     sync.Mutex
 	idle   []*conn
@@ -120,9 +124,10 @@
 	closed bool
 }
 
-// NewPool returns a pool of at most max connections; 0 means no limit.
-func NewPool(addr string, fields Fields, max int) *Pool {
-	return &Pool{addr: addr, fields: fields, max: max}
+// NewPool returns a pool of at most max connections; 0 means no limit. Long
+// response bodies are held in buffers.
+func NewPool(addr string, fields Fields, max int, buffers *Buffers) *Pool {
+	return &Pool{addr: addr, fields: fields, max: max, buffers: buffers}
 }
 
 // Addr returns the target's address.
--- a/node/upstream/upstream_test.go
+++ b/node/upstream/upstream_test.go
@@ -15,6 +15,9 @@
 	qt "github.com/frankban/quicktest"
 )
 
+// testBuffers is the memory for long bodies, in bytes: enough for two.
+const testBuffers = 2 * maxBufferedBody
+
 var testFields = Fields{RequestID: "X-Id", Mark: "X-Mark"}
 
 // startTarget starts a target that handles each connection with serve, and
@@ -36,7 +39,7 @@
 			}()
 		}
 	}()
-	p := NewPool(l.Addr().String(), testFields, 0)
+	p := NewPool(l.Addr().String(), testFields, 0, NewBuffers(testBuffers))
 	t.Cleanup(func() {
 		p.Close()
 		_ = l.Close()
@@ -194,7 +197,7 @@
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	qt.Assert(t, err, qt.IsNil)
 	_ = l.Close()
-	result := NewPool(l.Addr().String(), testFields, 0).Do(t.Context(), newRequest("1"))
+	result := NewPool(l.Addr().String(), testFields, 0, NewBuffers(testBuffers)).Do(t.Context(), newRequest("1"))
 	qt.Assert(t, result.Sent, qt.IsFalse)
 	qt.Assert(t, result.Refused, qt.IsTrue)
 }
