Mend faults that a reader of the code found

- node/sidecar: a load header with NaN, an infinity or an absurd figure was taken; a stated time of over 292 years overflowed.
- node/sidecar: a connection limit of 1 to 4 meant no limit, and a changed limit did not reach the pool in use.
- node/sidecar, node/owner, node/execute: a call whose time was over while it waited or connected was called canceled; problem.Ended tells the two apart in one place.
- policy/placement: a cold target that was found while other regions were compared was never tried.
- node/configuration: a retry waited for its backoff and RetryDelay besides.
- node/server: a failed start left the tracer's goroutine and its context behind.
- node/front: a 204 stated the Content-Length that the handler had set.
- policy/calltoken: a signer without secrets is refused instead of panicking later.
- node/platform: Renew and End are no writes on purpose, now said: to repeat them is safe, so that a lost answer is retried.

--- a/node/configuration/applier_test.go
+++ b/node/configuration/applier_test.go
@@ -8,6 +8,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	qt "github.com/frankban/quicktest"
 
 	"zinniafall/node/platform"
@@ -28,6 +29,19 @@
   "services": {"permits": {"template": "booking"}}
 }`
 
+// A retry waited for the backoff and for RetryDelay besides, up to twice the backoff.
+func TestRetryWaitsForItsBackoffOnly(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		a := New(Options{RetryDelay: 200 * time.Millisecond, Metrics: metrics.NewSet()})
+		for _, wait := range []time.Duration{50 * time.Millisecond, 200 * time.Millisecond, time.Second} {
+			began := time.Now()
+			var sources []model.NodeAddr
+			a.awaitRetry(t.Context(), wait, &sources)
+			qt.Assert(t, time.Since(began), qt.Equals, wait)
+		}
+	})
+}
+
 // fleet is a store and nodes that call each other directly.
 type fleet struct {
 	t     *testing.T
--- a/node/configuration/fetch.go
+++ b/node/configuration/fetch.go
@@ -100,14 +100,15 @@
 	}
 }
 
-// awaitRetry waits before the next retry: first for about RetryDelay, but at most
-// for wait, and then for wait. In the second part, an announcement of a node that
-// is not a source yet ends the wait early. It updates the sources.
+// awaitRetry waits for the given time before the next retry. After about RetryDelay
+// of it, an announcement of a node that is not a source yet ends the wait early. It
+// updates the sources.
 func (a *Applier) awaitRetry(ctx context.Context, wait time.Duration, sources *[]model.NodeAddr) {
-	if !sleep(ctx, min(wait, a.jitter(a.options.RetryDelay))) {
+	undisturbed := min(wait, a.jitter(a.options.RetryDelay))
+	if !sleep(ctx, undisturbed) {
 		return
 	}
-	timer := time.NewTimer(wait)
+	timer := time.NewTimer(wait - undisturbed)
 	defer timer.Stop()
 	for {
 		select {
--- a/node/execute/execute.go
+++ b/node/execute/execute.go
@@ -306,10 +306,7 @@
 	}
 	if ctx.Err() != nil {
 		a.finish(admission.Abandoned)
-		if !time.Now().Before(a.deadline) {
-			return ProblemReply(problem.New(problem.DeadlineExceeded, model.RunUnknown, "the target did not answer in time"))
-		}
-		return ProblemReply(problem.New(problem.Canceled, model.RunUnknown, "the caller closed the request while it ran"))
+		return ProblemReply(problem.Ended(ctx.Err(), model.RunUnknown, "the target ran the call"))
 	}
 	if result.Err == target.ErrUnframed {
 		a.finish(admission.Failed)
@@ -326,7 +323,7 @@
 func (a *attempt) handleNotSent(ctx context.Context, err error) *Reply {
 	if ctx.Err() != nil {
 		a.finish(admission.Abandoned)
-		return ProblemReply(problem.New(problem.Canceled, model.RunNo, "the call ended before a connection to the target was open"))
+		return ProblemReply(problem.Ended(ctx.Err(), model.RunNo, "a connection to the target was opened"))
 	}
 	a.finish(admission.Crashed)
 	return ProblemReply(problem.New(problem.TargetFailed, model.RunNo, "the target took no connection: "+err.Error()))
--- a/node/front/front_test.go
+++ b/node/front/front_test.go
@@ -242,6 +242,30 @@
 
 func (failingReader) Read([]byte) (int, error) { return 0, errors.New("cut off") }
 
+// The answer to HEAD and a 304 state the length of the body that they omit; a 204 has
+// no body, and some callers wait for the bytes of a length that it states.
+func TestLengthOfResponsesWithoutABody(t *testing.T) {
+	for name, c := range map[string]struct {
+		method string
+		status int
+		want   string
+	}{
+		"HEAD":          {"HEAD", 200, "5"},
+		"not modified":  {"GET", 304, "5"},
+		"no content":    {"GET", 204, ""},
+		"HEAD with 204": {"HEAD", 204, ""},
+	} {
+		_, addr := startServer(t, testLimits, func(context.Context, *Request) *Response {
+			return &Response{Status: c.status, Header: http.Header{"Content-Length": {"5"}}}
+		})
+		caller := dial(t, addr)
+		caller.send(c.method + " / HTTP/1.1\r\nHost: h\r\n\r\n")
+		response, err := http.ReadResponse(caller.r, &http.Request{Method: c.method})
+		qt.Assert(t, err, qt.IsNil)
+		qt.Assert(t, response.Header.Get("Content-Length"), qt.Equals, c.want, qt.Commentf("%s", name))
+	}
+}
+
 func TestExpectContinueIsAnsweredBeforeTheBody(t *testing.T) {
 	_, addr := startServer(t, testLimits, echo)
 	c := dial(t, addr)
--- a/node/front/write.go
+++ b/node/front/write.go
@@ -89,7 +89,7 @@
 	_, _ = w.WriteString(http.StatusText(r.Status))
 	_, _ = w.WriteString("\r\n")
 	skip := map[string]bool{"Content-Length": true, "Transfer-Encoding": true, "Connection": true, "Keep-Alive": true}
-	if bodiless {
+	if bodiless && r.Status != http.StatusNoContent { // which must not state a length
 		delete(skip, "Content-Length")
 	}
 	_ = r.Header.WriteSubset(w, skip)
--- a/node/owner/owner.go
+++ b/node/owner/owner.go
@@ -146,7 +146,7 @@
 	case release := <-offer.reply:
 		return slotOrRefusal(slot, release)
 	case <-ctx.Done():
-		return nil, o.abandon(slot, offer)
+		return nil, o.abandon(ctx, slot, offer)
 	case <-o.done:
 		return nil, problem.New(problem.Draining, model.RunNo, "the node has stopped")
 	}
@@ -162,7 +162,7 @@
 // abandon withdraws an offer whose caller left. If the call got its slot at
 // the same moment, the slot is released unused. It waits until the event loop
 // has processed the withdrawal or has ended, and always returns a problem.
-func (o *Owner) abandon(slot *Slot, offer *offerEvent) *problem.Error {
+func (o *Owner) abandon(ctx context.Context, slot *Slot, offer *offerEvent) *problem.Error {
 	withdrawn := make(chan struct{})
 	o.send(&abandonEvent{ticket: slot.ticket, withdrawn: withdrawn})
 	select {
@@ -176,7 +176,7 @@
 		}
 	default:
 	}
-	return problem.New(problem.Canceled, model.RunNo, "the caller closed the request while it waited")
+	return problem.Ended(ctx.Err(), model.RunNo, "the call waited for a slot")
 }
 
 // Announce records an announcement of the target or its renewal.
--- a/node/platform/kv.go
+++ b/node/platform/kv.go
@@ -118,7 +118,8 @@
 	return response.ID, err
 }
 
-// Renew extends a lease by its time to live.
+// Renew extends a lease by its time to live. To repeat it is safe, so it is not
+// marked as a write and is retried after a lost answer.
 func (c *Client) Renew(ctx context.Context, id LeaseID) (bool, error) {
 	response, err := c.do(ctx, call{
 		op: "renew", key: string(id), timeout: c.options.Timeout, allowNotFound: true,
@@ -130,7 +131,7 @@
 	return response.StatusCode == http.StatusOK, nil
 }
 
-// End deletes a lease and its keys.
+// End deletes a lease and its keys. To repeat it is safe; see Renew.
 func (c *Client) End(ctx context.Context, id LeaseID) error {
 	_, err := c.do(ctx, call{
 		op: "end", key: string(id), timeout: c.options.Timeout,
--- a/node/server/server.go
+++ b/node/server/server.go
@@ -90,12 +90,12 @@
 	}
 	s.incarnation = model.Incarnation(time.Now().UnixNano())
 	s.ctx, s.cancel = context.WithCancel(context.Background())
-	if err := s.listen(); err != nil {
-		s.listeners.close()
-		return nil, err
+	err := s.listen()
+	if err == nil {
+		err = s.assemble()
 	}
-	if err := s.assemble(); err != nil {
-		s.listeners.close()
+	if err != nil {
+		s.abandonStart()
 		return nil, err
 	}
 	s.run()
@@ -123,6 +123,16 @@
 	return nil
 }
 
+// abandonStart releases what a failed start has opened. assemble itself stops the
+// parts that it has started.
+func (s *Server) abandonStart() {
+	s.listeners.close()
+	if s.tracer != nil {
+		_ = s.tracer.Close(s.ctx) // no span was made yet
+	}
+	s.cancel()
+}
+
 func (l *listeners) close() {
 	for _, listener := range []net.Listener{l.callers, l.target, l.operators} {
 		if listener != nil {
--- a/node/sidecar/call.go
+++ b/node/sidecar/call.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"io"
 	"math/rand/v2"
 	"net/http"
@@ -342,12 +341,7 @@
 	if p.Run != model.RunNo {
 		c.targetAttempts++
 	}
-	kind := problem.DeadlineExceeded
-	if errors.Is(ctx.Err(), context.Canceled) {
-		kind = problem.Canceled
-	}
-	final := problem.New(kind, p.Run, "the time for the call was over")
-	return c.finalProblem(final)
+	return c.finalProblem(problem.Ended(ctx.Err(), p.Run, "an owner had the call"))
 }
 
 // response converts the target's answer to a response for the caller.
--- a/node/sidecar/execute.go
+++ b/node/sidecar/execute.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"io"
 	"net/http"
 	"strconv"
@@ -260,19 +259,17 @@
 		n.target.probeNow()
 		return refusedReply(problem.New(problem.TargetFailed, model.RunNo, "the target took no connection: "+result.Err.Error()))
 	case !result.Sent:
-		return refusedReply(problem.New(problem.Canceled, model.RunNo, "the call ended before a connection to the target was open"))
+		return refusedReply(problem.Ended(ctx.Err(), model.RunNo, "a connection to the target was opened"))
 	}
-	r := refusedReply(problem.New(problem.TargetFailed, model.RunUnknown, "the target did not answer: "+result.Err.Error()))
-	r.answer.Reached = true
-	switch {
-	case errors.Is(ctx.Err(), context.DeadlineExceeded):
-		r.answer.Problem.Kind = problem.DeadlineExceeded
-	case ctx.Err() != nil:
-		r.answer.Problem.Kind = problem.Canceled
-	default:
+	p := problem.New(problem.TargetFailed, model.RunUnknown, "the target did not answer: "+result.Err.Error())
+	if ctx.Err() != nil {
+		p = problem.Ended(ctx.Err(), model.RunUnknown, "the target ran the call")
+	} else {
 		n.target.probeNow()
 		n.crashes.recordLostConnection(a.job.request.Fingerprint)
 	}
+	r := refusedReply(p)
+	r.answer.Reached = true
 	return r
 }
 
--- a/node/sidecar/owner.go
+++ b/node/sidecar/owner.go
@@ -132,13 +132,13 @@
 	case refusal := <-reply:
 		return call.Ticket, refusal
 	case <-ctx.Done():
-		return 0, o.abandon(call.Ticket, reply)
+		return 0, o.abandon(ctx, call.Ticket, reply)
 	}
 }
 
 // abandon removes a waiting call from the queue. If the call was started in the
-// meantime, its slot is released. It always returns a Canceled problem.
-func (o *owner) abandon(t dispatch.Ticket, reply chan *problem.Error) *problem.Error {
+// meantime, its slot is released. It always returns a problem: that of the context.
+func (o *owner) abandon(ctx context.Context, t dispatch.Ticket, reply chan *problem.Error) *problem.Error {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	delete(o.waiting, t)
@@ -150,7 +150,7 @@
 		}
 	default:
 	}
-	return problem.New(problem.Canceled, model.RunNo, "the caller left while the call waited")
+	return problem.Ended(ctx.Err(), model.RunNo, "the call waited for a slot")
 }
 
 // finish releases a slot.
--- a/node/sidecar/probe.go
+++ b/node/sidecar/probe.go
@@ -12,6 +12,10 @@
 )
 
 const (
+	// maxLoadFigure bounds the figures of a load header, and maxMilliseconds a
+	// stated time: a day, in milliseconds. Larger ones would overflow.
+	maxLoadFigure   = 1e6
+	maxMilliseconds = 24 * 60 * 60 * 1000
 	// probeInterval is the time between health requests while calls are in
 	// progress, idleProbeInterval while there are none, and discoveryInterval
 	// while the target is unknown or down.
@@ -217,7 +221,8 @@
 	}
 }
 
-// parseLoad parses "running,waiting,slots[,percent]".
+// parseLoad parses "running,waiting,slots[,percent]". Each must be a number from 0
+// to maxLoadFigure.
 func parseLoad(text string) (dispatch.LoadReading, bool) {
 	parts := strings.Split(text, ",")
 	if len(parts) < 3 {
@@ -226,7 +231,7 @@
 	values := make([]float64, len(parts))
 	for i, p := range parts {
 		f, err := strconv.ParseFloat(strings.TrimSpace(p), 64)
-		if err != nil || f < 0 {
+		if err != nil || !(f >= 0 && f <= maxLoadFigure) { // also false for NaN
 			return dispatch.LoadReading{}, false
 		}
 		values[i] = f
@@ -239,10 +244,12 @@
 	return r, true
 }
 
+// milliseconds parses a number of milliseconds, of which it returns at most
+// maxMilliseconds.
 func milliseconds(text string) (time.Duration, bool) {
 	ms, err := strconv.ParseInt(strings.TrimSpace(text), 10, 64)
 	if err != nil || ms < 0 {
 		return 0, false
 	}
-	return time.Duration(ms) * time.Millisecond, true
+	return time.Duration(min(ms, maxMilliseconds)) * time.Millisecond, true
 }
--- a/node/sidecar/target.go
+++ b/node/sidecar/target.go
@@ -67,18 +67,18 @@
 		t.health.Close()
 	}
 	fields := upstream.Fields{RequestID: t.node.dialect.RequestID, Mark: t.node.dialect.Mark}
-	t.pool = upstream.NewPool(t.addr, fields, t.maxConnections(), t.buffers)
+	t.pool = upstream.NewPool(t.addr, fields, t.maxConnections(t.service), t.buffers)
 	// watchHealth and refreshPace send one health request at a time each.
 	t.health = upstream.NewPool(t.addr, fields, 2, t.buffers)
 }
 
-// maxConnections returns the limit of the connections for calls: the service's
-// limit without reservedConnections. It returns 0, which means no limit, if the
-// service's limit is unknown, unset or not above reservedConnections.
-func (t *target) maxConnections() int {
+// maxConnections returns the limit of the connections for calls to a target of the
+// service: the service's limit without reservedConnections, and at least 1. It
+// returns 0, which means no limit, if the service's limit is unknown or unset.
+func (t *target) maxConnections(service model.Service) int {
 	if table := t.node.configuration.current(); table != nil {
-		if s, ok := table.Services[t.service]; ok && s.MaxConnections > reservedConnections {
-			return s.MaxConnections - reservedConnections
+		if s, ok := table.Services[service]; ok && s.MaxConnections > 0 {
+			return max(s.MaxConnections-reservedConnections, 1)
 		}
 	}
 	return 0
@@ -132,11 +132,12 @@
 	t.node.fleet.setOwnTarget(service, slots, t.node.owner.report().State)
 }
 
-// configurationChanged applies the configured cold rate of the service. The
-// connection limit of the pools in use does not change.
+// configurationChanged applies the configured cold rate and connection limit of the
+// service.
 func (t *target) configurationChanged() {
 	t.mu.Lock()
 	service := t.service
+	t.pool.SetLimit(t.maxConnections(service))
 	t.mu.Unlock()
 	rate := t.coldRate(service)
 	t.node.owner.apply(func(d *dispatch.Owner, now time.Time) []dispatch.Decision {
--- a/node/sidecar/target_test.go
+++ b/node/sidecar/target_test.go
@@ -1,6 +1,9 @@
 package sidecar
 
 import (
+	"context"
+	"encoding/json"
+	"fmt"
 	"net/http"
 	"testing"
 	"time"
@@ -9,6 +12,8 @@
 
 	"zinniafall/policy/dispatch"
 	"zinniafall/policy/model"
+	"zinniafall/policy/problem"
+	"zinniafall/policy/routing"
 )
 
 func (n *testNode) announcement(startedMs, sequence int64) Announcement {
@@ -117,12 +122,71 @@
 		qt.Assert(t, ok, qt.IsTrue)
 		qt.Assert(t, got, qt.Equals, want)
 	}
-	for _, text := range []string{"", "1,2", "a,b,c", "1,-2,3"} {
+	for _, text := range []string{"", "1,2", "a,b,c", "1,-2,3", "NaN,0,8", "0,0,nan", "0,0,8,NaN", "0,0,8,Inf", "+Inf,0,8", "1e300,0,8"} {
 		_, ok := parseLoad(text)
 		qt.Assert(t, ok, qt.IsFalse, qt.Commentf("%q", text))
 	}
 }
 
+func TestMilliseconds(t *testing.T) {
+	for text, want := range map[string]time.Duration{"0": 0, " 1500 ": 1500 * time.Millisecond, "9223372036854775807": 24 * time.Hour} {
+		got, ok := milliseconds(text)
+		qt.Assert(t, ok, qt.IsTrue)
+		qt.Assert(t, got, qt.Equals, want)
+	}
+	for _, text := range []string{"", "-1", "1.5", "soon"} {
+		_, ok := milliseconds(text)
+		qt.Assert(t, ok, qt.IsFalse, qt.Commentf("%q", text))
+	}
+}
+
+// The log and the callers must tell a call whose time was over from one whose caller
+// left.
+func TestWaitingCallEndsWithTheProblemOfItsContext(t *testing.T) {
+	s := newMemoryStore()
+	s.configure(t, 1, "s")
+	target := newTestTarget(t, "t")
+	target.slots = 1
+	n := startNode(t, s, "d", "s", target)
+	n.waitForOwnTarget()
+	call := dispatch.Call{Class: "c", Deadline: time.Now().Add(time.Minute), Objective: time.Now().Add(time.Minute)}
+	_, p := n.owner.admit(t.Context(), call)
+	qt.Assert(t, p == nil, qt.IsTrue, qt.Commentf("%v", p))
+	expired, cancel := context.WithTimeout(t.Context(), time.Millisecond)
+	defer cancel()
+	_, p = n.owner.admit(expired, call)
+	qt.Assert(t, p.Kind, qt.Equals, problem.DeadlineExceeded)
+	left, cancel := context.WithCancel(t.Context())
+	cancel()
+	_, p = n.owner.admit(left, call)
+	qt.Assert(t, p.Kind, qt.Equals, problem.Canceled)
+}
+
+// A limit that is not above the reserve must not mean no limit, and a changed limit
+// applies to the pool in use.
+func TestConnectionLimitOfTheServiceApplies(t *testing.T) {
+	s := newMemoryStore()
+	configure := func(revision model.Revision, limit int) {
+		raw, err := json.Marshal(testDocument{
+			Revision: revision, Services: map[model.Service]routing.Service{"s": {HealthPath: "/health", ColdRate: 100, MaxConnections: limit}},
+			Routes: []routing.Route{{Name: "all", Host: "s", Prefix: "/", Backends: []routing.Backend{{Service: "s", Weight: 1}}, MaxAttempts: 1}},
+		})
+		qt.Assert(t, err, qt.IsNil)
+		s.put("ops/config", raw, false)
+	}
+	configure(1, 0)
+	n := startNode(t, s, "d", "s", newTestTarget(t, "t"))
+	n.waitForOwnTarget()
+	for i, test := range []struct{ limit, want int }{{1, 1}, {4, 1}, {5, 1}, {260, 256}, {0, 0}, {2, 1}} {
+		configure(model.Revision(i+2), test.limit)
+		eventually(t, "the revision is in force", func() bool { return n.configuration.revision() == model.Revision(i+2) })
+		eventually(t, fmt.Sprintf("a limit of %d allows %d connections", test.limit, test.want), func() bool {
+			_, _, pool := n.Node.target.identity()
+			return pool.Limit() == test.want
+		})
+	}
+}
+
 // Replays hunt-1fc9-15 on trla-perth: a node that had just started got the
 // withdrawal of a target that it did not know yet. An announcement sent before
 // the withdrawal arrived after it and made the target ready again.
--- a/node/upstream/upstream.go
+++ b/node/upstream/upstream.go
@@ -114,11 +114,11 @@
 type Pool struct {
 	addr   string
 	fields Fields
-	max    int
 	// buffers is the memory for long response bodies.
 	buffers *Buffers
 
 	mu     sync.Mutex
+	max    int
 	idle   []*conn
 	open   int
 	closed bool
@@ -130,6 +130,21 @@
 	return &Pool{addr: addr, fields: fields, max: max, buffers: buffers}
 }
 
+// SetLimit changes the number of connections that may be open; 0 means no limit.
+// Those that are open beyond it stay open until they are idle for too long.
+func (p *Pool) SetLimit(max int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.max = max
+}
+
+// Limit returns the number of connections that may be open; 0 means no limit.
+func (p *Pool) Limit() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.max
+}
+
 // Addr returns the target's address.
 func (p *Pool) Addr() string { return p.addr }
 
--- a/policy/calltoken/calltoken.go
+++ b/policy/calltoken/calltoken.go
@@ -11,6 +11,7 @@
 	"crypto/hmac"
 	"crypto/sha256"
 	"encoding/base64"
+	"errors"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -51,9 +52,15 @@
 // Signer signs and verifies tokens.
 type Signer struct{ keys [][]byte }
 
-// NewSigner returns a signer whose keys are derived from the secrets. The first
-// secret signs, and tokens of all secrets are accepted.
+// errNoSecret reports a signer that could sign nothing.
+var errNoSecret = errors.New("there is no secret to sign call tokens with; state at least one")
+
+// NewSigner returns a signer whose keys are derived from the secrets, of which there
+// must be one at least. The first one signs, and tokens of all are accepted.
 func NewSigner(secrets [][]byte) (*Signer, error) {
+	if len(secrets) == 0 {
+		return nil, errNoSecret
+	}
 	s := new(Signer)
 	for _, secret := range secrets {
 		key, err := hkdf.Key(sha256.New, secret, nil, keyInfo, sha256.Size)
@@ -65,8 +72,7 @@
 	return s, nil
 }
 
-// Sign returns the signed token in the text form for a header. It panics if the
-// signer has no secrets.
+// Sign returns the signed token in the text form for a header.
 func (s *Signer) Sign(t Token) string {
 	raw, err := cbor.Marshal(t)
 	if err != nil {
--- a/policy/calltoken/calltoken_test.go
+++ b/policy/calltoken/calltoken_test.go
@@ -19,6 +19,11 @@
 	return Token{Account: "alder", Depth: 3, Allowance: 2, Expires: testNow.Add(time.Second).UnixMilli()}
 }
 
+func TestSignerNeedsASecret(t *testing.T) {
+	_, err := NewSigner(nil)
+	qt.Assert(t, err, qt.IsNotNil)
+}
+
 func TestVerify(t *testing.T) {
 	signer, err := NewSigner([][]byte{testSecret})
 	qt.Assert(t, err, qt.IsNil)
--- a/policy/placement/choose.go
+++ b/policy/placement/choose.go
@@ -103,10 +103,9 @@
 }
 
 // pickPredicted implements Predicted. It compares candidates of the entry's own
-// failure domain with candidates of other domains in its region, and takes a
-// cold trial as soon as it finds one there. Candidates of other regions are
-// compared only if the best predicted time is above the round trip to another
-// region.
+// failure domain with candidates of other domains in its region. Candidates of
+// other regions are compared only if the best predicted time is above the round
+// trip to another region. It takes a cold trial as soon as it finds one.
 func (p *Placer) pickPredicted(at time.Duration, svc *service, q *Query) *target {
 	s := candidateSearch{at: at, query: q, bestTime: math.Inf(1), coldFallbackTime: math.Inf(1)}
 	ownDomainChoices := max(p.options.Choices/2, p.options.Choices-len(svc.ownRegion))
@@ -120,7 +119,10 @@
 	if s.bestTime > float64(p.options.RegionRoundTrip) {
 		p.compareCandidates(&s, svc.otherRegion, p.options.Choices)
 	}
-	if s.best == nil {
+	switch {
+	case s.coldTrial != nil:
+		return s.coldTrial
+	case s.best == nil:
 		return s.coldFallback
 	}
 	return s.best
--- a/policy/placement/placement_test.go
+++ b/policy/placement/placement_test.go
@@ -186,6 +186,17 @@
 	qt.Assert(t, w.share(nil, "f"), qt.Equals, 1.0)
 }
 
+// A cold target of another region gets its trials once that region is compared.
+func TestColdTargetOfAnotherRegionIsTried(t *testing.T) {
+	w := newTestEntry(Predicted, 1, 2)
+	w.targets[5].Region = "elsewhere"
+	w.SetTargets(w.now, permits, w.targets)
+	w.reportIdleExcept("f", func(r *model.Report) { r.State, r.Limit = model.TargetCold, 6 })
+	qt.Assert(t, w.share(nil, "f"), qt.Equals, 0.0)
+	w.reportLoad(2, 120, "a", "b", "c", "d", "e")
+	qt.Assert(t, w.share(nil, "f") >= 0.1, qt.IsTrue)
+}
+
 func TestProblemWhenNoTargetIsChosen(t *testing.T) {
 	w := newTestEntry(Predicted, 1, 3)
 	all := []model.NodeAddr{"a", "b", "c", "d", "e", "f"}
--- a/policy/problem/problem.go
+++ b/policy/problem/problem.go
@@ -4,6 +4,7 @@
 package problem
 
 import (
+	"context"
 	"errors"
 	"net/http"
 	"time"
@@ -98,6 +99,16 @@
 	RetryAfter time.Duration `cbor:"4,keyasint" json:"-"`
 }
 
+// Ended returns the problem of a call whose context ended with the given error:
+// DeadlineExceeded if its time was over, Canceled if its caller left. during is what
+// was going on.
+func Ended(cause error, run model.Run, during string) *Error {
+	if errors.Is(cause, context.DeadlineExceeded) {
+		return New(DeadlineExceeded, run, "the deadline passed while "+during)
+	}
+	return New(Canceled, run, "the caller left while "+during)
+}
+
 // New returns a problem of the given kind. Pass model.RunNo only if no target
 // can have received any byte of the call.
 func New(kind Kind, run model.Run, detail string) *Error {
