Delete all retired parts, keep debts on eviction

policy/config: parts retired beyond the limit of the head were forgotten and stayed in the store; they are deleted in the commit that passes the limit. policy/fairqueue: a full queue evicted the longest idle account whatever it owed; it now evicts the one with the least debt among the longest idle. policy/admission: a new instance inherits the breaker on purpose, now said: a crash loop shows only over instances. Both tests failed before.

--- a/policy/admission/circuit.go
+++ b/policy/admission/circuit.go
@@ -27,7 +27,9 @@
 // breaker is the circuit breaker of a target. It stays open for a time after it
 // trips; then the target is cold and gets one call at a time. The target is now
 // on probation: fewer failures or a single crash trip the breaker again, and the
-// open time doubles with each trip, up to maxOpenTime.
+// open time doubles with each trip, up to maxOpenTime. A new instance of the target
+// inherits all of it: a target that crashes comes back as a new instance, and only
+// the count over instances shows that it does so in a loop.
 type breaker struct {
 	minOpenTime, maxOpenTime time.Duration
 	openTime                 time.Duration
--- a/policy/config/commit_test.go
+++ b/policy/config/commit_test.go
@@ -397,3 +397,22 @@
 		t.Fatal(err)
 	}
 }
+
+// Parts beyond the limit were forgotten without being deleted.
+func TestRetiredPartsBeyondTheLimitAreDeleted(t *testing.T) {
+	old := &Head{Revision: 10}
+	for i := range maxRetiredParts - 1 {
+		old.Retired = append(old.Retired, Retired{Nonce: Nonce{byte(i), byte(i >> 8)}, At: 10})
+	}
+	const replaced = 100
+	for i := range replaced {
+		old.Parts = append(old.Parts, Part{Nonce: Nonce{1, 2, 3, byte(i)}})
+	}
+	p := &preparedHead{head: &Head{Revision: 11}}
+	p.retireParts(old)
+	qt.Assert(t, p.deletes, qt.HasLen, replaced-1)
+	all := len(p.head.Retired)
+	p.removeDeleted(p.deletes)
+	qt.Assert(t, p.head.Retired, qt.HasLen, maxRetiredParts)
+	qt.Assert(t, len(p.head.Retired)+len(p.deletes), qt.Equals, all)
+}
--- a/policy/config/prepare.go
+++ b/policy/config/prepare.go
@@ -68,8 +68,8 @@
 }
 
 // retireParts adds the parts that the new head no longer lists to its retired
-// parts, and selects those to delete: the ones unused for retentionRevisions.
-// No commit can list a retired part again, since it would have to be based on
+// parts, and selects those to delete: the ones unused for retentionRevisions, and
+// all that are beyond maxRetiredParts, since the head forgets them. No commit can list a retired part again, since it would have to be based on
 // a head that lists it.
 func (p *preparedHead) retireParts(old *Head) {
 	used := make(map[string]bool, len(p.head.Parts))
@@ -82,15 +82,18 @@
 			p.head.Retired = append(p.head.Retired, Retired{Nonce: part.Nonce, Digest: part.digest(), At: p.head.Revision})
 		}
 	}
-	for _, r := range p.head.Retired {
-		if r.At+retentionRevisions <= p.head.Revision && len(p.deletes) < maxDeletesPerCommit {
+	excess := len(p.head.Retired) - maxRetiredParts
+	for i, r := range p.head.Retired {
+		expired := r.At+retentionRevisions <= p.head.Revision
+		if i < excess || expired && len(p.deletes) < maxDeletesPerCommit {
 			p.deletes = append(p.deletes, r.Key())
 		}
 	}
 }
 
 // removeDeleted removes deleted parts from the retired parts of the head. Of the
-// rest it keeps the newest maxRetiredParts.
+// rest it keeps the newest maxRetiredParts; older ones, whose deletion failed, stay
+// in the store for good.
 func (p *preparedHead) removeDeleted(deleted []string) {
 	p.head.Retired = slices.DeleteFunc(p.head.Retired, func(r Retired) bool {
 		return slices.Contains(deleted, r.Key())
--- a/policy/fairqueue/fairqueue_test.go
+++ b/policy/fairqueue/fairqueue_test.go
@@ -204,6 +204,21 @@
 	qt.Assert(t, q.Flow(begin, "debtor", 1).startTag > 50, qt.IsTrue)
 }
 
+// TestFullQueueEvictsFlowsWithoutDebtFirst guards against an account that sheds its
+// debt by the calls of a few others while the queue is full.
+func TestFullQueueEvictsFlowsWithoutDebtFirst(t *testing.T) {
+	q := New[int, struct{}](Options{MaxFlows: 4})
+	q.Start(q.Flow(begin, "other", 1)) // stays in flight, so the queue does not become idle
+	debtor := q.Flow(begin, "debtor", 1)
+	q.Finish(debtor, q.Start(debtor), time.Minute)
+	for i := range 20 {
+		f := q.Flow(begin, model.Account(fmt.Sprint("short ", i)), 1)
+		q.Finish(f, q.Start(f), 0)
+		qt.Assert(t, q.Flows() <= 4, qt.IsTrue)
+	}
+	qt.Assert(t, q.Flow(begin, "debtor", 1).startTag > 50, qt.IsTrue)
+}
+
 // TestSumsMatchCounts compares the sums that the queue maintains with fresh
 // counts after each of many random operations, and checks that the calls of an
 // account keep their order.
--- a/policy/fairqueue/service.go
+++ b/policy/fairqueue/service.go
@@ -74,7 +74,8 @@
 
 // evictIdle evicts flows that have been idle for IdleTimeout and whose tag is
 // not ahead of the virtual time. If the queue is still at MaxFlows, it evicts
-// the longest idle flow.
+// the flow with the least debt among the longest idle ones: an account must not
+// lose its debt by the calls of a few others.
 func (q *Queue[T, S]) evictIdle(now time.Time) {
 	for range evictionScanLimit {
 		f := q.oldestIdle
@@ -89,10 +90,22 @@
 		q.evict(f)
 	}
 	if len(q.flows) >= q.options.MaxFlows && q.oldestIdle != nil {
-		q.evict(q.oldestIdle)
+		q.evict(q.leastInDebt())
 	}
 }
 
+// leastInDebt returns the flow with the lowest start tag among the
+// evictionScanLimit longest idle ones.
+func (q *Queue[T, S]) leastInDebt() *Flow[T, S] {
+	best := q.oldestIdle
+	for f, n := best, 0; f != nil && n < evictionScanLimit; f, n = f.next, n+1 {
+		if max(f.startTag, q.virtualTime) < max(best.startTag, q.virtualTime) {
+			best = f
+		}
+	}
+	return best
+}
+
 // EvictIdle evicts expired idle flows, a few at each call.
 func (q *Queue[T, S]) EvictIdle(now time.Time) { q.evictIdle(now) }
 
