Keep the end of a call's context from closing a reused connection

A connection to the target is idle again once its response was read, but the context of that response's call could still close it until the body was closed. A download of over 128 KB keeps its body open while the caller reads, so that its end closed the connection under the next call. Small answers had the same window of a few microseconds.

Change: an exchange lets go of its context before its connection becomes idle. The test replays both cases, buffered and streamed, and failed before in both.

Ruled out: the target's own close (its run ended as cut by us), a kill of the owner, the limit of connections, the closing of stale idle connections.

--- a/node/upstream/buffer_test.go
+++ b/node/upstream/buffer_test.go
@@ -3,10 +3,13 @@
 import (
 	"bufio"
 	"bytes"
+	"context"
 	"fmt"
 	"io"
 	"net"
+	"runtime"
 	"slices"
+	"strings"
 	"testing"
 
 	qt "github.com/frankban/quicktest"
@@ -135,3 +138,53 @@
 		qt.Assert(t, result.Response.Length, qt.Equals, int64(length))
 	}
 }
+
+// Replays hunt-fdca-7 on dfmb-mesh: the context of a download ended while its
+// connection already served another request, and closed it.
+func TestEndOfADownloadDoesNotCloseItsReusedConnection(t *testing.T) {
+	for name, length := range map[string]int{"buffered": 2 * MaxSmallBody, "streamed": 2 * maxBufferedBody} {
+		t.Run(name, func(t *testing.T) {
+			running, release := make(chan struct{}), make(chan struct{})
+			p, conns := startTarget(t, func(_ int, conn net.Conn, r *bufio.Reader) {
+				for {
+					id, ok := readRequest(r)
+					switch {
+					case !ok:
+						return
+					case id == "large":
+						writeResponse(conn, id, strings.Repeat("x", length))
+					default:
+						close(running)
+						<-release
+						writeResponse(conn, id, "small")
+					}
+				}
+			})
+			ctx, cancel := context.WithCancel(t.Context())
+			first := p.Do(ctx, newRequest("large"))
+			qt.Assert(t, first.Err, qt.IsNil)
+			_, err := io.Copy(io.Discard, first.Response.Stream)
+			qt.Assert(t, err, qt.IsNil)
+			for p.Idle() == 0 {
+				runtime.Gosched() // the connection is kept by its own goroutine
+			}
+			second := make(chan Result, 1)
+			go func() { second <- p.Do(t.Context(), newRequest("small")) }()
+			<-running
+			cancel()
+			qt.Assert(t, first.Response.Stream.Close(), qt.IsNil)
+			close(release)
+			result := <-second
+			qt.Assert(t, result.Err, qt.IsNil)
+			qt.Assert(t, string(result.Response.Body), qt.Equals, "small")
+			qt.Assert(t, conns.Load(), qt.Equals, int64(1))
+		})
+	}
+}
+
+// Idle returns the number of idle connections.
+func (p *Pool) Idle() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return len(p.idle)
+}
--- a/node/upstream/conn.go
+++ b/node/upstream/conn.go
@@ -36,6 +36,8 @@
 	request *Request
 	result  chan Result
 	written bool // the whole request has been written
+	// stop ends the effect of the request's context on the connection.
+	stop func() bool
 }
 
 func newConn(p *Pool, nc net.Conn) *conn {
@@ -67,16 +69,16 @@
 }
 
 // do sends the request and waits for the response header. Canceling the context
-// closes the connection.
+// closes the connection until the response has been read to its end.
 func (c *conn) do(ctx context.Context, r *Request) Result {
-	x := &exchange{request: r, result: make(chan Result, 1)}
+	x := &exchange{request: r, result: make(chan Result, 1), stop: context.AfterFunc(ctx, c.close)}
 	if !c.startExchange(x) {
+		x.stop()
 		return Result{Err: errConnClosed}
 	}
-	stop := context.AfterFunc(ctx, c.close)
 	if r.RemainingBody == nil && len(r.Body) <= maxInlineWrite {
 		if sent, err := c.writeRequest(r, x); err != nil {
-			stop()
+			x.stop()
 			c.close()
 			return Result{Err: err, Sent: sent}
 		}
@@ -88,10 +90,8 @@
 		}()
 	}
 	result := <-x.result
-	if result.Response == nil || result.Response.Stream == nil {
-		stop()
-	} else {
-		result.Response.Stream = &stopOnClose{ReadCloser: result.Response.Stream, stop: stop}
+	if result.Response == nil {
+		x.stop()
 	}
 	if result.Err != nil && ctx.Err() != nil {
 		result.Err = context.Cause(ctx)
@@ -115,18 +115,6 @@
 	return true
 }
 
-// stopOnClose is a response body whose Close also calls stop, so that the
-// request's context no longer closes the connection.
-type stopOnClose struct {
-	io.ReadCloser
-	stop func() bool
-}
-
-func (s *stopOnClose) Close() error {
-	s.stop()
-	return s.ReadCloser.Close()
-}
-
 // writeRequest sends the request and reports whether any byte of it may have
 // been sent.
 func (c *conn) writeRequest(r *Request, x *exchange) (bool, error) {
@@ -341,7 +329,7 @@
 // the part that was read already. It returns when the body is closed.
 func (c *conn) deliverStream(x *exchange, response *http.Response, out *Response, read *chunks) bool {
 	end := make(chan bool, 1)
-	out.Stream = &streamedBody{read: read, rest: response.Body, conn: c, end: end}
+	out.Stream = &streamedBody{read: read, rest: response.Body, conn: c, stop: x.stop, end: end}
 	x.result <- Result{Response: out, Sent: true}
 	if !<-end || !c.markIdle(x, response) {
 		return false
@@ -353,8 +341,10 @@
 // ErrCutOff reports a response that ended before it was complete.
 var ErrCutOff = errors.New("the target broke off its answer")
 
-// markIdle ends the exchange and reports whether the connection can be reused.
+// markIdle ends the exchange and reports whether the connection can be reused. From
+// then on the context of its request must not close it: it may serve another one.
 func (c *conn) markIdle(x *exchange, response *http.Response) bool {
+	current := x.stop()
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.exchange = nil
@@ -364,7 +354,7 @@
 	if stray {
 		strayBytes.Inc()
 	}
-	return x.written && x.request.RemainingBody == nil && !response.Close && !stray && c.skippedResponses == 0 && c.keepAlive > 0 && !c.closed
+	return current && x.written && x.request.RemainingBody == nil && !response.Close && !stray && c.skippedResponses == 0 && c.keepAlive > 0 && !c.closed
 }
 
 // bufferedBody is a whole response body in memory.
@@ -382,6 +372,7 @@
 	read *chunks
 	rest io.Reader
 	conn *conn
+	stop func() bool
 	end  chan bool
 	once sync.Once
 }
@@ -400,6 +391,7 @@
 // Close closes the connection unless the body was read to its end.
 func (b *streamedBody) Close() error {
 	b.read.close()
+	b.stop()
 	b.once.Do(func() {
 		b.end <- false
 		b.conn.close()
