Report steps that the demo left out, and frames that were never written

demo: a step that the run was too short for was dropped silently; it is an error of the run now, unless the run was canceled. node/peer: a request whose message is too long for a frame was reported as of unknown outcome though no byte of it was written.

--- a/demo/scenario.go
+++ b/demo/scenario.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"time"
@@ -80,16 +81,26 @@
 	}
 }
 
-// run runs the steps until ctx is done.
+// run runs the steps of a run of the given duration until ctx is done.
 func (s *scenario) run(ctx context.Context, started time.Time, duration time.Duration) {
-	for _, next := range s.steps(duration) {
+	s.runSteps(ctx, started, s.steps(duration))
+}
+
+// runSteps runs the steps until ctx is done. A step that did not run, or not to its
+// end, by the deadline of ctx is an error: the run has not shown what it should. If
+// ctx is canceled, whoever canceled it knows.
+func (s *scenario) runSteps(ctx context.Context, started time.Time, steps []step) {
+	for _, next := range steps {
 		select {
 		case <-ctx.Done():
-			return
 		case <-time.After(time.Until(started.Add(next.offset))):
 		}
-		_, _ = fmt.Fprintf(s.out, "%6.1fs  %s\n", time.Since(started).Seconds(), next.name)
-		if err := next.run(ctx); err != nil && ctx.Err() == nil {
+		err := ctx.Err()
+		if err == nil {
+			_, _ = fmt.Fprintf(s.out, "%6.1fs  %s\n", time.Since(started).Seconds(), next.name)
+			err = next.run(ctx)
+		}
+		if err != nil && !errors.Is(ctx.Err(), context.Canceled) {
 			s.errors = append(s.errors, fmt.Errorf("%s: %w", next.name, err))
 		}
 	}
--- a/node/peer/call.go
+++ b/node/peer/call.go
@@ -58,6 +58,9 @@
 	x := &Exchange{link: l, stream: stream, stop: stop}
 	if err := writeFrame(stream, request); err != nil {
 		x.Close()
+		if errors.Is(err, errFrameRefused) {
+			return nil, errors.Join(ErrNotSent, err)
+		}
 		return nil, errors.Join(ErrOutcomeUnknown, err)
 	}
 	if request.Inline || request.Kind == KindProbe || request.Kind == KindConfiguration {
--- a/node/peer/message.go
+++ b/node/peer/message.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"encoding/binary"
+	"errors"
 	"io"
 	"net/http"
 	"sync"
@@ -159,6 +160,9 @@
 	return mode
 }
 
+// errFrameRefused reports a message of which no byte was written.
+var errFrameRefused = errors.New("the message cannot be encoded")
+
 // writeFrame writes one length-prefixed message in a single write. A message over
 // maxHeadBytes is an error and nothing of it is written.
 func writeFrame(w io.Writer, message any) error {
@@ -167,12 +171,12 @@
 	var length [lengthBytes]byte
 	_, _ = frame.Write(length[:])
 	if err := encodeMode.MarshalToBuffer(message, frame); err != nil {
-		return oops.In("peer").Wrap(err)
+		return oops.In("peer").Wrap(errors.Join(errFrameRefused, err))
 	}
 	size := frame.Len() - lengthBytes
 	if size > maxHeadBytes {
 		return oops.In("peer").Hint("Lower limits.header_bytes in the settings.").
-			Errorf("a message of %d bytes is over the limit of %d", size, maxHeadBytes)
+			Wrapf(errFrameRefused, "a message of %d bytes is over the limit of %d", size, maxHeadBytes)
 	}
 	binary.BigEndian.PutUint32(frame.Bytes(), uint32(size))
 	_, err := w.Write(frame.Bytes())
--- a/node/peer/peer_test.go
+++ b/node/peer/peer_test.go
@@ -116,6 +116,14 @@
 	}
 }
 
+// A message that is too long for a frame has not run anywhere.
+func TestRequestTooLongForAFrameIsNotSent(t *testing.T) {
+	transport, to := startPair(t, newEcho())
+	_, err := transport.Open(context.Background(), to, &Request{Kind: KindCall, Inline: true, Body: make([]byte, maxHeadBytes+1)})
+	qt.Assert(t, errors.Is(err, ErrNotSent), qt.IsTrue, qt.Commentf("%v", err))
+	qt.Assert(t, errors.Is(err, ErrOutcomeUnknown), qt.IsFalse)
+}
+
 func TestTruncatedAnswerIsAnError(t *testing.T) {
 	handler := newEcho()
 	handler.truncate = true
