--- a/node/sidecar/call_test.go
+++ b/node/sidecar/call_test.go
@@ -4,9 +4,11 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"io"
 	"net/http"
 	"slices"
 	"strconv"
+	"strings"
 	"testing"
 
 	qt "github.com/frankban/quicktest"
@@ -159,6 +161,12 @@
 		qt.Assert(t, n.call(http.MethodGet, "s", "/old").status, qt.Equals, http.StatusOK)
 	}
 	qt.Assert(t, n.target.requests(), qt.HasLen, 2)
+	response, err := http.Get("http://" + n.settings.Metrics + "/metrics")
+	qt.Assert(t, err, qt.IsNil)
+	defer func() { _ = response.Body.Close() }()
+	metrics, err := io.ReadAll(response.Body)
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, strings.Contains(string(metrics), "zinniafall_configuration_parts_not_understood 1\n"), qt.IsTrue)
 	reported := slices.DeleteFunc(n.log.lines("configuration"), func(line map[string]any) bool { return line["error"] == nil })
 	qt.Assert(t, reported, qt.HasLen, 2, qt.Commentf("%v", reported))
 }
--- a/node/sidecar/fixture_test.go
+++ b/node/sidecar/fixture_test.go
@@ -335,7 +335,7 @@
 	n, err := Start(Options{
 		Settings: Settings{
 			Name: string(domain) + "/" + target.id, Domain: domain, Region: "r", Callers: freeAddr(), Peers: peerAddr,
-			Readiness: freeAddr(), Announcements: freeAddr(), Target: target.addr(), Service: service, Store: "127.0.0.1:1",
+			Metrics: freeAddr(), Readiness: freeAddr(), Announcements: freeAddr(), Target: target.addr(), Service: service, Store: "127.0.0.1:1",
 			RetryRatio: 1, RetryWindow: time.Second, RetrySlack: 1000, GracePeriod: 20 * time.Second,
 		},
 		Dialect: testDialect, Store: store, OperatorKeys: testOperators{}, Log: log,
--- a/node/sidecar/report.go
+++ b/node/sidecar/report.go
@@ -72,6 +72,12 @@
 // registerGauges registers the gauges that are read when metrics are fetched.
 func (n *Node) registerGauges() {
 	n.metrics.NewGauge(`zinniafall_configuration_revision`, func() float64 { return float64(n.configuration.revision()) })
+	n.metrics.NewGauge(`zinniafall_configuration_parts_not_understood`, func() float64 {
+		if table := n.configuration.current(); table != nil {
+			return float64(len(table.Problems))
+		}
+		return 0
+	})
 	n.metrics.NewGauge(`zinniafall_store_followed`, func() float64 {
 		if n.fleet.follower.readable.Load() {
 			return 1
