--- a/cmd/zinniafalld/sidecar.go
+++ b/cmd/zinniafalld/sidecar.go
@@ -20,8 +20,15 @@
 // collection, because CPU time is scarcer than memory on these VMs.
 const gcPercent = 200
 
-// settingsPollInterval is how often the settings file is checked for changes.
-const settingsPollInterval = time.Second
+const (
+	// settingsPollInterval is how often the settings file is checked for changes.
+	settingsPollInterval = time.Second
+	// settingsWait is how long a starting node waits for a settings file that is
+	// valid: it may be in the middle of a change. settingsRetryInterval is the time
+	// between two reads.
+	settingsWait          = 2 * time.Second
+	settingsRetryInterval = 20 * time.Millisecond
+)
 
 // checkSidecarSettings checks a settings file of the platform, prints its problems
 // and returns the exit code.
@@ -42,6 +49,17 @@
 	return settings, 0
 }
 
+// awaitSidecarSettings loads the settings, and again for up to settingsWait while they
+// are not valid.
+func awaitSidecarSettings(path string) (sidecar.Settings, int) {
+	for end := time.Now().Add(settingsWait); time.Now().Before(end); time.Sleep(settingsRetryInterval) {
+		if settings, err := platform.LoadSettings(path); err == nil {
+			return settings, 0
+		}
+	}
+	return loadSidecarSettings(path)
+}
+
 // runSidecar runs the node until SIGTERM or SIGINT. Other nodes reach it at the
 // advertised address, or at its listen address if advertised is empty.
 func runSidecar(path, advertised string) int {
@@ -52,7 +70,7 @@
 	// Catch SIGHUP before reading the settings: by default it ends the process.
 	signals := make(chan os.Signal, 2)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
-	settings, code := loadSidecarSettings(path)
+	settings, code := awaitSidecarSettings(path)
 	if code != 0 {
 		return code
 	}
--- a/node/server/fixture_test.go
+++ b/node/server/fixture_test.go
@@ -90,12 +90,20 @@
 	f.nodes = append(f.nodes, c)
 	if handler != nil {
 		c.target = httptest.NewServer(handler)
-		f.t.Cleanup(func() { c.target.Close() })
+		f.t.Cleanup(func() { closeTarget(c.target) })
 		f.announce(c, "one")
 	}
 	return c
 }
 
+// closeTarget closes a target without waiting for its handlers. A test that fails
+// while it holds a handler would wait for it until the time of the package is over,
+// and its failure would not be seen.
+func closeTarget(server *httptest.Server) {
+	_ = server.Listener.Close()
+	server.CloseClientConnections()
+}
+
 // settings returns the settings of a node that joins through the first one.
 func (f *testFleet) settings(domain string, advertise net.Addr) *static.Settings {
 	known := "[]"
--- a/node/sidecar/fixture_test.go
+++ b/node/sidecar/fixture_test.go
@@ -220,10 +220,18 @@
 func newTestTarget(t testing.TB, id string) *testTarget {
 	target := &testTarget{id: id, slots: 8}
 	target.server = httptest.NewServer(http.HandlerFunc(target.serve))
-	t.Cleanup(target.server.Close)
+	t.Cleanup(func() { closeTarget(target.server) })
 	return target
 }
 
+// closeTarget closes a target without waiting for its handlers. A test that fails
+// while it holds a handler would wait for it until the time of the package is over,
+// and its failure would not be seen.
+func closeTarget(server *httptest.Server) {
+	_ = server.Listener.Close()
+	server.CloseClientConnections()
+}
+
 func (x *testTarget) addr() string { return x.server.Listener.Addr().String() }
 
 func (x *testTarget) serve(w http.ResponseWriter, r *http.Request) {
