--- a/cmd/zinniafalld/check_test.go
+++ b/cmd/zinniafalld/check_test.go
@@ -41,7 +41,7 @@
 `
 
 // Soak seed 2001 with 225 nodes: a node that started while its settings file was being
-// changed read the half of it and exited.
+// changed read only half of it and exited.
 func TestStartWaitsForASettingsFileInTheMiddleOfAChange(t *testing.T) {
 	path := filepath.Join(t.TempDir(), "node.toml")
 	qt.Assert(t, os.WriteFile(path, []byte(sidecarSettings[:len(sidecarSettings)/2]), 0o600), qt.IsNil)
--- a/demo/scenario.go
+++ b/demo/scenario.go
@@ -86,9 +86,9 @@
 	s.runSteps(ctx, started, s.steps(duration))
 }
 
-// runSteps runs the steps until ctx is done. A step that did not run, or not to its
-// end, by the deadline of ctx is an error: the run has not shown what it should. If
-// ctx is canceled, whoever canceled it knows.
+// runSteps runs the steps until ctx is done. A step that was not completed by the
+// deadline of ctx is an error, since the run has not tested it. Steps left out because
+// ctx was canceled are not errors.
 func (s *scenario) runSteps(ctx context.Context, started time.Time, steps []step) {
 	for _, next := range steps {
 		select {
--- a/node/hop/hop_test.go
+++ b/node/hop/hop_test.go
@@ -252,7 +252,7 @@
 	qt.Assert(t, c.idle, qt.HasLen, 0)
 }
 
-// A request that is not written whole cannot have run, whatever came of the rest.
+// A request that was not written whole cannot have run.
 func TestRequestThatIsNotWrittenWholeIsNotSent(t *testing.T) {
 	c, node := serve(t, func(_ context.Context, s *Stream) {
 		_ = s.Answer(&peer.Answer{Run: model.RunYes, Status: 200, Inline: true})
--- a/node/peer/call.go
+++ b/node/peer/call.go
@@ -14,8 +14,8 @@
 	"zinniafall/policy/model"
 )
 
-// ErrNotSent reports that no byte of the request left this node, so that it
-// did not run.
+// ErrNotSent reports that no node has received the whole message that opens the
+// request, so that it did not run.
 var ErrNotSent = errors.New("the request was not sent")
 
 // ErrOutcomeUnknown reports that the request was sent and no complete answer
--- a/node/server/fixture_test.go
+++ b/node/server/fixture_test.go
@@ -96,9 +96,8 @@
 	return c
 }
 
-// closeTarget closes a target without waiting for its handlers. A test that fails
-// while it holds a handler would wait for it until the time of the package is over,
-// and its failure would not be seen.
+// closeTarget closes a target without waiting for its handlers: a test that fails
+// while it blocks a handler would otherwise hang, and its failure would not be reported.
 func closeTarget(server *httptest.Server) {
 	_ = server.Listener.Close()
 	server.CloseClientConnections()
--- a/node/sidecar/call.go
+++ b/node/sidecar/call.go
@@ -28,9 +28,6 @@
 	// defaultDeadline applies when the caller states no deadline. The route may
 	// set a shorter one.
 	defaultDeadline = 30 * time.Second
-	// unsupportedRetryAfter is the Retry-After of a route that this release does
-	// not support. Only a change of the configuration or the release helps.
-	unsupportedRetryAfter = 5 * time.Second
 	// minAttemptTime is the remaining time below which no further attempt is
 	// made.
 	minAttemptTime = 5 * time.Millisecond
@@ -117,8 +114,8 @@
 		return problem.New(problem.UnknownService, model.RunNo, "no route matches the host and path")
 	}
 	c.table, c.route = table, route
-	if route.Unsupported != "" {
-		return problem.New(problem.RouteUnsupported, model.RunNo, "the route cannot be served: "+route.Unsupported).After(unsupportedRetryAfter)
+	if p := route.Refusal(); p != nil {
+		return p
 	}
 	c.service = route.PickService(rand.Float64())
 	if c.deadline.IsZero() {
--- a/node/sidecar/fixture_close_test.go
+++ b/node/sidecar/fixture_close_test.go
@@ -9,8 +9,8 @@
 	qt "github.com/frankban/quicktest"
 )
 
-// Closing a target whose handler never returns must not wait for the handler: a run
-// of all tests beside load once did not end, and named no failure.
+// Closing a target must not wait for a handler that never returns: a run of all tests
+// beside load once hung there and reported no failure.
 func TestTargetWithAHeldHandlerCloses(t *testing.T) {
 	running, held := make(chan struct{}), make(chan struct{})
 	defer close(held)
--- a/node/sidecar/fixture_test.go
+++ b/node/sidecar/fixture_test.go
@@ -224,9 +224,8 @@
 	return target
 }
 
-// closeTarget closes a target without waiting for its handlers. A test that fails
-// while it holds a handler would wait for it until the time of the package is over,
-// and its failure would not be seen.
+// closeTarget closes a target without waiting for its handlers: a test that fails
+// while it blocks a handler would otherwise hang, and its failure would not be reported.
 func closeTarget(server *httptest.Server) {
 	_ = server.Listener.Close()
 	server.CloseClientConnections()
--- a/policy/config/prepare.go
+++ b/policy/config/prepare.go
@@ -69,8 +69,9 @@
 
 // retireParts adds the parts that the new head no longer lists to its retired
 // parts, and selects those to delete: the ones unused for retentionRevisions, and
-// all that are beyond maxRetiredParts, since the head forgets them. No commit can list a retired part again, since it would have to be based on
-// a head that lists it.
+// all that are beyond maxRetiredParts, since the head does not list them any more.
+// No commit can list a retired part again, since it would have to be based on a head
+// that lists it.
 func (p *preparedHead) retireParts(old *Head) {
 	used := make(map[string]bool, len(p.head.Parts))
 	for _, part := range p.head.Parts {
@@ -92,8 +93,8 @@
 }
 
 // removeDeleted removes deleted parts from the retired parts of the head. Of the
-// rest it keeps the newest maxRetiredParts; older ones, whose deletion failed, stay
-// in the store for good.
+// rest it keeps the newest maxRetiredParts; older ones, whose deletion failed, are
+// never deleted.
 func (p *preparedHead) removeDeleted(deleted []string) {
 	p.head.Retired = slices.DeleteFunc(p.head.Retired, func(r Retired) bool {
 		return slices.Contains(deleted, r.Key())
--- a/policy/routing/routing.go
+++ b/policy/routing/routing.go
@@ -20,8 +20,14 @@
 	"time"
 
 	"zinniafall/policy/model"
+	"zinniafall/policy/problem"
 )
 
+// unsupportedRetryAfter is the Retry-After of a route that this release does not
+// support. Load plays no part: only a change of the configuration or of the release
+// helps, and neither happens within the time of a request.
+const unsupportedRetryAfter = 5 * time.Second
+
 // Route maps the requests of one host and path prefix to services.
 type Route struct {
 	Name   string
@@ -127,6 +133,15 @@
 	return t, nil
 }
 
+// Refusal returns the problem with which all requests of the route are refused before
+// any target gets them, or nil if they are served.
+func (r *Route) Refusal() *problem.Error {
+	if r.Unsupported == "" {
+		return nil
+	}
+	return problem.New(problem.RouteUnsupported, model.RunNo, "the route cannot be served: "+r.Unsupported).After(unsupportedRetryAfter)
+}
+
 // validateMatch checks the fields that decide which requests the route matches.
 func (r *Route) validateMatch() error {
 	switch {
--- a/policy/routing/routing_test.go
+++ b/policy/routing/routing_test.go
@@ -62,8 +62,9 @@
 		table, err := NewTable(1, []Route{r, route("a", "/", Backend{"one", 1})}, services("one"), Limits{})
 		qt.Assert(t, err, qt.IsNil, qt.Commentf("%s", name))
 		qt.Assert(t, table.Problems, qt.HasLen, 1, qt.Commentf("%s", name))
-		qt.Assert(t, table.Match("a", "/x/1").Unsupported, qt.Not(qt.Equals), "", qt.Commentf("%s", name))
-		qt.Assert(t, table.Match("a", "/y").Unsupported, qt.Equals, "", qt.Commentf("%s", name))
+		refusal := table.Match("a", "/x/1").Refusal()
+		qt.Assert(t, refusal != nil && refusal.Run == model.RunNo && refusal.RetryAfter > 0, qt.IsTrue, qt.Commentf("%s: %v", name, refusal))
+		qt.Assert(t, table.Match("a", "/y").Refusal() == nil, qt.IsTrue, qt.Commentf("%s", name))
 	}
 }
 
