Let logs and metrics tell how a configuration spreads

The logs do not say how much of a transfer arrived, how long decoding took, how long a node had known of a revision before it came into force, or whether a node that answers 404 knew of a newer one; collected metrics were cut off before the node's own gauges.

Change: `configuration applied` has bytes, decode_ms and reported_ms, `configuration not fetched` has bytes, ms and the reported revision, the refusal of an unknown route has both revisions. New counters of transfers and of bytes sent, received and discarded, a gauge of the newest reported revision; gauges are written first. No decision changes.

--- a/node/sidecar/call.go
+++ b/node/sidecar/call.go
@@ -109,11 +109,12 @@
 	if table == nil {
 		return problem.New(problem.ConfigurationLag, model.RunNo, "the node has no configuration yet").After(n.configuration.retryAfter(c.received))
 	}
+	c.table = table
 	route := table.Match(r.Host, r.Path())
 	if route == nil {
 		return problem.New(problem.UnknownService, model.RunNo, "no route matches the host and path")
 	}
-	c.table, c.route = table, route
+	c.route = route
 	if p := route.Refusal(); p != nil {
 		return p
 	}
--- a/node/sidecar/configuration.go
+++ b/node/sidecar/configuration.go
@@ -52,6 +52,10 @@
 	changed   chan struct{}
 	evac      evacuation
 	fetching  bool
+	// reported is the newest revision that another node reported, and
+	// reportedAt when it did so first.
+	reported   model.Revision
+	reportedAt time.Time
 }
 
 func newConfiguration(n *Node) *configuration {
@@ -99,7 +103,9 @@
 // applyIfNewer decodes a document and puts it in force if it is valid and
 // newer. It wakes the callers of waitForRevision.
 func (c *configuration) applyIfNewer(document []byte, source string) {
+	began := time.Now()
 	table, err := c.node.operatorKeys.Decode(document)
+	decodeTime := time.Since(began)
 	if err != nil {
 		c.node.log.Warn("configuration rejected", "part", "configuration", "source", source,
 			"error", err.Error(), "revision_in_force", c.revision())
@@ -119,9 +125,14 @@
 	c.table, c.document, c.appliedAt = table, document, time.Now()
 	close(c.changed)
 	c.changed = make(chan struct{})
+	var reportedFor time.Duration
+	if c.reported >= table.Revision {
+		reportedFor = c.appliedAt.Sub(c.reportedAt)
+	}
 	c.mu.Unlock()
 	c.node.log.Info("configuration applied", "part", "configuration", "source", source,
-		"revision", table.Revision, "routes", table.Routes(), "services", len(table.Services))
+		"revision", table.Revision, "routes", table.Routes(), "services", len(table.Services),
+		"bytes", len(document), "decode_ms", decodeTime.Seconds()*1000, "reported_ms", reportedFor.Milliseconds())
 	c.logProblems(table)
 	c.node.configurationChanged(table)
 }
@@ -220,6 +231,9 @@
 		return
 	}
 	c.mu.Lock()
+	if revision > c.reported {
+		c.reported, c.reportedAt = revision, time.Now()
+	}
 	fetching := c.fetching
 	c.fetching = true
 	c.mu.Unlock()
@@ -236,30 +250,48 @@
 	})
 }
 
+// newestReported returns the newest revision that another node reported.
+func (c *configuration) newestReported() model.Revision {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.reported
+}
+
 // fetch requests the configuration of another node and applies it if it is newer.
 // Failures are only logged.
 func (c *configuration) fetch(from model.NodeAddr) {
+	began := time.Now()
+	document, err := c.download(from)
+	configurationBytesReceived.Add(len(document))
+	if err != nil {
+		configurationTransfersFailed.Inc()
+		configurationBytesDiscarded.Add(len(document))
+		c.node.log.Info("configuration not fetched", "part", "configuration", "from", from, "error", err.Error(),
+			"revision_reported", c.newestReported(), "bytes", len(document), "ms", time.Since(began).Milliseconds())
+		return
+	}
+	configurationTransfersComplete.Inc()
+	c.applyIfNewer(document, string(from))
+}
+
+// download returns the configuration of another node or, with an error, the part
+// of it that arrived.
+func (c *configuration) download(from model.NodeAddr) ([]byte, error) {
 	ctx, cancel := context.WithTimeout(c.node.ctx, time.Second)
 	defer cancel()
 	exchange, err := c.node.client.Open(ctx, from, &peer.Request{Kind: peer.KindConfiguration, Inline: true, From: c.node.self})
 	if err != nil {
-		c.node.log.Info("configuration not fetched", "part", "configuration", "from", from, "error", err.Error())
-		return
+		return nil, err
 	}
 	defer exchange.Close()
 	answer, err := exchange.Receive()
-	if err == nil && answer.Problem != nil {
-		err = answer.Problem
-	}
-	var document []byte
-	if err == nil {
-		document, err = io.ReadAll(io.LimitReader(exchange, maxDocumentBytes+1))
-	}
 	if err != nil {
-		c.node.log.Info("configuration not fetched", "part", "configuration", "from", from, "error", err.Error())
-		return
+		return nil, err
 	}
-	c.applyIfNewer(document, string(from))
+	if answer.Problem != nil {
+		return nil, answer.Problem
+	}
+	return io.ReadAll(io.LimitReader(exchange, maxDocumentBytes+1))
 }
 
 // waitForRevision waits until the revision or a later one is in force. It
@@ -291,6 +323,7 @@
 		_ = stream.Answer(&peer.Answer{Run: model.RunNo, Problem: problem.New(problem.ConfigurationLag, model.RunNo, "the node has no configuration yet")})
 		return
 	}
+	configurationBytesSent.Add(len(document))
 	if stream.Answer(&peer.Answer{Run: model.RunNo, Status: 200, Length: int64(len(document))}) != nil ||
 		stream.SendBody(bytes.NewReader(document)) != nil {
 		stream.Fail()
--- a/node/sidecar/report.go
+++ b/node/sidecar/report.go
@@ -21,6 +21,14 @@
 	admissionWait          = metrics.NewHistogram(`zinniafall_admission_wait_seconds`)
 	targetTime             = metrics.NewHistogram(`zinniafall_target_seconds`)
 	callTime               = metrics.NewHistogram(`zinniafall_call_seconds`)
+
+	// Transfers of the configuration between nodes. The bytes sent are those of
+	// transfers that were begun.
+	configurationTransfersComplete = metrics.NewCounter(`zinniafall_configuration_transfers_total{result="complete"}`)
+	configurationTransfersFailed   = metrics.NewCounter(`zinniafall_configuration_transfers_total{result="failed"}`)
+	configurationBytesReceived     = metrics.NewCounter(`zinniafall_configuration_received_bytes_total`)
+	configurationBytesDiscarded    = metrics.NewCounter(`zinniafall_configuration_discarded_bytes_total`)
+	configurationBytesSent         = metrics.NewCounter(`zinniafall_configuration_sent_bytes_total`)
 )
 
 // logCall logs the outcome of a caller's request.
@@ -41,6 +49,9 @@
 		outcome = string(p.Kind)
 		attrs = append(attrs, "run", p.Run, "detail", p.Detail, "retry_after", response.Header.Get("Retry-After"),
 			"configuration_age_ms", n.configuration.age(time.Now()).Milliseconds(), "caller_left", ctx.Err() != nil)
+		if c.table != nil && c.route == nil {
+			attrs = append(attrs, "revision", c.table.Revision, "revision_reported", n.configuration.newestReported())
+		}
 	}
 	metrics.GetOrCreateCounter(`zinniafall_requests_total{outcome="` + outcome + `"}`).Inc()
 	n.log.Info("request "+outcome, attrs...)
@@ -63,15 +74,17 @@
 	n.log.Info("call at owner", attrs...)
 }
 
-// serveMetrics writes the metrics in the Prometheus text format.
+// serveMetrics writes the metrics in the Prometheus text format. The node's own
+// gauges come first: a collector that limits the size cuts off the process metrics.
 func (n *Node) serveMetrics(w http.ResponseWriter, _ *http.Request) {
-	metrics.WritePrometheus(w, true)
 	n.metrics.WritePrometheus(w)
+	metrics.WritePrometheus(w, true)
 }
 
 // registerGauges registers the gauges that are read when metrics are fetched.
 func (n *Node) registerGauges() {
 	n.metrics.NewGauge(`zinniafall_configuration_revision`, func() float64 { return float64(n.configuration.revision()) })
+	n.metrics.NewGauge(`zinniafall_configuration_revision_reported`, func() float64 { return float64(n.configuration.newestReported()) })
 	n.metrics.NewGauge(`zinniafall_configuration_parts_not_understood`, func() float64 {
 		if table := n.configuration.current(); table != nil {
 			return float64(len(table.Problems))
