Refuse an unknown route with 503 while other nodes have a newer configuration

Cause: the refusal of a request that no route matches looked at the configuration in force only. A node that has been told of a newer one cannot know that it lacks the route. The owner's side already waits for the entry's configuration (agreeOnRevision); this is the same comparison where a route is not found.

The decision is distribution.Puller's.

--- a/node/sidecar/call.go
+++ b/node/sidecar/call.go
@@ -82,7 +82,11 @@
 // takes the place of a problem. For a streamed answer, the context is canceled
 // when the stream is closed.
 func (c *call) forward(ctx context.Context, r *front.Request) (*front.Response, *problem.Error) {
-	if p := c.resolve(r); p != nil {
+	p := c.resolve(r)
+	if p != nil && p.Kind == problem.ConfigurationLag && c.node.configuration.waitForRevision(ctx, c.node.configuration.newestReported()) {
+		p = c.resolve(r)
+	}
+	if p != nil {
 		return nil, p
 	}
 	ctx, cancel := context.WithDeadline(ctx, c.deadline)
@@ -112,6 +116,9 @@
 	c.table = table
 	route := table.Match(r.Host, r.Path())
 	if route == nil {
+		if retryAfter, behind := n.configuration.behind(time.Now()); behind {
+			return problem.New(problem.ConfigurationLag, model.RunNo, "no route matches the host and path, but other nodes have a newer configuration").After(retryAfter)
+		}
 		return problem.New(problem.UnknownService, model.RunNo, "no route matches the host and path")
 	}
 	c.route = route
--- a/node/sidecar/call_test.go
+++ b/node/sidecar/call_test.go
@@ -299,3 +299,41 @@
 		return false
 	})
 }
+
+// TestNodeThatLacksNewerConfigurationDoesNotAnswer404 guards against the answer 404 of a
+// node that knows of a newer configuration, which may have the route.
+func TestNodeThatLacksNewerConfigurationDoesNotAnswer404(t *testing.T) {
+	store := newMemoryStore()
+	store.configure(t, 1, "front")
+	n := startNode(t, store, "a", "front", newTestTarget(t, "t0"))
+	n.waitForOwnTarget()
+	eventually(t, "revision 1 is in force", func() bool { return n.configuration.revision() == 1 })
+	qt.Assert(t, n.call(http.MethodGet, "back", "/safe/x").status, qt.Equals, http.StatusNotFound)
+
+	n.configuration.recordReported(2, "127.0.0.1:1") // cannot be reached
+	refused := n.call(http.MethodGet, "back", "/safe/x")
+	qt.Assert(t, refused.status, qt.Equals, http.StatusServiceUnavailable)
+	qt.Assert(t, refused.header.Get("Retry-After"), qt.Not(qt.Equals), "")
+	qt.Assert(t, n.call(http.MethodGet, "front", "/safe/x").status, qt.Equals, http.StatusOK)
+
+	store.configure(t, 2, "front")
+	eventually(t, "revision 2 is in force", func() bool { return n.configuration.revision() == 2 })
+	qt.Assert(t, n.call(http.MethodGet, "back", "/safe/x").status, qt.Equals, http.StatusNotFound)
+}
+
+// TestCallOfNewRouteWaitsForItsConfiguration requires that a call whose route comes with
+// a configuration that is on its way is served.
+func TestCallOfNewRouteWaitsForItsConfiguration(t *testing.T) {
+	store := newMemoryStore()
+	store.configure(t, 1, "front")
+	n := startNode(t, store, "a", "front", newTestTarget(t, "t0"))
+	holder := startNode(t, store, "a", "back", newTestTarget(t, "t1"))
+	n.waitForOwnTarget()
+	n.waitForTargets("back", 1)
+	holder.waitForOwnTarget()
+	// The store is away, so that the node can get revision 2 from the holder only.
+	store.setDown(true)
+	holder.configuration.applyIfNewer(newDocument(t, 2, "front", "back"), "test")
+	n.configuration.recordReported(2, holder.self)
+	qt.Assert(t, n.call(http.MethodGet, "back", "/safe/x").body, qt.Equals, "from t1")
+}
--- a/node/sidecar/configuration.go
+++ b/node/sidecar/configuration.go
@@ -53,10 +53,6 @@
 	changed   chan struct{}
 	evac      evacuation
 	puller    *distribution.Puller
-	// reported is the newest revision that another node reported, and
-	// reportedAt when it did so first.
-	reported   model.Revision
-	reportedAt time.Time
 }
 
 func newConfiguration(n *Node) *configuration {
@@ -127,8 +123,8 @@
 	close(c.changed)
 	c.changed = make(chan struct{})
 	var reportedFor time.Duration
-	if c.reported >= table.Revision {
-		reportedFor = c.appliedAt.Sub(c.reportedAt)
+	if reported, since := c.puller.Newest(); reported >= table.Revision {
+		reportedFor = c.appliedAt.Sub(since)
 	}
 	c.mu.Unlock()
 	c.node.log.Info("configuration applied", "part", "configuration", "source", source,
@@ -230,10 +226,7 @@
 func (c *configuration) recordReported(revision model.Revision, from model.NodeAddr) {
 	have := c.revision()
 	c.mu.Lock()
-	if revision > max(c.reported, have) {
-		c.reported, c.reportedAt = revision, time.Now()
-	}
-	fetch, ok := c.puller.Report(from, revision, have)
+	fetch, ok := c.puller.Report(time.Now(), from, revision, have)
 	c.mu.Unlock()
 	if !ok {
 		return
@@ -252,7 +245,17 @@
 func (c *configuration) newestReported() model.Revision {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.reported
+	reported, _ := c.puller.Newest()
+	return reported
+}
+
+// behind reports whether other nodes have a newer configuration than this one, and
+// when a caller that needs it should come back.
+func (c *configuration) behind(now time.Time) (retryAfter time.Duration, ok bool) {
+	have := c.revision()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.puller.RetryAfter(now), c.puller.Behind(now, have)
 }
 
 // fetch requests the configuration of another node and applies it if it is newer.
--- a/node/sidecar/fixture_test.go
+++ b/node/sidecar/fixture_test.go
@@ -191,6 +191,11 @@
 // configure writes a configuration with idempotent requests at /safe/ and
 // others at /unsafe/.
 func (s *memoryStore) configure(t testing.TB, revision model.Revision, services ...model.Service) {
+	s.put("ops/config", newDocument(t, revision, services...), false)
+}
+
+// newDocument returns a configuration as configure writes it.
+func newDocument(t testing.TB, revision model.Revision, services ...model.Service) []byte {
 	d := testDocument{Revision: revision, Services: map[model.Service]routing.Service{}}
 	for _, name := range services {
 		d.Services[name] = routing.Service{HealthPath: "/health", ColdRate: 100}
@@ -203,7 +208,7 @@
 	}
 	raw, err := json.Marshal(d)
 	qt.Assert(t, err, qt.IsNil)
-	s.put("ops/config", raw, false)
+	return raw
 }
 
 // testTarget is a target that records the requests that it runs.
--- a/policy/distribution/fleet_test.go
+++ b/policy/distribution/fleet_test.go
@@ -269,7 +269,7 @@
 }
 
 func (n *simNode) report(from *simNode) {
-	fetch, ok := n.puller.Report(from.addr, from.change.revision, n.change.revision)
+	fetch, ok := n.puller.Report(time.Time{}.Add(n.fleet.now), from.addr, from.change.revision, n.change.revision)
 	if ok {
 		n.fetch(n.fleet.byAddr[fetch.From])
 	}
