Spread configurations as updates, a few transfers at a time

Cause: each node fetched the whole document from the node it had heard last. The watchers greet their whole failure domain each second, so that all nodes fetched from the same two links; the transfers shared them, ended after the limit of 1 s, were thrown away and begun anew from the same node.

Change, all decisions in policy/distribution: a node sends the difference to what the receiver has (zstd with the earlier document as its dictionary) and passes updates on as it got them; it sends 128 KB at a time and names nodes that it has served to those it turns away; a node fetches from one node at a time, of its own failure domain first, goes to another one after a failure, and gives up a transfer only after a second without progress. An update of a revision that is in force meanwhile is not decoded. Nodes of an earlier release get and send documents as before.

--- a/node/peer/message.go
+++ b/node/peer/message.go
@@ -103,6 +103,10 @@
 	Origin model.Service `cbor:"26,keyasint,omitempty"`
 	// From is the address of the entry, the node that the caller called.
 	From model.NodeAddr `cbor:"27,keyasint,omitempty"`
+	// Updates asks for the configuration as updates from the one whose content Base
+	// identifies; 0 means none.
+	Updates bool   `cbor:"30,keyasint,omitempty"`
+	Base    uint64 `cbor:"31,keyasint,omitempty"`
 }
 
 // Answer is a frame sent back on a request's stream. An interim answer, with
@@ -126,6 +130,11 @@
 	// Reached is set when the request was sent to the target, even if the
 	// target answered that it did not run it.
 	Reached bool `cbor:"11,keyasint,omitempty"`
+	// Updates is set if the body holds updates of the configuration.
+	Updates bool `cbor:"12,keyasint,omitempty"`
+	// Alternatives are nodes that have the configuration that this one is too busy to
+	// send.
+	Alternatives []model.NodeAddr `cbor:"13,keyasint,omitempty"`
 }
 
 var (
--- a/node/sidecar/configuration.go
+++ b/node/sidecar/configuration.go
@@ -1,25 +1,19 @@
 package sidecar
 
 import (
-	"bytes"
 	"context"
-	"io"
+	"math/rand/v2"
 	"sync"
 	"time"
 
-	"zinniafall/node/peer"
 	"zinniafall/policy/distribution"
 	"zinniafall/policy/model"
-	"zinniafall/policy/problem"
 	"zinniafall/policy/routing"
 )
 
 const (
 	// catchUpTimeout bounds the wait for a configuration that another node has.
 	catchUpTimeout = 400 * time.Millisecond
-	// maxDocumentBytes is the store's limit on a value, and so on a
-	// configuration.
-	maxDocumentBytes = 1 << 20
 	// maxLoggedProblems bounds the log lines about one configuration.
 	maxLoggedProblems = 10
 )
@@ -46,17 +40,28 @@
 	node      *Node
 	startedAt time.Time
 
+	// applying is held while a configuration is decoded and put in force.
+	applying sync.Mutex
+
+	// sending protects what transfers to other nodes need, which may be encoded
+	// while it is held.
+	sending sync.Mutex
+	archive distribution.Archive
+	sender  distribution.Sender
+
+	// mu is held for short times only, since each call takes it.
 	mu        sync.Mutex
 	table     *routing.Table
-	document  []byte
 	appliedAt time.Time
 	changed   chan struct{}
 	evac      evacuation
 	puller    *distribution.Puller
+	// reports signals pull that another node reported a newer configuration.
+	reports chan struct{}
 }
 
 func newConfiguration(n *Node) *configuration {
-	return &configuration{node: n, startedAt: time.Now(), changed: make(chan struct{}), puller: distribution.NewPuller()}
+	return &configuration{node: n, startedAt: time.Now(), changed: make(chan struct{}), puller: distribution.NewPuller(rand.Uint64()), reports: make(chan struct{}, 1)}
 }
 
 // current returns the table in force, or nil before the first configuration.
@@ -97,9 +102,12 @@
 	return c.evac
 }
 
-// applyIfNewer decodes a document and puts it in force if it is valid and
-// newer. It wakes the callers of waitForRevision.
-func (c *configuration) applyIfNewer(document []byte, source string) {
+// applyIfNewer decodes a document and puts it in force if it is valid and newer. updates
+// are those by which another node sent it, if any. It wakes the callers of
+// waitForRevision.
+func (c *configuration) applyIfNewer(document []byte, updates []distribution.Update, source string) {
+	c.applying.Lock()
+	defer c.applying.Unlock()
 	began := time.Now()
 	table, err := c.node.operatorKeys.Decode(document)
 	decodeTime := time.Since(began)
@@ -109,17 +117,21 @@
 		configurationsRejected.Inc()
 		return
 	}
-	c.mu.Lock()
-	if c.table != nil && table.Revision <= c.table.Revision {
-		inForce := c.table.Revision
-		c.mu.Unlock()
+	if inForce := c.revision(); table.Revision <= inForce {
 		if table.Revision < inForce {
 			c.node.log.Info("older configuration ignored", "part", "configuration", "source", source,
 				"revision", table.Revision, "revision_in_force", inForce)
 		}
 		return
 	}
-	c.table, c.document, c.appliedAt = table, document, time.Now()
+	c.sending.Lock()
+	err = c.archive.Put(table.Revision, document, updates)
+	c.sending.Unlock()
+	if err != nil {
+		c.node.log.Warn("update of the configuration not encoded", "part", "configuration", "revision", table.Revision, "error", err.Error())
+	}
+	c.mu.Lock()
+	c.table, c.appliedAt = table, time.Now()
 	close(c.changed)
 	c.changed = make(chan struct{})
 	var reportedFor time.Duration
@@ -153,7 +165,7 @@
 			evac.Domains = append(evac.Domains, domain)
 		}
 		if c.node.operatorKeys.IsConfiguration(item.Key) {
-			c.applyIfNewer(item.Value, "store")
+			c.applyIfNewer(item.Value, nil, "store")
 		}
 	}
 	c.setEvacuation(evac, "store")
@@ -168,7 +180,7 @@
 			evac.Domains = withDomain(evac.Domains, domain, !item.Removed)
 		}
 		if c.node.operatorKeys.IsConfiguration(item.Key) && !item.Removed {
-			c.applyIfNewer(item.Value, "store")
+			c.applyIfNewer(item.Value, nil, "store")
 		}
 	}
 	c.setEvacuation(evac, "store")
@@ -220,25 +232,18 @@
 	return true
 }
 
-// recordReported records the revision that another node reported, and fetches
-// its configuration in the background if it is newer than this node's. Only one
-// fetch runs at a time; a report during a fetch is dropped.
+// recordReported records the revision that another node reported. pull fetches the
+// configuration if it is newer than this node's.
 func (c *configuration) recordReported(revision model.Revision, from model.NodeAddr) {
 	have := c.revision()
-	c.mu.Lock()
-	fetch, ok := c.puller.Report(time.Now(), from, revision, have)
-	c.mu.Unlock()
-	if !ok {
+	if revision <= have || from == c.node.self {
 		return
 	}
-	c.node.goBackground(func() {
-		defer func() {
-			c.mu.Lock()
-			c.puller.Finished()
-			c.mu.Unlock()
-		}()
-		c.fetch(fetch.From)
-	})
+	near := c.node.fleet.inOwnDomain(from)
+	c.mu.Lock()
+	c.puller.Report(time.Now(), from, near, revision, have)
+	c.mu.Unlock()
+	notify(c.reports)
 }
 
 // newestReported returns the newest revision that another node reported.
@@ -258,43 +263,6 @@
 	return c.puller.RetryAfter(now), c.puller.Behind(now, have)
 }
 
-// fetch requests the configuration of another node and applies it if it is newer.
-// Failures are only logged.
-func (c *configuration) fetch(from model.NodeAddr) {
-	began := time.Now()
-	document, err := c.download(from)
-	configurationBytesReceived.Add(len(document))
-	if err != nil {
-		configurationTransfersFailed.Inc()
-		configurationBytesDiscarded.Add(len(document))
-		c.node.log.Info("configuration not fetched", "part", "configuration", "from", from, "error", err.Error(),
-			"revision_reported", c.newestReported(), "bytes", len(document), "ms", time.Since(began).Milliseconds())
-		return
-	}
-	configurationTransfersComplete.Inc()
-	c.applyIfNewer(document, string(from))
-}
-
-// download returns the configuration of another node or, with an error, the part
-// of it that arrived.
-func (c *configuration) download(from model.NodeAddr) ([]byte, error) {
-	ctx, cancel := context.WithTimeout(c.node.ctx, distribution.TransferTimeout)
-	defer cancel()
-	exchange, err := c.node.client.Open(ctx, from, &peer.Request{Kind: peer.KindConfiguration, Inline: true, From: c.node.self})
-	if err != nil {
-		return nil, err
-	}
-	defer exchange.Close()
-	answer, err := exchange.Receive()
-	if err != nil {
-		return nil, err
-	}
-	if answer.Problem != nil {
-		return nil, answer.Problem
-	}
-	return io.ReadAll(io.LimitReader(exchange, maxDocumentBytes+1))
-}
-
 // waitForRevision waits until the revision or a later one is in force. It
 // reports false when the wait times out.
 func (c *configuration) waitForRevision(ctx context.Context, revision model.Revision) bool {
@@ -314,26 +282,3 @@
 		}
 	}
 }
-
-// serve sends this node's configuration to another node.
-func (c *configuration) serve(stream streamWriter) {
-	c.mu.Lock()
-	document := c.document
-	c.mu.Unlock()
-	if document == nil {
-		_ = stream.Answer(&peer.Answer{Run: model.RunNo, Problem: problem.New(problem.ConfigurationLag, model.RunNo, "the node has no configuration yet")})
-		return
-	}
-	configurationBytesSent.Add(len(document))
-	if stream.Answer(&peer.Answer{Run: model.RunNo, Status: 200, Length: int64(len(document))}) != nil ||
-		stream.SendBody(bytes.NewReader(document)) != nil {
-		stream.Fail()
-	}
-}
-
-// streamWriter is the answering side of an exchange between nodes.
-type streamWriter interface {
-	Answer(*peer.Answer) error
-	SendBody(io.Reader) error
-	Fail()
-}
--- a/node/sidecar/execute.go
+++ b/node/sidecar/execute.go
@@ -294,7 +294,7 @@
 	case peer.KindExchange:
 		n.fleet.serve(stream, request.Body)
 	case peer.KindConfiguration:
-		n.configuration.serve(stream)
+		n.configuration.serve(stream, request)
 	case peer.KindCall:
 		n.servePeerCall(ctx, stream)
 	default:
--- a/node/sidecar/fleet.go
+++ b/node/sidecar/fleet.go
@@ -223,6 +223,14 @@
 	return count
 }
 
+// inOwnDomain reports whether a node is known to be in this node's failure domain.
+func (f *fleet) inOwnDomain(node model.NodeAddr) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	domain, ok := f.roster.DomainOf(node)
+	return ok && domain == f.self.Domain
+}
+
 // recordAlive records direct contact with a node.
 func (f *fleet) recordAlive(node model.NodeAddr) {
 	f.mu.Lock()
--- a/node/sidecar/node.go
+++ b/node/sidecar/node.go
@@ -200,6 +200,7 @@
 	}
 	n.goBackground(func() { operators.run(n.ctx) })
 	n.goBackground(func() { n.fleet.follower.run(n.ctx) })
+	n.goBackground(func() { n.configuration.pull(n.ctx) })
 	n.goBackground(func() { n.fleet.register(n.ctx) })
 	n.goBackground(func() { n.fleet.exchangeLoop(n.ctx) })
 	n.goBackground(func() { n.target.watchHealth(n.ctx) })
--- a/node/sidecar/report.go
+++ b/node/sidecar/report.go
@@ -26,6 +26,7 @@
 	// transfers that were begun.
 	configurationTransfersComplete = metrics.NewCounter(`zinniafall_configuration_transfers_total{result="complete"}`)
 	configurationTransfersFailed   = metrics.NewCounter(`zinniafall_configuration_transfers_total{result="failed"}`)
+	configurationTransfersBusy     = metrics.NewCounter(`zinniafall_configuration_transfers_total{result="busy"}`)
 	configurationBytesReceived     = metrics.NewCounter(`zinniafall_configuration_received_bytes_total`)
 	configurationBytesDiscarded    = metrics.NewCounter(`zinniafall_configuration_discarded_bytes_total`)
 	configurationBytesSent         = metrics.NewCounter(`zinniafall_configuration_sent_bytes_total`)
--- /dev/null
+++ b/node/sidecar/transfer.go
@@ -0,0 +1,218 @@
+package sidecar
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"zinniafall/node/peer"
+	"zinniafall/policy/distribution"
+	"zinniafall/policy/model"
+	"zinniafall/policy/problem"
+	"zinniafall/policy/strictcbor"
+)
+
+// maxTransferBytes is the size of the longest transfer: a configuration that does not
+// compress, with its fields.
+const maxTransferBytes = distribution.MaxDocumentBytes + 64<<10
+
+var updatesDecoder = strictcbor.Decoder(strictcbor.Limits{})
+
+// pull fetches newer configurations from other nodes, one at a time, until the context
+// ends. distribution.Puller decides when and from which node.
+func (c *configuration) pull(ctx context.Context) {
+	for ctx.Err() == nil {
+		have := c.revision()
+		c.mu.Lock()
+		from, wait := c.puller.Next(time.Now(), have)
+		c.mu.Unlock()
+		if from == "" {
+			c.awaitReport(ctx, wait)
+			continue
+		}
+		outcome, alternatives := c.fetch(ctx, from)
+		have = c.revision()
+		c.mu.Lock()
+		c.puller.Finished(time.Now(), from, outcome, alternatives, have)
+		c.mu.Unlock()
+	}
+}
+
+// awaitReport waits for a report, or for the given time if it is not 0.
+func (c *configuration) awaitReport(ctx context.Context, wait time.Duration) {
+	var expired <-chan time.Time
+	if wait > 0 {
+		timer := time.NewTimer(wait)
+		defer timer.Stop()
+		expired = timer.C
+	}
+	select {
+	case <-c.reports:
+	case <-expired:
+	case <-ctx.Done():
+	}
+}
+
+// transfer is a configuration as another node sent it.
+type transfer struct {
+	body    []byte
+	updates bool
+	// alternatives are set if the node was busy.
+	busy         bool
+	alternatives []model.NodeAddr
+}
+
+// fetch requests the configuration of another node and applies it if it is newer.
+// Failures are only logged.
+func (c *configuration) fetch(ctx context.Context, from model.NodeAddr) (distribution.Outcome, []model.NodeAddr) {
+	began := time.Now()
+	c.sending.Lock()
+	base := c.archive.Document()
+	c.sending.Unlock()
+	t, err := c.download(ctx, from, distribution.SumOf(base))
+	configurationBytesReceived.Add(len(t.body))
+	if t.busy {
+		configurationTransfersBusy.Inc()
+		return distribution.Busy, t.alternatives
+	}
+	document, updates := t.body, []distribution.Update(nil)
+	if err == nil && t.updates {
+		err = updatesDecoder.Unmarshal(t.body, &updates)
+	}
+	// Another source may have been faster.
+	outdated := t.updates && (len(updates) == 0 || updates[len(updates)-1].Revision <= c.revision())
+	if err == nil && t.updates && !outdated {
+		document, _, err = distribution.Apply(base, updates)
+	}
+	if err != nil {
+		configurationTransfersFailed.Inc()
+		configurationBytesDiscarded.Add(len(t.body))
+		c.node.log.Info("configuration not fetched", "part", "configuration", "from", from, "error", err.Error(),
+			"revision_reported", c.newestReported(), "bytes", len(t.body), "ms", time.Since(began).Milliseconds())
+		return distribution.Failed, nil
+	}
+	configurationTransfersComplete.Inc()
+	if outdated {
+		return distribution.Received, nil
+	}
+	c.applyIfNewer(document, updates, string(from))
+	return distribution.Received, nil
+}
+
+// download returns the configuration of another node or, with an error, the part of it
+// that arrived.
+func (c *configuration) download(ctx context.Context, from model.NodeAddr, base distribution.Sum) (transfer, error) {
+	ctx, cancel := context.WithTimeout(ctx, distribution.MaxTransferTime)
+	defer cancel()
+	stalled := time.AfterFunc(distribution.StallTimeout, cancel)
+	defer stalled.Stop()
+	request := &peer.Request{Kind: peer.KindConfiguration, Inline: true, From: c.node.self, Updates: true, Base: uint64(base)}
+	exchange, err := c.node.client.Open(ctx, from, request)
+	if err != nil {
+		return transfer{}, err
+	}
+	defer exchange.Close()
+	answer, err := exchange.Receive()
+	switch {
+	case err != nil:
+		return transfer{}, err
+	case answer.Problem != nil && answer.Problem.Kind == problem.Overloaded:
+		return transfer{busy: true, alternatives: answer.Alternatives}, nil
+	case answer.Problem != nil:
+		return transfer{}, answer.Problem
+	}
+	body := progressReader{exchange, func() { stalled.Reset(distribution.StallTimeout) }}
+	raw, err := io.ReadAll(io.LimitReader(body, maxTransferBytes+1))
+	if err == nil && len(raw) > maxTransferBytes {
+		err = errors.New("the configuration is larger than the store allows")
+	}
+	return transfer{body: raw, updates: answer.Updates}, err
+}
+
+// progressReader calls progress whenever bytes were read.
+type progressReader struct {
+	io.Reader
+	progress func()
+}
+
+func (r progressReader) Read(p []byte) (int, error) {
+	n, err := r.Reader.Read(p)
+	if n > 0 {
+		r.progress()
+	}
+	return n, err
+}
+
+// serve sends this node's configuration to another node: as updates if it asks for them,
+// otherwise, to a node of an earlier release, as a document.
+func (c *configuration) serve(stream streamWriter, request *peer.Request) {
+	answer := &peer.Answer{Run: model.RunNo}
+	body, revision, err := c.encodeFor(request)
+	switch {
+	case err != nil:
+		answer.Problem = problem.New(problem.Internal, model.RunNo, err.Error())
+	case body == nil:
+		answer.Problem = problem.New(problem.ConfigurationLag, model.RunNo, "the node has no configuration yet")
+	case !c.beginSending(len(body)):
+		answer.Problem = problem.New(problem.Overloaded, model.RunNo, "the node sends its configuration to other nodes")
+		c.sending.Lock()
+		answer.Alternatives = c.sender.Alternatives(revision)
+		c.sending.Unlock()
+	default:
+		complete := false
+		defer func() { c.endSending(len(body), revision, request.From, complete) }()
+		answer.Status, answer.Length, answer.Updates = 200, int64(len(body)), request.Updates
+		if stream.Answer(answer) != nil || stream.SendBody(bytes.NewReader(body)) != nil {
+			stream.Fail()
+			return
+		}
+		complete = true
+		return
+	}
+	if stream.Answer(answer) != nil {
+		stream.Fail()
+	}
+}
+
+// encodeFor returns what to send to a node and the revision to which that leads. The
+// body is nil if this node has no configuration.
+func (c *configuration) encodeFor(request *peer.Request) ([]byte, model.Revision, error) {
+	c.sending.Lock()
+	defer c.sending.Unlock()
+	if !request.Updates || c.archive.Revision() == 0 {
+		return c.archive.Document(), c.archive.Revision(), nil
+	}
+	updates, err := c.archive.UpdatesFrom(distribution.Sum(request.Base))
+	if err != nil {
+		return nil, 0, err
+	}
+	body, err := cbor.Marshal(updates)
+	return body, c.archive.Revision(), err
+}
+
+func (c *configuration) beginSending(bytes int) bool {
+	c.sending.Lock()
+	defer c.sending.Unlock()
+	ok := c.sender.Begin(bytes)
+	if ok {
+		configurationBytesSent.Add(bytes)
+	}
+	return ok
+}
+
+func (c *configuration) endSending(bytes int, revision model.Revision, to model.NodeAddr, complete bool) {
+	c.sending.Lock()
+	defer c.sending.Unlock()
+	c.sender.Finished(bytes, revision, to, complete)
+}
+
+// streamWriter is the answering side of an exchange between nodes.
+type streamWriter interface {
+	Answer(*peer.Answer) error
+	SendBody(io.Reader) error
+	Fail()
+}
--- a/policy/distribution/fleet_test.go
+++ b/policy/distribution/fleet_test.go
@@ -83,6 +83,8 @@
 	link    float64
 	watcher *roster.WatchPolicy
 	puller  *Puller
+	archive Archive
+	sender  Sender
 	change  change
 	// inForce is when each revision, or a later one, came into force.
 	inForce map[model.Revision]time.Duration
@@ -123,7 +125,7 @@
 	var records []roster.Record
 	for d, size := range domains {
 		for i := range size {
-			n := &simNode{fleet: f, addr: model.NodeAddr(fmt.Sprintf("10.%d.0.%d:1", d, i)), domain: model.Domain(fmt.Sprint(d)), link: thinLink, puller: NewPuller(), inForce: map[model.Revision]time.Duration{}}
+			n := &simNode{fleet: f, addr: model.NodeAddr(fmt.Sprintf("10.%d.0.%d:1", d, i)), domain: model.Domain(fmt.Sprint(d)), link: thinLink, puller: NewPuller(seed + uint64(len(f.nodes))), inForce: map[model.Revision]time.Duration{}}
 			if wide && i < 2 {
 				n.link = wideLink
 			}
@@ -212,14 +214,17 @@
 	for _, n := range f.nodes {
 		if n.watcher.IsWatcher() {
 			f.after(roundTrip, func() {
-				f.start(&transfer{to: n, remaining: float64(len(c.document)) * 4 / 3, done: func() { n.apply(c) }})
+				f.start(&transfer{to: n, remaining: float64(len(c.document)) * 4 / 3, done: func() { n.apply(c, nil) }})
 			})
 		}
 	}
 }
 
 // apply decodes a configuration and puts it in force if it is newer.
-func (n *simNode) apply(c change) {
+func (n *simNode) apply(c change, updates []Update) {
+	if c.revision <= n.change.revision {
+		return
+	}
 	n.fleet.after(time.Duration(len(c.document))*decodePerByte, func() {
 		if c.revision <= n.change.revision {
 			return
@@ -228,6 +233,9 @@
 			n.inForce[revision] = n.fleet.now
 		}
 		n.change = c
+		if err := n.archive.Put(c.revision, c.document, updates); err != nil {
+			panic(err)
+		}
 		for _, child := range n.watcher.Children() {
 			n.tell(n.fleet.byAddr[child])
 		}
@@ -269,25 +277,48 @@
 }
 
 func (n *simNode) report(from *simNode) {
-	fetch, ok := n.puller.Report(time.Time{}.Add(n.fleet.now), from.addr, from.change.revision, n.change.revision)
-	if ok {
-		n.fetch(n.fleet.byAddr[fetch.From])
+	n.puller.Report(n.fleet.clock(), from.addr, from.domain == n.domain, from.change.revision, n.change.revision)
+	n.pull()
+}
+
+func (f *fleet) clock() time.Time { return start.Add(f.now) }
+
+// pull makes the fetch that is due, if any.
+func (n *simNode) pull() {
+	from, wait := n.puller.Next(n.fleet.clock(), n.change.revision)
+	if from != "" {
+		n.fleet.after(roundTrip, func() { n.fetch(n.fleet.byAddr[from]) })
+	} else if wait > 0 {
+		n.fleet.after(wait, n.pull)
 	}
 }
 
 // fetch transfers the configuration of another node.
 func (n *simNode) fetch(from *simNode) {
 	f, sent := n.fleet, from.change
-	f.after(roundTrip, func() {
-		t := f.start(&transfer{from: from, to: n, remaining: float64(len(sent.document)), done: func() {
-			n.puller.Finished()
-			n.apply(sent)
-		}})
-		f.after(TransferTimeout-roundTrip, func() {
-			if f.stop(t) {
-				n.puller.Finished()
-			}
-		})
+	finish := func(outcome Outcome, alternatives []model.NodeAddr) {
+		n.puller.Finished(f.clock(), from.addr, outcome, alternatives, n.change.revision)
+		n.pull()
+	}
+	updates, err := from.archive.UpdatesFrom(n.archive.Sum())
+	if err != nil {
+		panic(err)
+	}
+	bytes := size(updates)
+	if !from.sender.Begin(bytes) {
+		finish(Busy, from.sender.Alternatives(sent.revision))
+		return
+	}
+	t := f.start(&transfer{from: from, to: n, remaining: float64(bytes), done: func() {
+		from.sender.Finished(bytes, sent.revision, n.addr, true)
+		finish(Received, nil)
+		n.apply(sent, updates)
+	}})
+	f.after(MaxTransferTime, func() {
+		if f.stop(t) {
+			from.sender.Finished(bytes, sent.revision, n.addr, false)
+			finish(Failed, nil)
+		}
 	})
 }
 
--- a/policy/distribution/puller.go
+++ b/policy/distribution/puller.go
@@ -1,33 +1,80 @@
 // Package distribution decides how a configuration spreads from the nodes that have
 // it to the nodes that lack it.
+//
+// A few nodes read it from the store; the others learn of it from greetings, calls and
+// answers, and fetch it from a node that has it. Three decisions keep a large
+// configuration from filling the links that calls share with it. What is sent is the
+// difference to the configuration that the receiver has (Archive). A node sends a few
+// transfers at a time and turns others away, naming nodes that it has just served, so
+// that the number of senders grows with the number of nodes that have the configuration
+// (Sender). A node fetches from one node at a time, prefers its own failure domain, and
+// goes to another node after a failure (Puller). A transfer that makes progress is not
+// given up.
 package distribution
 
 import (
+	"math/rand/v2"
+	"slices"
 	"time"
 
 	"zinniafall/policy/model"
 )
 
 const (
-	// TransferTimeout limits one transfer of a configuration.
-	TransferTimeout = time.Second
+	// StallTimeout is the time without progress after which a transfer is given up.
+	StallTimeout = time.Second
+	// MaxTransferTime limits a transfer that makes progress.
+	MaxTransferTime = 10 * time.Second
+
 	// reportTTL is how long a node relies on a report that was not repeated. Nodes
 	// that have a revision report it about once a second.
 	reportTTL = 5 * time.Second
 	// minRetryAfter is the shortest Retry-After of a node that lacks the newest
 	// configuration.
 	minRetryAfter = 150 * time.Millisecond
+	// maxHolders bounds the nodes that are known to have a newer configuration.
+	maxHolders = 16
+	// busyDelay is the time until a node that was busy is asked again, and
+	// minFailureDelay and maxFailureDelay the same for one at which a transfer failed.
+	busyDelay       = 50 * time.Millisecond
+	minFailureDelay = 200 * time.Millisecond
+	maxFailureDelay = 2 * time.Second
+	// otherDomainDelay is how long a node leaves the transfer to the nodes of its own
+	// failure domain that are known to have the configuration: bytes between failure
+	// domains are dear.
+	otherDomainDelay = 500 * time.Millisecond
 )
 
-// Fetch is a transfer that a Puller has decided to make.
-type Fetch struct {
-	From model.NodeAddr
+// Outcome is how a transfer ended.
+type Outcome uint8
+
+// The outcomes of a transfer.
+const (
+	// Received: the node sent what it has.
+	Received Outcome = iota
+	// Busy: the node makes other transfers now.
+	Busy
+	// Failed: the node could not be reached, or the transfer broke off.
+	Failed
+)
+
+// holder is a node that reported a newer configuration.
+type holder struct {
+	node       model.NodeAddr
+	near       bool
+	revision   model.Revision
+	lastReport time.Time
+	// notBefore is when the node may be asked again.
+	notBefore time.Time
+	failures  int
 }
 
 // Puller decides when and from which node a node fetches a newer configuration. It
 // is not safe for concurrent use.
 type Puller struct {
-	active bool
+	rng     *rand.Rand
+	active  bool
+	holders []*holder
 	// newest is the newest revision that was reported, firstReport and lastReport
 	// the times of its first and its last report.
 	newest                  model.Revision
@@ -35,14 +82,13 @@
 }
 
 // NewPuller returns a Puller that knows of no configuration.
-func NewPuller() *Puller { return &Puller{} }
+func NewPuller(seed uint64) *Puller { return &Puller{rng: rand.New(rand.NewPCG(seed, 0))} }
 
-// Report records that another node has a revision. have is the revision in force. ok
-// reports whether to make the fetch now; Finished must follow it. A report during a
-// fetch is dropped.
-func (p *Puller) Report(now time.Time, from model.NodeAddr, revision, have model.Revision) (f Fetch, ok bool) {
+// Report records that another node has a revision. near reports whether it is in this
+// node's failure domain, and have is the revision in force here.
+func (p *Puller) Report(now time.Time, from model.NodeAddr, near bool, revision, have model.Revision) {
 	if revision <= have || from == "" {
-		return Fetch{}, false
+		return
 	}
 	if revision > p.newest {
 		p.newest, p.firstReport = revision, now
@@ -50,15 +96,122 @@
 	if revision == p.newest {
 		p.lastReport = now
 	}
+	p.holders = slices.DeleteFunc(p.holders, func(h *holder) bool {
+		return h.revision <= have || now.Sub(h.lastReport) >= reportTTL
+	})
+	i := slices.IndexFunc(p.holders, func(h *holder) bool { return h.node == from })
+	if i < 0 {
+		if len(p.holders) >= maxHolders {
+			p.evict(near)
+		}
+		if len(p.holders) >= maxHolders {
+			return
+		}
+		p.holders = append(p.holders, &holder{node: from, near: near})
+		i = len(p.holders) - 1
+	}
+	h := p.holders[i]
+	h.revision, h.lastReport = max(h.revision, revision), now
+}
+
+// evict makes room for a holder: the one in another failure domain that was reported
+// longest ago, or any if the new one is near.
+func (p *Puller) evict(near bool) {
+	oldest := -1
+	for i, h := range p.holders {
+		if h.near && !near {
+			continue
+		}
+		if oldest < 0 || p.holders[oldest].near && !h.near || p.holders[oldest].near == h.near && h.lastReport.Before(p.holders[oldest].lastReport) {
+			oldest = i
+		}
+	}
+	if oldest >= 0 {
+		p.holders = slices.Delete(p.holders, oldest, oldest+1)
+	}
+}
+
+// Next returns the node to fetch from now; Finished must follow then. If there is none,
+// wait is the time after which to ask again, or 0 if only a report can change that.
+func (p *Puller) Next(now time.Time, have model.Revision) (from model.NodeAddr, wait time.Duration) {
 	if p.active {
-		return Fetch{}, false
+		return "", 0
+	}
+	var best []*holder
+	anyNear := slices.ContainsFunc(p.holders, func(h *holder) bool { return h.near && p.usable(h, now, have) })
+	consider := func(at time.Time) bool {
+		if at.After(now) {
+			if d := at.Sub(now); wait == 0 || d < wait {
+				wait = d
+			}
+			return false
+		}
+		return true
+	}
+	for _, h := range p.holders {
+		at := h.notBefore
+		if far := p.firstReport.Add(otherDomainDelay); !h.near && anyNear && at.Before(far) {
+			at = far
+		}
+		if !p.usable(h, now, have) || !consider(at) {
+			continue
+		}
+		switch {
+		case len(best) == 0 || better(h, best[0]):
+			best = append(best[:0], h)
+		case !better(best[0], h):
+			best = append(best, h)
+		}
+	}
+	if len(best) == 0 {
+		return "", wait
 	}
 	p.active = true
-	return Fetch{From: from}, true
+	return best[p.rng.IntN(len(best))].node, 0
+}
+
+// usable reports whether a holder has a newer configuration by a report that counts.
+func (p *Puller) usable(h *holder, now time.Time, have model.Revision) bool {
+	return h.revision > have && now.Sub(h.lastReport) < reportTTL
+}
+
+// better reports whether a holder is preferred to another: one of the own failure
+// domain, then the one with the newer configuration.
+func better(a, b *holder) bool {
+	if a.near != b.near {
+		return a.near
+	}
+	return a.revision > b.revision
+}
+
+// Finished records the end of a transfer. A busy node names alternatives, which have the
+// configuration from it.
+func (p *Puller) Finished(now time.Time, from model.NodeAddr, outcome Outcome, alternatives []model.NodeAddr, have model.Revision) {
+	p.active = false
+	i := slices.IndexFunc(p.holders, func(h *holder) bool { return h.node == from })
+	if i < 0 {
+		return
+	}
+	h := p.holders[i]
+	switch outcome {
+	case Received:
+		h.failures = 0
+		p.holders = slices.Delete(p.holders, i, i+1) // it reports again what it has
+	case Busy:
+		h.notBefore = now.Add(p.jitter(busyDelay))
+		for _, node := range alternatives {
+			p.Report(now, node, h.near, h.revision, have)
+		}
+	case Failed:
+		h.notBefore = now.Add(p.jitter(min(minFailureDelay<<h.failures, maxFailureDelay)))
+		h.failures = min(h.failures+1, maxHolders)
+	}
 }
 
-// Finished records the end of the fetch.
-func (p *Puller) Finished() { p.active = false }
+// jitter varies a delay by a quarter in both directions.
+func (p *Puller) jitter(d time.Duration) time.Duration {
+	return d*3/4 + time.Duration(p.rng.Int64N(int64(d/2)))
+}
 
 // Newest returns the newest revision that was reported, and when it was reported first.
 func (p *Puller) Newest() (model.Revision, time.Time) { return p.newest, p.firstReport }
--- a/policy/distribution/puller_test.go
+++ b/policy/distribution/puller_test.go
@@ -5,22 +5,88 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+
+	"zinniafall/policy/model"
 )
 
 var start = time.Date(2026, 12, 4, 8, 0, 0, 0, time.UTC)
 
 func TestNodeIsBehindWhileOthersReportANewerRevision(t *testing.T) {
-	p := NewPuller()
+	p := NewPuller(1)
 	qt.Assert(t, p.Behind(start, 1), qt.IsFalse)
-	p.Report(start, "a", 2, 1)
+	p.Report(start, "a", true, 2, 1)
 	qt.Assert(t, p.Behind(start, 1), qt.IsTrue)
 	qt.Assert(t, p.RetryAfter(start), qt.Equals, minRetryAfter)
 	qt.Assert(t, p.RetryAfter(start.Add(2*time.Second)), qt.Equals, time.Second)
 	// A report of an older revision does not extend the time.
-	p.Report(start.Add(reportTTL/2), "b", 1, 0)
+	p.Report(start.Add(reportTTL/2), "b", true, 1, 0)
 	qt.Assert(t, p.Behind(start.Add(reportTTL-1), 1), qt.IsTrue)
 	qt.Assert(t, p.Behind(start.Add(reportTTL), 1), qt.IsFalse)
-	p.Report(start.Add(reportTTL), "b", 2, 1)
+	p.Report(start.Add(reportTTL), "b", true, 2, 1)
 	qt.Assert(t, p.Behind(start.Add(2*reportTTL-1), 1), qt.IsTrue)
 	qt.Assert(t, p.Behind(start.Add(reportTTL), 2), qt.IsFalse)
 }
+
+func TestNodeOfTheOwnDomainIsPreferred(t *testing.T) {
+	p := NewPuller(1)
+	p.Report(start, "far", false, 3, 1)
+	p.Report(start, "near", true, 2, 1)
+	from, _ := p.Next(start, 1)
+	qt.Assert(t, from, qt.Equals, model.NodeAddr("near"))
+	from, _ = p.Next(start, 1) // one transfer at a time
+	qt.Assert(t, from, qt.Equals, model.NodeAddr(""))
+	// The near node fails: it is asked again later, the other one after a while.
+	p.Finished(start, "near", Failed, nil, 1)
+	from, wait := p.Next(start, 1)
+	qt.Assert(t, from, qt.Equals, model.NodeAddr(""))
+	qt.Assert(t, wait > 0 && wait <= minFailureDelay*5/4, qt.IsTrue)
+	p.Report(start.Add(otherDomainDelay), "near", true, 2, 1)
+	p.holders[1].notBefore = start.Add(time.Hour)
+	from, _ = p.Next(start.Add(otherDomainDelay), 1)
+	qt.Assert(t, from, qt.Equals, model.NodeAddr("far"))
+}
+
+// TestFailedTransferGoesToAnotherNode guards against the repeated transfer from the node
+// at which the last one failed.
+func TestFailedTransferGoesToAnotherNode(t *testing.T) {
+	p := NewPuller(1)
+	p.Report(start, "a", true, 2, 1)
+	p.Report(start, "b", true, 2, 1)
+	first, _ := p.Next(start, 1)
+	p.Finished(start, first, Failed, nil, 1)
+	second, _ := p.Next(start, 1)
+	qt.Assert(t, second != first && second != "", qt.IsTrue)
+}
+
+func TestBusyNodeNamesAlternatives(t *testing.T) {
+	var s Sender
+	qt.Assert(t, s.Begin(100<<10), qt.IsTrue)
+	qt.Assert(t, s.Begin(100<<10), qt.IsFalse)
+	qt.Assert(t, s.Begin(1<<10), qt.IsTrue)
+	s.Finished(100<<10, 2, "b", true)
+	s.Finished(1<<10, 2, "c", false)
+	qt.Assert(t, s.Begin(1<<20), qt.IsTrue) // alone
+	qt.Assert(t, s.Begin(1), qt.IsFalse)
+	qt.Assert(t, s.Alternatives(2), qt.DeepEquals, []model.NodeAddr{"b"})
+	qt.Assert(t, s.Alternatives(3), qt.HasLen, 0)
+
+	p := NewPuller(1)
+	p.Report(start, "a", true, 2, 1)
+	from, _ := p.Next(start, 1)
+	p.Finished(start, from, Busy, s.Alternatives(2), 1)
+	from, _ = p.Next(start, 1)
+	qt.Assert(t, from, qt.Equals, model.NodeAddr("b"))
+}
+
+func TestKnownHoldersAreBounded(t *testing.T) {
+	p := NewPuller(1)
+	for i := range 3 * maxHolders {
+		p.Report(start.Add(time.Duration(i)), model.NodeAddr([]byte{byte('a' + i)}), i%2 == 0, 2, 1)
+	}
+	qt.Assert(t, p.holders, qt.HasLen, maxHolders)
+	for _, h := range p.holders {
+		qt.Assert(t, h.near, qt.IsTrue)
+	}
+	p.Report(start, "x", true, 3, 2) // drops the holders of what is in force
+	qt.Assert(t, p.holders, qt.HasLen, 1)
+}
--- a/policy/roster/roster.go
+++ b/policy/roster/roster.go
@@ -194,6 +194,15 @@
 	return changed
 }
 
+// DomainOf returns the failure domain of a member.
+func (r *Roster) DomainOf(node model.NodeAddr) (model.Domain, bool) {
+	m := r.members[node]
+	if m == nil {
+		return "", false
+	}
+	return m.Domain, true
+}
+
 // Records returns the records of all members, sorted by address.
 func (r *Roster) Records() []Record {
 	out := make([]Record, 0, len(r.members))
