Find a request's route in as many steps as its path has slashes

Cause: Match compared a path with the prefixes of its host one by one.

Change: each host has its routes by prefix; Match cuts the path at its slashes. Of equal prefixes the first still counts. A host without a port is no longer split.

Measured: TestMatchEqualsAScanOfAllRoutes compares with the definition on 10,000 paths.

--- a/policy/routing/routing.go
+++ b/policy/routing/routing.go
@@ -92,7 +92,8 @@
 	Problems []error
 
 	routes []Route
-	byHost map[string][]*Route
+	// byHost holds the routes by host and prefix.
+	byHost map[string]map[string]*Route
 }
 
 // ErrUnknownService reports a backend whose service is not configured.
@@ -104,7 +105,7 @@
 func NewTable(revision model.Revision, routes []Route, services map[model.Service]Service, limits Limits) (*Table, error) {
 	t := &Table{
 		Revision: revision, Services: services, Limits: limits,
-		routes: slices.Clone(routes), byHost: make(map[string][]*Route, len(routes)),
+		routes: slices.Clone(routes), byHost: make(map[string]map[string]*Route),
 	}
 	var unplaced []error
 	for i := range t.routes {
@@ -122,14 +123,16 @@
 			t.Problems = append(t.Problems, fmt.Errorf("route %q: %s", r.Name, r.Unsupported))
 		}
 		host := normalizeHost(r.Host)
-		t.byHost[host] = append(t.byHost[host], r)
+		if t.byHost[host] == nil {
+			t.byHost[host] = make(map[string]*Route)
+		}
+		if t.byHost[host][r.Prefix] == nil { // of two equal prefixes, the first counts
+			t.byHost[host][r.Prefix] = r
+		}
 	}
 	if len(unplaced) > 0 {
 		return nil, errors.Join(unplaced...)
 	}
-	for _, list := range t.byHost {
-		slices.SortStableFunc(list, func(a, b *Route) int { return len(b.Prefix) - len(a.Prefix) })
-	}
 	return t, nil
 }
 
@@ -181,10 +184,13 @@
 // Routes returns the number of routes.
 func (t *Table) Routes() int { return len(t.routes) }
 
-// Match returns the route for a request, or nil if none matches.
+// Match returns the route for a request, or nil if none matches. Each prefix ends with a
+// slash, so that the longest one that matches is found in as many steps as the path has
+// slashes.
 func (t *Table) Match(host, path string) *Route {
-	for _, r := range t.byHost[normalizeHost(host)] {
-		if strings.HasPrefix(path, r.Prefix) {
+	prefixes := t.byHost[normalizeHost(host)]
+	for end := strings.LastIndexByte(path, '/'); end >= 0; end = strings.LastIndexByte(path[:end], '/') {
+		if r := prefixes[path[:end+1]]; r != nil {
 			return r
 		}
 	}
@@ -211,8 +217,10 @@
 // normalizeHost returns a Host header field in lower case and without its
 // port.
 func normalizeHost(host string) string {
-	if name, _, err := net.SplitHostPort(host); err == nil {
-		host = name
+	if strings.IndexByte(host, ':') >= 0 { // SplitHostPort allocates an error otherwise
+		if name, _, err := net.SplitHostPort(host); err == nil {
+			host = name
+		}
 	}
 	return strings.ToLower(host)
 }
--- a/policy/routing/routing_test.go
+++ b/policy/routing/routing_test.go
@@ -1,6 +1,9 @@
 package routing
 
 import (
+	"math/rand/v2"
+	"strconv"
+	"strings"
 	"testing"
 	"time"
 
@@ -83,3 +86,40 @@
 		qt.Assert(t, err, qt.IsNotNil, qt.Commentf("%s", name))
 	}
 }
+
+// TestMatchEqualsAScanOfAllRoutes compares Match with the definition: of the prefixes that
+// begin the path the longest counts, of equal ones the first.
+func TestMatchEqualsAScanOfAllRoutes(t *testing.T) {
+	rng := rand.New(rand.NewPCG(1, 2))
+	path := func() string {
+		p := "/"
+		for range rng.IntN(5) {
+			p += []string{"a", "b", "", "ab"}[rng.IntN(4)] + "/"
+		}
+		return p
+	}
+	for range 200 {
+		var routes []Route
+		for i := range 1 + rng.IntN(20) {
+			r := route("h", path(), Backend{"one", 1})
+			r.Name = strconv.Itoa(i)
+			routes = append(routes, r)
+		}
+		table, err := NewTable(1, routes, services("one"), Limits{})
+		qt.Assert(t, err, qt.IsNil)
+		for range 50 {
+			target := path() + []string{"", "x", "a"}[rng.IntN(3)]
+			var want *Route
+			for i, r := range routes {
+				if strings.HasPrefix(target, r.Prefix) && (want == nil || len(r.Prefix) > len(want.Prefix)) {
+					want = &routes[i]
+				}
+			}
+			got := table.Match("h", target)
+			qt.Assert(t, got == nil, qt.Equals, want == nil, qt.Commentf("%s", target))
+			if want != nil {
+				qt.Assert(t, got.Name, qt.Equals, want.Name, qt.Commentf("%s", target))
+			}
+		}
+	}
+}
