Let the nodes with the widest links watch the store

Cause: watchers were chosen by a hash of their address.

Change: a node's record states the capacity of its link, from the settings; the widest come first in the order of watchers, which is also that of the tree, and equal ones in the order of the hash as before. A record without it counts as the narrowest.

--- a/node/sidecar/fleet.go
+++ b/node/sidecar/fleet.go
@@ -66,8 +66,8 @@
 }
 
 func newFleet(n *Node) *fleet {
-	f := &fleet{node: n, roster: roster.New(n.self), entryNotice: make(chan struct{}, 1), watchers: roster.NewWatchPolicy(n.self, n.settings.Domain)}
-	f.self = roster.Record{Node: n.self, Process: n.process, Domain: n.settings.Domain, Region: n.settings.Region, Service: n.settings.Service, Sequence: 1}
+	f := &fleet{node: n, roster: roster.New(n.self), entryNotice: make(chan struct{}, 1), watchers: roster.NewWatchPolicy(n.self, n.settings.Domain, int(n.settings.LinkMbps))}
+	f.self = roster.Record{Node: n.self, Process: n.process, Domain: n.settings.Domain, Region: n.settings.Region, Service: n.settings.Service, Sequence: 1, LinkMbps: int(n.settings.LinkMbps)}
 	f.follower = &follower{
 		store: n.store, log: n.log, name: "fleet", prefix: nodePrefix, watchDelay: fleetWatchDelay, watchTimeout: fleetWatchTimeout,
 		needed: f.followsStore, standInDelay: f.standInDelay, retryDelayLimit: f.retryDelayLimit, listed: make(chan struct{}), onList: f.listed, onChange: f.applyChanges,
--- a/node/sidecar/fleet_test.go
+++ b/node/sidecar/fleet_test.go
@@ -139,7 +139,7 @@
 	store := &gatedStore{newMemoryStore(), make(chan struct{})}
 	store.configure(t, 1, "front")
 	peerAddr := freeAddr()
-	watchers := roster.NewWatchPolicy(model.NodeAddr(peerAddr), "a")
+	watchers := roster.NewWatchPolicy(model.NodeAddr(peerAddr), "a", 0)
 	var others []roster.Record
 	for i := 1; watchers.IsWatcher(); i++ {
 		r := roster.Record{Node: model.NodeAddr(fmt.Sprintf("127.0.0.1:%d", i)), Domain: "a", Service: "front", Sequence: 1}
--- a/node/sidecar/settings.go
+++ b/node/sidecar/settings.go
@@ -32,6 +32,8 @@
 	MaxDescriptors int
 	// MemoryMB is the memory that the VM gives the process.
 	MemoryMB int
+	// LinkMbps is the capacity of the VM's link in Mbit/s, or 0 if it is not known.
+	LinkMbps float64
 	// GracePeriod is the time between the stop request and the kill.
 	GracePeriod time.Duration
 	// RetryRatio, RetryWindow and RetrySlack limit the retries that reach the
@@ -63,8 +65,8 @@
 	if s.Service == "" {
 		problems = append(problems, errors.New("the target's service is missing"))
 	}
-	if s.GracePeriod < 0 || s.RetryRatio < 0 || s.RetrySlack < 0 || s.ColdOvershoot < 0 || s.ColdSlack < 0 || s.RetryWindow < 0 {
-		problems = append(problems, errors.New("the grace period, the retry limits and the cold limits must not be below zero"))
+	if s.LinkMbps < 0 || s.GracePeriod < 0 || s.RetryRatio < 0 || s.RetrySlack < 0 || s.ColdOvershoot < 0 || s.ColdSlack < 0 || s.RetryWindow < 0 {
+		problems = append(problems, errors.New("the link's capacity, the grace period, the retry limits and the cold limits must not be below zero"))
 	}
 	return errors.Join(problems...)
 }
--- a/policy/distribution/fleet_test.go
+++ b/policy/distribution/fleet_test.go
@@ -129,9 +129,10 @@
 			if wide && i < 2 {
 				n.link = wideLink
 			}
-			n.watcher = roster.NewWatchPolicy(n.addr, n.domain)
+			mbps := int(n.link * 8 / 1e6)
+			n.watcher = roster.NewWatchPolicy(n.addr, n.domain, mbps)
 			f.nodes, f.byAddr[n.addr] = append(f.nodes, n), n
-			records = append(records, roster.Record{Node: n.addr, Domain: n.domain})
+			records = append(records, roster.Record{Node: n.addr, Domain: n.domain, LinkMbps: mbps})
 		}
 	}
 	for i, n := range f.nodes {
--- a/policy/roster/roster.go
+++ b/policy/roster/roster.go
@@ -50,6 +50,8 @@
 	Slots int `cbor:"7,keyasint" json:"slots"`
 	// State is the state of the node's target.
 	State model.TargetState `cbor:"8,keyasint" json:"state"`
+	// LinkMbps is the capacity of the node's link in Mbit/s, or 0 if it is not known.
+	LinkMbps int `cbor:"9,keyasint,omitempty" json:"link_mbps,omitempty"`
 }
 
 // member is a Record with the evidence that its node is alive.
--- a/policy/roster/watchers.go
+++ b/policy/roster/watchers.go
@@ -37,10 +37,15 @@
 // node costs store calls, but its data does not become stale. During an outage
 // of the store the nodes of a failure domain share the retries, because the
 // first that succeeds tells the others.
+//
+// The nodes with the widest links come first: a watcher receives each configuration
+// whole from the store and sends the most, on a link that it shares with calls.
 type WatchPolicy struct {
-	self    model.NodeAddr
+	self    candidate
 	domain  model.Domain
 	watcher bool
+	// candidates are the nodes of the failure domain that are known.
+	candidates map[model.NodeAddr]candidate
 	// rank is this node's position in the order in which nodes become watchers,
 	// domainSize the number of nodes in the failure domain.
 	rank, domainSize int
@@ -53,22 +58,37 @@
 	lastNodeContact time.Time
 }
 
+// candidate is a node as a possible watcher.
+type candidate struct {
+	node     model.NodeAddr
+	linkMbps int
+}
+
+// compare orders the candidates of a failure domain. Nodes with equal links are ordered
+// by a hash, so that neighboring addresses are not watchers together.
+func (c candidate) compare(other candidate) int {
+	return cmp.Or(cmp.Compare(other.linkMbps, c.linkMbps), cmp.Compare(xxhash.Sum64String(string(c.node)), xxhash.Sum64String(string(other.node))))
+}
+
 // NewWatchPolicy returns the policy of a node that knows no other nodes yet and
-// watches the store itself.
-func NewWatchPolicy(self model.NodeAddr, domain model.Domain) *WatchPolicy {
-	return &WatchPolicy{self: self, domain: domain, watcher: true}
+// watches the store itself. linkMbps is as in its Record.
+func NewWatchPolicy(self model.NodeAddr, domain model.Domain, linkMbps int) *WatchPolicy {
+	return &WatchPolicy{self: candidate{self, linkMbps}, domain: domain, watcher: true}
 }
 
 // SetMembers sets the other nodes. A node that was a watcher and now is none
 // gives the watchers watcherTimeout to send a message.
 func (w *WatchPolicy) SetMembers(now time.Time, records []Record) {
-	own := []model.NodeAddr{w.self}
+	own := []candidate{w.self}
+	w.candidates = make(map[model.NodeAddr]candidate)
 	for _, r := range records {
 		if r.Domain == w.domain {
-			own = append(own, r.Node)
+			c := candidate{r.Node, r.LinkMbps}
+			own = append(own, c)
+			w.candidates[r.Node] = c
 		}
 	}
-	slices.SortFunc(own, func(a, b model.NodeAddr) int { return cmp.Compare(orderKey(a), orderKey(b)) })
+	slices.SortFunc(own, candidate.compare)
 	watcher := slices.Contains(own[:min(len(own), watchersPerDomain)], w.self)
 	if w.watcher && !watcher {
 		w.lastWatcherContact = now
@@ -76,7 +96,10 @@
 	w.watcher = watcher
 	at := slices.Index(own, w.self)
 	w.rank, w.domainSize = at, len(own)
-	w.children = slices.Clone(own[min(treeFanOut*at+1, len(own)):min(treeFanOut*(at+1)+1, len(own))])
+	w.children = nil
+	for _, child := range own[min(treeFanOut*at+1, len(own)):min(treeFanOut*(at+1)+1, len(own))] {
+		w.children = append(w.children, child.node)
+	}
 }
 
 // Refresh records contact with a node that watches the store and
@@ -87,14 +110,15 @@
 	}
 }
 
-// orderKey returns the key by which the nodes of a failure domain are ranked.
-func orderKey(node model.NodeAddr) uint64 { return xxhash.Sum64String(string(node)) }
-
 // YieldsTo reports whether this node leaves watching the store to the given
 // node, which reaches it. Reaches reports whether this node reaches the store
 // too; of two nodes that both do, the one ranked later yields.
 func (w *WatchPolicy) YieldsTo(node model.NodeAddr, reaches bool) bool {
-	return !reaches || orderKey(node) < orderKey(w.self)
+	other, ok := w.candidates[node]
+	if !ok {
+		other = candidate{node: node}
+	}
+	return !reaches || other.compare(w.self) < 0
 }
 
 // MarkNodeAlive records contact with any node.
--- a/policy/roster/watchers_test.go
+++ b/policy/roster/watchers_test.go
@@ -18,7 +18,7 @@
 	for i := range n {
 		node := model.NodeAddr(fmt.Sprintf("10.0.0.%d:1", i))
 		records = append(records, Record{Node: node, Domain: "a"})
-		watchers = append(watchers, NewWatchPolicy(node, "a"))
+		watchers = append(watchers, NewWatchPolicy(node, "a", 0))
 	}
 	return append(records, Record{Node: "10.1.0.1:1", Domain: "b"}), watchers
 }
@@ -56,7 +56,7 @@
 }
 
 func TestNewNodeWatchesStore(t *testing.T) {
-	qt.Assert(t, NewWatchPolicy("x", "a").ShouldWatch(start), qt.IsTrue)
+	qt.Assert(t, NewWatchPolicy("x", "a", 0).ShouldWatch(start), qt.IsTrue)
 }
 
 func TestNodeWaitsForWatchersBeforeWatching(t *testing.T) {
@@ -94,8 +94,8 @@
 	_, watchers := newDomain(22)
 	for i, a := range watchers {
 		for _, b := range watchers[i+1:] {
-			qt.Assert(t, a.YieldsTo(b.self, true) != b.YieldsTo(a.self, true), qt.IsTrue)
-			qt.Assert(t, a.YieldsTo(b.self, false), qt.IsTrue) // a does not reach the store
+			qt.Assert(t, a.YieldsTo(b.self.node, true) != b.YieldsTo(a.self.node, true), qt.IsTrue)
+			qt.Assert(t, a.YieldsTo(b.self.node, false), qt.IsTrue) // a does not reach the store
 		}
 	}
 }
@@ -138,3 +138,31 @@
 		qt.Assert(t, w.IsFallback(), qt.Equals, !w.IsWatcher())
 	}
 }
+
+// TestNodesWithTheWidestLinksWatch guards against watchers whose links a large
+// configuration from the store fills for a second.
+func TestNodesWithTheWidestLinksWatch(t *testing.T) {
+	records, _ := newDomain(22)
+	policies := make(map[model.NodeAddr]*WatchPolicy)
+	for i := range records[:22] {
+		records[i].LinkMbps = 10
+		if i == 5 || i == 17 {
+			records[i].LinkMbps = 200
+		}
+		policies[records[i].Node] = NewWatchPolicy(records[i].Node, "a", records[i].LinkMbps)
+	}
+	for i, r := range records[:22] {
+		policies[r.Node].SetMembers(start, append(append([]Record(nil), records[:i]...), records[i+1:]...))
+	}
+	for _, r := range records[:22] {
+		qt.Assert(t, policies[r.Node].IsWatcher(), qt.Equals, r.LinkMbps == 200)
+		for _, other := range records[:22] {
+			if r.Node != other.Node {
+				qt.Assert(t, policies[r.Node].YieldsTo(other.Node, true), qt.Not(qt.Equals), policies[other.Node].YieldsTo(r.Node, true))
+			}
+			if other.LinkMbps > r.LinkMbps {
+				qt.Assert(t, policies[r.Node].YieldsTo(other.Node, true), qt.IsTrue)
+			}
+		}
+	}
+}
