Ask a second node when a transfer is slow, and pause after a useless one

- A node fetched from one holder at a time for up to 10 s.
A holder whose link has become slow (10 KB/s) kept its six receivers for 10.5 s.
After 1 s a second node is asked.
- Reports of the newest revision hid those of earlier ones: after 5 s without a report of revision 3 a node answered 404 although others reported revision 2 each second.
Any report above the revision in force counts now.
- A configuration that was received but did not come into force, such as one that is not valid here, was fetched again at each report: 50 times in half a second.
It counts as a failure now, and a transfer ends once its content is in force or rejected.
- A busy node was asked again every 50 ms without end; the pause doubles up to 400 ms.
- Alternatives of another failure domain counted as near, and a node could be named to itself.

--- a/node/sidecar/transfer.go
+++ b/node/sidecar/transfer.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"io"
+	"slices"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -22,8 +23,8 @@
 
 var updatesDecoder = strictcbor.Decoder(strictcbor.Limits{})
 
-// pull fetches newer configurations from other nodes, one at a time, until the context
-// ends. distribution.Puller decides when and from which node.
+// pull fetches newer configurations from other nodes until the context ends.
+// distribution.Puller decides when and from which node.
 func (c *configuration) pull(ctx context.Context) {
 	for ctx.Err() == nil {
 		have := c.revision()
@@ -34,15 +35,19 @@
 			c.awaitReport(ctx, wait)
 			continue
 		}
-		outcome, alternatives := c.fetch(ctx, from)
-		have = c.revision()
-		c.mu.Lock()
-		c.puller.Finished(time.Now(), from, outcome, alternatives, have)
-		c.mu.Unlock()
+		c.node.goBackground(func() {
+			outcome, alternatives := c.fetch(ctx, from)
+			have := c.revision()
+			c.mu.Lock()
+			c.puller.Finished(time.Now(), from, outcome, alternatives, have)
+			c.mu.Unlock()
+			notify(c.reports)
+		})
 	}
 }
 
-// awaitReport waits for a report, or for the given time if it is not 0.
+// awaitReport waits for a report or the end of a transfer, or for the given time if it is
+// not 0.
 func (c *configuration) awaitReport(ctx context.Context, wait time.Duration) {
 	var expired <-chan time.Time
 	if wait > 0 {
@@ -77,7 +82,7 @@
 	configurationBytesReceived.Add(len(t.body))
 	if t.busy {
 		configurationTransfersBusy.Inc()
-		return distribution.Busy, t.alternatives
+		return distribution.Busy, c.alternativesLike(from, t.alternatives)
 	}
 	document, updates := t.body, []distribution.Update(nil)
 	if err == nil && t.updates {
@@ -103,6 +108,15 @@
 	return distribution.Received, nil
 }
 
+// alternativesLike returns the alternatives that are, like the busy node, in this node's
+// failure domain or outside it. It leaves out this node.
+func (c *configuration) alternativesLike(busy model.NodeAddr, alternatives []model.NodeAddr) []model.NodeAddr {
+	near := c.node.fleet.inOwnDomain(busy)
+	return slices.DeleteFunc(alternatives, func(node model.NodeAddr) bool {
+		return node == c.node.self || c.node.fleet.inOwnDomain(node) != near
+	})
+}
+
 // download returns the configuration of another node or, with an error, the part of it
 // that arrived.
 func (c *configuration) download(ctx context.Context, from model.NodeAddr, base distribution.Sum) (transfer, error) {
--- a/policy/distribution/fleet_test.go
+++ b/policy/distribution/fleet_test.go
@@ -215,18 +215,20 @@
 	for _, n := range f.nodes {
 		if n.watcher.IsWatcher() {
 			f.after(roundTrip, func() {
-				f.start(&transfer{to: n, remaining: float64(len(c.document)) * 4 / 3, done: func() { n.apply(c, nil) }})
+				f.start(&transfer{to: n, remaining: float64(len(c.document)) * 4 / 3, done: func() { n.apply(c, nil, func() {}) }})
 			})
 		}
 	}
 }
 
-// apply decodes a configuration and puts it in force if it is newer.
-func (n *simNode) apply(c change, updates []Update) {
+// apply decodes a configuration, puts it in force if it is newer, and calls done.
+func (n *simNode) apply(c change, updates []Update, done func()) {
 	if c.revision <= n.change.revision {
+		done()
 		return
 	}
 	n.fleet.after(time.Duration(len(c.document))*decodePerByte, func() {
+		defer done()
 		if c.revision <= n.change.revision {
 			return
 		}
@@ -312,8 +314,7 @@
 	}
 	t := f.start(&transfer{from: from, to: n, remaining: float64(bytes), done: func() {
 		from.sender.Finished(bytes, sent.revision, n.addr, true)
-		finish(Received, nil)
-		n.apply(sent, updates)
+		n.apply(sent, updates, func() { finish(Received, nil) })
 	}})
 	f.after(MaxTransferTime, func() {
 		if f.stop(t) {
@@ -378,3 +379,31 @@
 		})
 	}
 }
+
+// TestSlowHolderDoesNotDelayAConfiguration requires that the nodes that fetch from one whose
+// link has become slow get the configuration in time from the others, which have it, too.
+func TestSlowHolderDoesNotDelayAConfiguration(t *testing.T) {
+	const slowLink = 10_000 // bytes a second
+	f := newFleet(7, true, 22, 19, 14, 12)
+	c := change{at: 5 * time.Second, revision: 2, document: document(1421, 90)}
+	f.after(0, func() { f.write(change{revision: 1, document: document(21, 90)}) })
+	f.after(c.at, func() { f.write(c) })
+	var slow *simNode
+	var degrade func()
+	degrade = func() {
+		f.after(time.Millisecond, degrade)
+		for _, n := range f.nodes {
+			if slow == nil && n.inForce[2] != 0 {
+				slow, n.link = n, slowLink
+			}
+		}
+	}
+	f.after(c.at, degrade)
+	f.run(c.at + 15*time.Second)
+	for _, n := range f.nodes {
+		if n != slow {
+			at, ok := n.inForce[2]
+			qt.Check(t, ok && at-c.at <= applyBound, qt.IsTrue, qt.Commentf("%s: in force after %v", n.addr, at-c.at))
+		}
+	}
+}
--- a/policy/distribution/puller.go
+++ b/policy/distribution/puller.go
@@ -7,9 +7,9 @@
 // difference to the configuration that the receiver has (Archive). A node sends a few
 // transfers at a time and turns others away, naming nodes that it has just served, so
 // that the number of senders grows with the number of nodes that have the configuration
-// (Sender). A node fetches from one node at a time, prefers its own failure domain, and
-// goes to another node after a failure (Puller). A transfer that makes progress is not
-// given up.
+// (Sender). A node fetches from one node at a time, or from two if the first one is slow,
+// prefers its own failure domain, and goes to another node after a failure (Puller). A
+// transfer that makes progress is not given up.
 package distribution
 
 import (
@@ -34,9 +34,15 @@
 	minRetryAfter = 150 * time.Millisecond
 	// maxHolders bounds the nodes that are known to have a newer configuration.
 	maxHolders = 16
-	// busyDelay is the time until a node that was busy is asked again, and
-	// minFailureDelay and maxFailureDelay the same for one at which a transfer failed.
-	busyDelay       = 50 * time.Millisecond
+	// maxFetches bounds the transfers to one node at the same time, and slowTransfer is
+	// the duration of one after which the next may begin.
+	maxFetches   = 2
+	slowTransfer = time.Second
+	// minBusyDelay and maxBusyDelay are the times until a node that was busy is asked
+	// again, and minFailureDelay and maxFailureDelay the same for one at which a
+	// transfer failed.
+	minBusyDelay    = 50 * time.Millisecond
+	maxBusyDelay    = 400 * time.Millisecond
 	minFailureDelay = 200 * time.Millisecond
 	maxFailureDelay = 2 * time.Second
 	// otherDomainDelay is how long a node leaves the transfer to the nodes of its own
@@ -66,23 +72,30 @@
 	lastReport time.Time
 	// notBefore is when the node may be asked again.
 	notBefore time.Time
-	failures  int
+	// busy and failures count the transfers that it refused, or that failed, in a row.
+	busy, failures int
 }
 
 // Puller decides when and from which node a node fetches a newer configuration. It
 // is not safe for concurrent use.
 type Puller struct {
 	rng     *rand.Rand
-	active  bool
 	holders []*holder
+	// active holds the start of each transfer in progress.
+	active map[model.NodeAddr]time.Time
 	// newest is the newest revision that was reported, firstReport and lastReport
 	// the times of its first and its last report.
 	newest                  model.Revision
 	firstReport, lastReport time.Time
+	// latest is the revision of the last report above the one in force then.
+	latest   model.Revision
+	latestAt time.Time
 }
 
 // NewPuller returns a Puller that knows of no configuration.
-func NewPuller(seed uint64) *Puller { return &Puller{rng: rand.New(rand.NewPCG(seed, 0))} }
+func NewPuller(seed uint64) *Puller {
+	return &Puller{rng: rand.New(rand.NewPCG(seed, 0)), active: make(map[model.NodeAddr]time.Time)}
+}
 
 // Report records that another node has a revision. near reports whether it is in this
 // node's failure domain, and have is the revision in force here.
@@ -96,6 +109,7 @@
 	if revision == p.newest {
 		p.lastReport = now
 	}
+	p.latest, p.latestAt = revision, now
 	p.holders = slices.DeleteFunc(p.holders, func(h *holder) bool {
 		return h.revision <= have || now.Sub(h.lastReport) >= reportTTL
 	})
@@ -132,28 +146,33 @@
 }
 
 // Next returns the node to fetch from now; Finished must follow then. If there is none,
-// wait is the time after which to ask again, or 0 if only a report can change that.
+// wait is the time after which to ask again, or 0 if only a report or the end of a
+// transfer can change that.
 func (p *Puller) Next(now time.Time, have model.Revision) (from model.NodeAddr, wait time.Duration) {
-	if p.active {
+	earliest := now
+	for _, start := range p.active {
+		if slow := start.Add(slowTransfer); slow.After(earliest) {
+			earliest = slow
+		}
+	}
+	if len(p.active) >= maxFetches {
 		return "", 0
 	}
+	usable := p.usable(now, have)
+	anyNear := slices.ContainsFunc(usable, func(h *holder) bool { return h.near })
 	var best []*holder
-	anyNear := slices.ContainsFunc(p.holders, func(h *holder) bool { return h.near && p.usable(h, now, have) })
-	consider := func(at time.Time) bool {
-		if at.After(now) {
-			if d := at.Sub(now); wait == 0 || d < wait {
-				wait = d
-			}
-			return false
-		}
-		return true
-	}
-	for _, h := range p.holders {
+	for _, h := range usable {
 		at := h.notBefore
-		if far := p.firstReport.Add(otherDomainDelay); !h.near && anyNear && at.Before(far) {
+		if earliest.After(at) {
+			at = earliest
+		}
+		if far := p.firstReport.Add(otherDomainDelay); !h.near && anyNear && far.After(at) {
 			at = far
 		}
-		if !p.usable(h, now, have) || !consider(at) {
+		if d := at.Sub(now); d > 0 {
+			if wait == 0 || d < wait {
+				wait = d
+			}
 			continue
 		}
 		switch {
@@ -166,13 +185,22 @@
 	if len(best) == 0 {
 		return "", wait
 	}
-	p.active = true
-	return best[p.rng.IntN(len(best))].node, 0
+	from = best[p.rng.IntN(len(best))].node
+	p.active[from] = now
+	return from, 0
 }
 
-// usable reports whether a holder has a newer configuration by a report that counts.
-func (p *Puller) usable(h *holder, now time.Time, have model.Revision) bool {
-	return h.revision > have && now.Sub(h.lastReport) < reportTTL
+// usable returns the holders that have a newer configuration, by reports that count, and
+// from which none is fetched now.
+func (p *Puller) usable(now time.Time, have model.Revision) []*holder {
+	var usable []*holder
+	for _, h := range p.holders {
+		_, fetching := p.active[h.node]
+		if !fetching && h.revision > have && now.Sub(h.lastReport) < reportTTL {
+			usable = append(usable, h)
+		}
+	}
+	return usable
 }
 
 // better reports whether a holder is preferred to another: one of the own failure
@@ -184,27 +212,29 @@
 	return a.revision > b.revision
 }
 
-// Finished records the end of a transfer. A busy node names alternatives, which have the
+// Finished records the end of a transfer and what was received came into force, if it
+// did. have is the revision in force now. A busy node names alternatives, which have the
 // configuration from it.
 func (p *Puller) Finished(now time.Time, from model.NodeAddr, outcome Outcome, alternatives []model.NodeAddr, have model.Revision) {
-	p.active = false
+	delete(p.active, from)
 	i := slices.IndexFunc(p.holders, func(h *holder) bool { return h.node == from })
 	if i < 0 {
 		return
 	}
 	h := p.holders[i]
-	switch outcome {
-	case Received:
-		h.failures = 0
-		p.holders = slices.Delete(p.holders, i, i+1) // it reports again what it has
-	case Busy:
-		h.notBefore = now.Add(p.jitter(busyDelay))
+	switch {
+	case outcome == Busy:
+		h.notBefore = now.Add(p.jitter(min(minBusyDelay<<h.busy, maxBusyDelay)))
+		h.busy, h.failures = min(h.busy+1, maxHolders), 0
 		for _, node := range alternatives {
 			p.Report(now, node, h.near, h.revision, have)
 		}
-	case Failed:
+	case outcome == Received && have >= h.revision:
+		p.holders = slices.Delete(p.holders, i, i+1)
+	default:
+		// What it sends may be of no use here, like a configuration that is not valid.
 		h.notBefore = now.Add(p.jitter(min(minFailureDelay<<h.failures, maxFailureDelay)))
-		h.failures = min(h.failures+1, maxHolders)
+		h.failures, h.busy = min(h.failures+1, maxHolders), 0
 	}
 }
 
@@ -219,7 +249,7 @@
 // Behind reports whether other nodes have a newer revision than the one in force. What
 // the configuration in force does not allow, the newer one may.
 func (p *Puller) Behind(now time.Time, have model.Revision) bool {
-	return p.newest > have && now.Sub(p.lastReport) < reportTTL
+	return p.newest > have && now.Sub(p.lastReport) < reportTTL || p.latest > have && now.Sub(p.latestAt) < reportTTL
 }
 
 // RetryAfter returns when a caller should come back whose call needs the newest
--- a/policy/distribution/puller_test.go
+++ b/policy/distribution/puller_test.go
@@ -33,11 +33,12 @@
 	p.Report(start, "near", true, 2, 1)
 	from, _ := p.Next(start, 1)
 	qt.Assert(t, from, qt.Equals, model.NodeAddr("near"))
-	from, _ = p.Next(start, 1) // one transfer at a time
+	from, wait := p.Next(start, 1) // one transfer at a time, unless it is slow
 	qt.Assert(t, from, qt.Equals, model.NodeAddr(""))
+	qt.Assert(t, wait, qt.Equals, slowTransfer)
 	// The near node fails: it is asked again later, the other one after a while.
 	p.Finished(start, "near", Failed, nil, 1)
-	from, wait := p.Next(start, 1)
+	from, wait = p.Next(start, 1)
 	qt.Assert(t, from, qt.Equals, model.NodeAddr(""))
 	qt.Assert(t, wait > 0 && wait <= minFailureDelay*5/4, qt.IsTrue)
 	p.Report(start.Add(otherDomainDelay), "near", true, 2, 1)
@@ -90,3 +91,34 @@
 	p.Report(start, "x", true, 3, 2) // drops the holders of what is in force
 	qt.Assert(t, p.holders, qt.HasLen, 1)
 }
+
+// TestReceivedConfigurationThatIsNotInForceIsNotFetchedAtOnce requires a pause after a
+// transfer that did not bring a newer configuration into force: nodes that have it report
+// it with each call and greeting, and what they send is not usable here.
+func TestReceivedConfigurationThatIsNotInForceIsNotFetchedAtOnce(t *testing.T) {
+	p := NewPuller(1)
+	const calls = 50
+	fetched, now := 0, start
+	for range calls {
+		p.Report(now, "a", true, 2, 1)
+		if from, _ := p.Next(now, 1); from != "" {
+			fetched++
+			p.Finished(now, from, Received, nil, 1)
+		}
+		now = now.Add(10 * time.Millisecond)
+	}
+	// After the delays of failed transfers (200 ms, 400 ms) there are at most three.
+	qt.Assert(t, fetched <= 3, qt.IsTrue, qt.Commentf("%d transfers in half a second", fetched))
+}
+
+// TestNodeIsBehindWhileAnyNewerRevisionIsReported guards against the answer 404 of a node
+// to which all others report a newer configuration, while a still newer one was reported
+// once, by a node that is gone.
+func TestNodeIsBehindWhileAnyNewerRevisionIsReported(t *testing.T) {
+	p := NewPuller(1)
+	p.Report(start, "gone", false, 3, 1)
+	for now := start; now.Before(start.Add(3 * reportTTL)); now = now.Add(time.Second) {
+		p.Report(now, "a", true, 2, 1)
+		qt.Assert(t, p.Behind(now, 1), qt.IsTrue, qt.Commentf("%v after the start", now.Sub(start)))
+	}
+}
