Keep updates small where documents repeat little, and bound their number

- The fastest level of compression lost a document's own dictionary where most of its text is random: one changed character of 731 KB cost 291 KB, over which no step is kept.
Large documents are compressed at a higher level now: under 1,000 bytes.
- Nothing bounded the updates of one transfer; 80 documents of 1 MB fitted into 18 KB.
More than an archive keeps are rejected.

--- a/policy/distribution/archive.go
+++ b/policy/distribution/archive.go
@@ -21,6 +21,9 @@
 	maxStepBytes = 256 << 10
 	// minBaseBytes is the size below which a document is not used as a dictionary.
 	minBaseBytes = 256
+	// smallDocumentBytes is the size of two documents up to which the fastest level of
+	// compression is used.
+	smallDocumentBytes = 64 << 10
 	// dictionaryID marks updates that need their base.
 	dictionaryID = 1
 	// maxWindowBytes lets an update refer to all of its base.
@@ -52,8 +55,14 @@
 
 // newUpdate returns the update from base, which may be nil, to a document.
 func newUpdate(base []byte, revision model.Revision, document []byte) (Update, error) {
+	// In a large document of which little repeats, the fastest level does not find again
+	// what the dictionary has.
+	level := zstd.SpeedFastest
+	if len(base)+len(document) > smallDocumentBytes {
+		level = zstd.SpeedBetterCompression
+	}
 	options := []zstd.EOption{
-		zstd.WithEncoderLevel(zstd.SpeedFastest), zstd.WithEncoderConcurrency(1),
+		zstd.WithEncoderLevel(level), zstd.WithEncoderConcurrency(1),
 		zstd.WithLowerEncoderMem(true), zstd.WithWindowSize(maxWindowBytes),
 	}
 	update := Update{Revision: revision, Sum: SumOf(document)}
@@ -72,6 +81,9 @@
 // Apply returns the document and the revision to which consecutive updates lead from a
 // document, which may be nil.
 func Apply(document []byte, updates []Update) ([]byte, model.Revision, error) {
+	if len(updates) > maxSteps {
+		return nil, 0, fmt.Errorf("%w: it has %d steps", ErrUpdateInvalid, len(updates))
+	}
 	var revision model.Revision
 	for _, update := range updates {
 		options := []zstd.DOption{
--- a/policy/distribution/archive_test.go
+++ b/policy/distribution/archive_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"bytes"
+	"fmt"
+	"math/rand/v2"
 	"testing"
 
 	qt "github.com/frankban/quicktest"
@@ -71,6 +73,29 @@
 	}
 }
 
+// TestSmallChangeOfAConfigurationThatRepeatsLittleIsSmall is the same with routes most of
+// whose text is random: long host names, paths and names of services.
+func TestSmallChangeOfAConfigurationThatRepeatsLittleIsSmall(t *testing.T) {
+	for _, routes := range []int{1400, 4200} {
+		rng := rand.New(rand.NewPCG(2, 2))
+		var b bytes.Buffer
+		for range routes {
+			for _, field := range []string{"name", "host", "prefix", "service"} {
+				fmt.Fprintf(&b, "%q:\"%016x%016x\",", field, rng.Uint64(), rng.Uint64())
+			}
+			b.WriteByte('\n')
+		}
+		before, after := b.Bytes(), bytes.Clone(b.Bytes())
+		after[len(after)/2] = '!'
+		var a Archive
+		qt.Assert(t, a.Put(1, before, nil), qt.IsNil)
+		qt.Assert(t, a.Put(2, after, nil), qt.IsNil)
+		updates, err := a.UpdatesFrom(SumOf(before))
+		qt.Assert(t, err, qt.IsNil)
+		qt.Check(t, size(updates) < 1000, qt.IsTrue, qt.Commentf("%d bytes for a document of %d", size(updates), len(after)))
+	}
+}
+
 func TestDamagedUpdateIsRejected(t *testing.T) {
 	before, after := document(20, 90), document(21, 90)
 	var a Archive
@@ -105,3 +130,18 @@
 		qt.Assert(t, len(a.steps) <= maxSteps && size(a.steps) <= maxStepBytes, qt.IsTrue)
 	}
 }
+
+// TestLongSequenceOfUpdatesIsRejected requires that a transfer of ordinary size cannot make
+// its receiver decode any number of documents: an archive sends a few updates at most.
+func TestLongSequenceOfUpdatesIsRejected(t *testing.T) {
+	var updates []Update
+	large := make([]byte, MaxDocumentBytes)
+	for i := range 10 * maxSteps {
+		large[0] = byte(i)
+		update, err := newUpdate(nil, model.Revision(i+1), large)
+		qt.Assert(t, err, qt.IsNil)
+		updates = append(updates, update)
+	}
+	_, _, err := Apply(nil, updates)
+	qt.Assert(t, err, qt.ErrorIs, ErrUpdateInvalid, qt.Commentf("%d documents of 1 MB from %d bytes", len(updates), size(updates)))
+}
