Let a call wait for its route only, and only within its caller's time

- A call of an unknown route waited for the newest reported revision.
With revision 2, which had its route, in force and revision 3 reported, it got 503.
It resolves its route at each change of the configuration now.
- The wait of 400 ms and the Retry-After of a node that is behind took no account of the caller's time: 400 ms for a caller that states 100 ms, Retry-After 1800 for one that states 15 s.

A document that is in force already is no longer decoded again when it comes from the store as well.

--- a/node/sidecar/call.go
+++ b/node/sidecar/call.go
@@ -82,11 +82,8 @@
 // takes the place of a problem. For a streamed answer, the context is canceled
 // when the stream is closed.
 func (c *call) forward(ctx context.Context, r *front.Request) (*front.Response, *problem.Error) {
-	p := c.resolve(r)
-	if p != nil && p.Kind == problem.ConfigurationLag && c.node.configuration.waitForRevision(ctx, c.node.configuration.newestReported()) {
-		p = c.resolve(r)
-	}
-	if p != nil {
+	c.deadline = c.received.Add(callerTimeout(r, c.node.dialect.Deadline))
+	if p := c.awaitRoute(ctx, r); p != nil {
 		return nil, p
 	}
 	ctx, cancel := context.WithDeadline(ctx, c.deadline)
@@ -102,6 +99,29 @@
 	return response, nil
 }
 
+// awaitRoute resolves the route. While it is unknown and other nodes have a newer
+// configuration, it waits for the next one, up to catchUpTimeout and a part of the
+// caller's time.
+func (c *call) awaitRoute(ctx context.Context, r *front.Request) *problem.Error {
+	ctx, cancel := context.WithTimeout(ctx, min(catchUpTimeout, time.Until(c.deadline)/retryAfterDivisor))
+	defer cancel()
+	for {
+		changed := c.node.configuration.nextChange()
+		p := c.resolve(r)
+		if p == nil || p.Kind != problem.ConfigurationLag {
+			return p
+		}
+		if _, behind := c.node.configuration.behind(time.Now()); !behind {
+			return p
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return p
+		}
+	}
+}
+
 // resolve finds the route and prepares the request to the owners. reroute calls
 // it again, which can only make the deadline earlier.
 func (c *call) resolve(r *front.Request) *problem.Error {
@@ -126,9 +146,6 @@
 		return p
 	}
 	c.service = route.PickService(rand.Float64())
-	if c.deadline.IsZero() {
-		c.deadline = c.received.Add(callerTimeout(r, n.dialect.Deadline))
-	}
 	if route.Timeout > 0 && c.received.Add(route.Timeout).Before(c.deadline) {
 		c.deadline = c.received.Add(route.Timeout)
 	}
--- a/node/sidecar/configuration.go
+++ b/node/sidecar/configuration.go
@@ -108,6 +108,12 @@
 func (c *configuration) applyIfNewer(document []byte, updates []distribution.Update, source string) {
 	c.applying.Lock()
 	defer c.applying.Unlock()
+	c.sending.Lock()
+	same := c.archive.Sum() == distribution.SumOf(document) && c.archive.Revision() > 0
+	c.sending.Unlock()
+	if same {
+		return // the store and other nodes may both send it
+	}
 	began := time.Now()
 	table, err := c.node.operatorKeys.Decode(document)
 	decodeTime := time.Since(began)
@@ -263,15 +269,20 @@
 	return c.puller.RetryAfter(now), c.puller.Behind(now, have)
 }
 
+// nextChange returns a channel that is closed when the next configuration is in force.
+func (c *configuration) nextChange() <-chan struct{} {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.changed
+}
+
 // waitForRevision waits until the revision or a later one is in force. It
 // reports false when the wait times out.
 func (c *configuration) waitForRevision(ctx context.Context, revision model.Revision) bool {
 	ctx, cancel := context.WithTimeout(ctx, catchUpTimeout)
 	defer cancel()
 	for {
-		c.mu.Lock()
-		changed := c.changed
-		c.mu.Unlock()
+		changed := c.nextChange()
 		if c.revision() >= revision {
 			return true
 		}
