Count a transfer until its receiver has it, and fetch the whole after a useless update

- The bound on the bytes that a node sends at a time was given back when the kernel had taken them: up to 9 of 10 nodes that did not read got over 200 KB at once, although each of these is to be sent alone.
The request for a configuration has an empty body now that ends when the answer is read; the sender counts until then.
Nodes of an earlier release do not confirm and count as before.
- After an update that cannot be used the same one was fetched again, although the error says to fetch the whole configuration.
The next transfer asks for that.

A transfer that is given up says why in the log (`nothing arrived for 1s`) instead of `use of closed network connection`.

--- a/node/sidecar/configuration.go
+++ b/node/sidecar/configuration.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"zinniafall/policy/distribution"
@@ -56,6 +57,8 @@
 	changed   chan struct{}
 	evac      evacuation
 	puller    *distribution.Puller
+	// needsWhole is set if the last updates were not usable.
+	needsWhole atomic.Bool
 	// reports signals pull that another node reported a newer configuration.
 	reports chan struct{}
 }
--- a/node/sidecar/transfer.go
+++ b/node/sidecar/transfer.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"slices"
 	"time"
@@ -78,7 +79,10 @@
 	c.sending.Lock()
 	base := c.archive.Document()
 	c.sending.Unlock()
-	t, err := c.download(ctx, from, distribution.SumOf(base))
+	if c.needsWhole.Swap(false) {
+		base = nil
+	}
+	t, err := c.download(ctx, from, base)
 	configurationBytesReceived.Add(len(t.body))
 	if t.busy {
 		configurationTransfersBusy.Inc()
@@ -92,6 +96,7 @@
 	outdated := t.updates && (len(updates) == 0 || updates[len(updates)-1].Revision <= c.revision())
 	if err == nil && t.updates && !outdated {
 		document, _, err = distribution.Apply(base, updates)
+		c.needsWhole.Store(err != nil)
 	}
 	if err != nil {
 		configurationTransfersFailed.Inc()
@@ -117,23 +122,34 @@
 	})
 }
 
-// download returns the configuration of another node or, with an error, the part of it
-// that arrived.
-func (c *configuration) download(ctx context.Context, from model.NodeAddr, base distribution.Sum) (transfer, error) {
-	ctx, cancel := context.WithTimeout(ctx, distribution.MaxTransferTime)
-	defer cancel()
-	stalled := time.AfterFunc(distribution.StallTimeout, cancel)
+var (
+	errStalled = fmt.Errorf("nothing arrived for %s", distribution.StallTimeout)
+	errTooLong = fmt.Errorf("the transfer took over %s", distribution.MaxTransferTime)
+)
+
+// download returns the configuration of another node as updates from base or, with an
+// error, the part of it that arrived. The request has an empty body that ends once the
+// answer is read, which tells the other node that it may send to others.
+func (c *configuration) download(ctx context.Context, from model.NodeAddr, base []byte) (transfer, error) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	stalled := time.AfterFunc(distribution.StallTimeout, func() { cancel(errStalled) })
 	defer stalled.Stop()
-	request := &peer.Request{Kind: peer.KindConfiguration, Inline: true, From: c.node.self, Updates: true, Base: uint64(base)}
+	tooLong := time.AfterFunc(distribution.MaxTransferTime, func() { cancel(errTooLong) })
+	defer tooLong.Stop()
+	request := &peer.Request{Kind: peer.KindConfiguration, From: c.node.self, Updates: true}
+	if base != nil {
+		request.Base = uint64(distribution.SumOf(base))
+	}
 	exchange, err := c.node.client.Open(ctx, from, request)
 	if err != nil {
-		return transfer{}, err
+		return transfer{}, errors.Join(err, context.Cause(ctx))
 	}
 	defer exchange.Close()
 	answer, err := exchange.Receive()
 	switch {
 	case err != nil:
-		return transfer{}, err
+		return transfer{}, errors.Join(err, context.Cause(ctx))
 	case answer.Problem != nil && answer.Problem.Kind == problem.Overloaded:
 		return transfer{busy: true, alternatives: answer.Alternatives}, nil
 	case answer.Problem != nil:
@@ -144,6 +160,9 @@
 	if err == nil && len(raw) > maxTransferBytes {
 		err = errors.New("the configuration is larger than the store allows")
 	}
+	if err != nil {
+		err = errors.Join(err, context.Cause(ctx))
+	}
 	return transfer{body: raw, updates: answer.Updates}, err
 }
 
@@ -184,6 +203,13 @@
 			stream.Fail()
 			return
 		}
+		if !request.Inline {
+			// The kernel may have taken bytes that have not crossed the network. The
+			// other node ends its request once it has them; an earlier release does not.
+			if _, err := io.Copy(io.Discard, stream); err != nil {
+				return
+			}
+		}
 		complete = true
 		return
 	}
@@ -226,6 +252,7 @@
 
 // streamWriter is the answering side of an exchange between nodes.
 type streamWriter interface {
+	io.Reader // the body of the request
 	Answer(*peer.Answer) error
 	SendBody(io.Reader) error
 	Fail()
