--- a/node/sidecar/fleet.go
+++ b/node/sidecar/fleet.go
@@ -30,8 +30,12 @@
 	minRenewBackoff = 500 * time.Millisecond
 	// exchangeInterval is the time between exchanges with other nodes.
 	exchangeInterval = time.Second
-	// exchangeTimeout bounds one exchange.
-	exchangeTimeout = 800 * time.Millisecond
+	// exchangeTimeout bounds one exchange. The list of 2,200 nodes takes 155 KB, an
+	// eighth of a second of a link of 10 Mbit/s that calls share. A node that cannot be
+	// reached is noticed sooner, when no connection can be opened.
+	exchangeTimeout = 3 * time.Second
+	// leaseEndTimeout bounds the end of the lease when a node stops.
+	leaseEndTimeout = 800 * time.Millisecond
 	// minPullInterval is the minimum time between requests for all records of
 	// another node: recent changes come with each greeting.
 	minPullInterval = 2500 * time.Millisecond
--- a/node/sidecar/register.go
+++ b/node/sidecar/register.go
@@ -82,7 +82,7 @@
 		}
 	}
 	if lease != 0 {
-		end, cancel := context.WithTimeout(context.WithoutCancel(ctx), exchangeTimeout)
+		end, cancel := context.WithTimeout(context.WithoutCancel(ctx), leaseEndTimeout)
 		defer cancel()
 		if err := f.node.store.End(end, lease); err != nil {
 			f.node.log.Info("lease not ended", "part", "fleet", "error", err.Error())
