Give no final refusal, and complete slow bundles, in the product's own path

- An entry that knows of a newer configuration, which it cannot get, answered 404 for a service and 401 for an account that it lacks.
It answers 503 (configuration-lag), not run, with a Retry-After of 0.5 s while it is behind.
- A bundle of a configuration was given up after 2 s in all and begun anew.
It is given up after 2 s without progress now, 10 s at most.

--- a/node/configuration/applier.go
+++ b/node/configuration/applier.go
@@ -62,7 +62,8 @@
 	OnApply func(*settings.Snapshot)
 	// OnPoll is called after each read by the watch loop. It may be nil.
 	OnPoll func(Poll)
-	// FetchTimeout bounds one fetch from a node; the default is 2 s.
+	// FetchTimeout bounds one fetch from a node; the default is 10 s. Peers end one that
+	// makes no progress sooner.
 	FetchTimeout time.Duration
 	// StartDelay is the mean time that a node without a configuration waits for
 	// messages of other nodes before it reads the store; the default is 1 s.
@@ -81,7 +82,7 @@
 }
 
 const (
-	defaultFetchTimeout = 2 * time.Second
+	defaultFetchTimeout = 10 * time.Second
 	defaultStartDelay   = time.Second
 	defaultRetryDelay   = 200 * time.Millisecond
 	defaultPollInterval = 200 * time.Millisecond
--- a/node/entry/entry.go
+++ b/node/entry/entry.go
@@ -58,6 +58,9 @@
 	Executor *execute.Executor
 	Tracer   *trace.Tracer
 	Snapshot func() *settings.Snapshot
+	// Behind reports whether other nodes have a newer configuration than Snapshot. If
+	// it is nil, none has.
+	Behind func() bool
 	// OnNewerRevision is called when another node applies a newer
 	// configuration.
 	OnNewerRevision func(revision model.Revision, from model.NodeAddr)
--- a/node/entry/ingress.go
+++ b/node/entry/ingress.go
@@ -60,6 +60,7 @@
 	defer span.End()
 	snapshot := e.opts.Snapshot()
 	caller, refusal := e.authenticate(snapshot, r)
+	refusal = e.notFinalWhileBehind(refusal)
 	if refusal == nil {
 		refusal = e.checkRate(snapshot, caller.Account)
 	}
@@ -93,6 +94,19 @@
 	return &unknown
 }
 
+// lagRetryAfter is the Retry-After of a node that fetches a newer configuration.
+const lagRetryAfter = 500 * time.Millisecond
+
+// notFinalWhileBehind replaces the refusal of an unknown account or service while other
+// nodes have a newer configuration, which may have it: callers do not come back after
+// 401 and 404.
+func (e *Entry) notFinalWhileBehind(refusal *problem.Error) *problem.Error {
+	if refusal == nil || refusal.Kind != problem.Unauthenticated && refusal.Kind != problem.UnknownService || e.opts.Behind == nil || !e.opts.Behind() {
+		return refusal
+	}
+	return problem.New(problem.ConfigurationLag, refusal.Run, refusal.Detail+"; other nodes have a newer configuration").After(lagRetryAfter)
+}
+
 // authenticate determines the account from its key, or from the token of the
 // parent call if the call is nested.
 func (e *Entry) authenticate(snapshot *settings.Snapshot, r *http.Request) (calltoken.Token, *problem.Error) {
@@ -110,7 +124,7 @@
 // caller's own key is ignored if the call is idempotent. The reply is never nil.
 func (e *Entry) serveCall(ctx context.Context, snapshot *settings.Snapshot, caller calltoken.Token, w http.ResponseWriter, r *http.Request) *execute.Reply {
 	request, refusal := newRequest(snapshot, caller, r)
-	if refusal != nil {
+	if refusal = e.notFinalWhileBehind(refusal); refusal != nil {
 		return execute.ProblemReply(coverEarlierRequests(r, refusal))
 	}
 	_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(request.Timeout + bodyGrace))
--- a/node/server/configuration.go
+++ b/node/server/configuration.go
@@ -147,9 +147,33 @@
 	}
 }
 
+// behind reports whether other nodes have a newer configuration.
+func (m *configurationManager) behind() bool { return m.applier.Behind() }
+
+// stallTimeout is the time without progress after which a bundle is given up.
+const stallTimeout = 2 * time.Second
+
+// progressReader calls progress whenever bytes were read.
+type progressReader struct {
+	io.Reader
+	progress func()
+}
+
+func (r progressReader) Read(p []byte) (int, error) {
+	n, err := r.Reader.Read(p)
+	if n > 0 {
+		r.progress()
+	}
+	return n, err
+}
+
 // FetchConfiguration fetches from another node the bundle of what this node
 // lacks above the revision it has.
 func (m *configurationManager) FetchConfiguration(ctx context.Context, node model.NodeAddr, have model.Revision) ([]byte, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	stalled := time.AfterFunc(stallTimeout, cancel)
+	defer stalled.Stop()
 	exchange, err := m.server.transport.Open(ctx, node, &peer.Request{Kind: peer.KindConfiguration, Revision: have})
 	if err != nil {
 		return nil, err
@@ -162,7 +186,8 @@
 	if answer.Problem != nil {
 		return nil, answer.Problem
 	}
-	bundle, err := io.ReadAll(io.LimitReader(exchange, maxBundleBytes+1))
+	body := progressReader{exchange, func() { stalled.Reset(stallTimeout) }}
+	bundle, err := io.ReadAll(io.LimitReader(body, maxBundleBytes+1))
 	if err == nil && len(bundle) > maxBundleBytes {
 		err = oops.In("configuration").Errorf("the configuration from %s is over %d bytes", node, maxBundleBytes)
 	}
--- a/node/server/server.go
+++ b/node/server/server.go
@@ -194,7 +194,7 @@
 func (s *Server) entryOptions(keys []callkey.Secret) entry.Options {
 	return entry.Options{
 		Self: s.self, Process: s.process, Peers: s.transport, Executor: s.executor, Tracer: s.tracer,
-		Snapshot: s.configuration.current, OnNewerRevision: s.configuration.recordRevision, Suspects: s.suspects, IsMember: s.isMember, Bindings: s.configuration.store,
+		Snapshot: s.configuration.current, Behind: s.configuration.behind, OnNewerRevision: s.configuration.recordRevision, Suspects: s.suspects, IsMember: s.isMember, Bindings: s.configuration.store,
 		Tokens: s.tokens, KeySecrets: keys,
 		Limits: entry.Limits{BodyBytes: s.settings.Limits.BodyBytes, Calls: s.settings.Limits.Calls},
 		Placement: placement.Options{
