Follow the store into a new era

The store's revisions and leases were compared without their era: an evacuation or its end was ignored after a return from a copy until revisions had caught up, a watch could miss changes without a 410, and a node went on with a lease that might belong to another. Positions and leases now carry the era, which any answer and any greeting may state; a new one ends watches and wakes the registration, whose writes are spread at 6 ms a node. A node that starts asks up to eight others before it puts the store's configuration in force.

--- a/node/sidecar/call_test.go
+++ b/node/sidecar/call_test.go
@@ -333,7 +333,7 @@
 	holder.waitForOwnTarget()
 	// The store is away, so that the node can get revision 2 from the holder only.
 	store.setDown(true)
-	holder.configuration.applyIfNewer(newDocument(t, 2, "front", "back"), nil, "test")
+	holder.configuration.applyIfNewer(newDocument(t, 2, "front", "back"), nil, 2, "test")
 	n.configuration.recordReported(2, holder.self)
 	qt.Assert(t, n.call(http.MethodGet, "back", "/safe/x").body, qt.Equals, "from t1")
 }
--- a/node/sidecar/configuration.go
+++ b/node/sidecar/configuration.go
@@ -3,39 +3,35 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
 	"zinniafall/policy/distribution"
 	"zinniafall/policy/model"
 	"zinniafall/policy/routing"
+	"zinniafall/policy/storeera"
 )
 
 const (
 	// catchUpTimeout bounds the wait for a configuration that another node has.
 	catchUpTimeout = 400 * time.Millisecond
+	// startAskTimeout bounds how long a node that starts asks others before it relies on
+	// the configuration in the store, and startTransferTimeout how long it then waits
+	// for a newer one that they have.
+	startAskTimeout      = 300 * time.Millisecond
+	startTransferTimeout = 2 * time.Second
+	// sourceStore is the source of what the store shows, in the log.
+	sourceStore = "store"
 	// maxLoggedProblems bounds the log lines about one configuration.
 	maxLoggedProblems = 10
 )
 
-// evacuation is the set of failure domains out of service at a revision of the
-// store.
-type evacuation struct {
-	Revision uint64         `cbor:"1,keyasint"`
-	Domains  []model.Domain `cbor:"2,keyasint,omitempty"`
-}
-
-func (e evacuation) contains(domain model.Domain) bool {
-	for _, d := range e.Domains {
-		if d == domain {
-			return true
-		}
-	}
-	return false
-}
+// evacuation is the set of failure domains out of service at a position of the store.
+type evacuation = storeera.Statement
 
 // configuration holds the newest configuration that this node has. It is never
-// replaced by an older one.
+// replaced by an older one, unless storeera.Configuration decides so.
 type configuration struct {
 	node      *Node
 	startedAt time.Time
@@ -54,8 +50,12 @@
 	table     *routing.Table
 	appliedAt time.Time
 	changed   chan struct{}
-	evac      evacuation
-	puller    *distribution.Puller
+	evac      storeera.Evacuations
+	// order decides which configuration is in force. shown is the document that the
+	// store shows, while that is another one.
+	order  storeera.Configuration
+	shown  []byte
+	puller *distribution.Puller
 	// reports signals pull that another node reported a newer configuration.
 	reports chan struct{}
 }
@@ -99,13 +99,50 @@
 func (c *configuration) currentEvacuation() evacuation {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.evac
+	return c.evac.Statement()
 }
 
-// applyIfNewer decodes a document and puts it in force if it is valid and newer. updates
-// are those by which another node sent it, if any. It wakes the callers of
+// applyIfNewer decodes a document of another node and puts it in force if it is valid and
+// newer. updates are those by which the node sent it, if any, and revision is the one that
+// the document has there, or 0 if that is its version. It wakes the callers of
 // waitForRevision.
-func (c *configuration) applyIfNewer(document []byte, updates []distribution.Update, source string) {
+func (c *configuration) applyIfNewer(document []byte, updates []distribution.Update, revision model.Revision, source string) {
+	c.apply(document, updates, source, func(version model.Revision) (model.Revision, bool) {
+		if storeera.Version(revision) != version {
+			revision = version
+		}
+		return revision, revision > c.order.Revision()
+	})
+}
+
+// applyStored puts the configuration that the store showed in force if
+// storeera.Configuration decides so, and otherwise keeps it for applyPending.
+func (c *configuration) applyStored(asked time.Time, at Position, item Item) {
+	c.apply(item.Value, nil, sourceStore, func(version model.Revision) (model.Revision, bool) {
+		revision, apply := c.order.Shown(asked, at, item.Revision, storeera.Content{Version: version, Sum: uint64(distribution.SumOf(item.Value))})
+		c.shown = nil
+		if c.order.Pending() {
+			c.shown = item.Value
+		}
+		return revision, apply
+	})
+}
+
+// applyPending puts the configuration that the store has shown for a while in force if
+// storeera.Configuration decides so.
+func (c *configuration) applyPending(asked time.Time, at Position) {
+	c.mu.Lock()
+	revision, apply := c.order.Unchanged(asked, at)
+	document := c.shown
+	c.mu.Unlock()
+	if apply && document != nil {
+		c.applyIfNewer(document, nil, revision, sourceStore)
+	}
+}
+
+// apply decodes a document and puts it in force if decide, which is called with its
+// version while c.mu is held, returns the revision that it has and true.
+func (c *configuration) apply(document []byte, updates []distribution.Update, source string, decide func(version model.Revision) (model.Revision, bool)) {
 	c.applying.Lock()
 	defer c.applying.Unlock()
 	began := time.Now()
@@ -117,20 +154,31 @@
 		configurationsRejected.Inc()
 		return
 	}
-	if inForce := c.revision(); table.Revision <= inForce {
-		if table.Revision < inForce {
+	version := table.Revision
+	c.mu.Lock()
+	inForce := c.order.Revision()
+	revision, ok := decide(version)
+	c.mu.Unlock()
+	if !ok {
+		if version < storeera.Version(inForce) {
 			c.node.log.Info("older configuration ignored", "part", "configuration", "source", source,
-				"revision", table.Revision, "revision_in_force", inForce)
+				"revision", version, "revision_in_force", inForce)
 		}
 		return
 	}
+	table.Revision = revision
 	c.sending.Lock()
 	err = c.archive.Put(table.Revision, document, updates)
 	c.sending.Unlock()
 	if err != nil {
 		c.node.log.Warn("update of the configuration not encoded", "part", "configuration", "revision", table.Revision, "error", err.Error())
 	}
+	era, _ := c.node.store.Era()
 	c.mu.Lock()
+	c.order.Applied(era, revision, uint64(distribution.SumOf(document)))
+	if !c.order.Pending() {
+		c.shown = nil
+	}
 	c.table, c.appliedAt = table, time.Now()
 	close(c.changed)
 	c.changed = make(chan struct{})
@@ -158,65 +206,81 @@
 }
 
 // listed applies a list of all operators' keys.
-func (c *configuration) listed(items []Item, revision uint64) {
-	evac := evacuation{Revision: revision}
-	for _, item := range items {
+func (c *configuration) listed(asked time.Time, items []Item, at Position) {
+	var domains []model.Domain
+	var written *Item
+	for i, item := range items {
 		if domain, ok := c.node.operatorKeys.EvacuatedDomain(item.Key); ok {
-			evac.Domains = append(evac.Domains, domain)
+			domains = append(domains, domain)
 		}
 		if c.node.operatorKeys.IsConfiguration(item.Key) {
-			c.applyIfNewer(item.Value, nil, "store")
+			written = &items[i]
 		}
 	}
-	c.setEvacuation(evac, "store")
+	c.updateEvacuation(sourceStore, func(e *storeera.Evacuations) { e.Listed(asked, at, domains) })
+	if written == nil {
+		return
+	}
+	if at.Era > 0 && c.current() == nil {
+		c.askOthers()
+	}
+	c.applyStored(asked, at, *written)
+}
+
+// askOthers lets a node that starts get a newer configuration than that of the store from
+// other nodes: the store may have returned from a copy, and the operators may not have
+// repeated yet what it lost.
+func (c *configuration) askOthers() {
+	ctx, cancel := context.WithTimeout(c.node.ctx, startAskTimeout)
+	defer cancel()
+	c.node.fleet.greetSome(ctx)
+	if reported := c.newestReported(); reported > 0 {
+		c.awaitRevision(c.node.ctx, reported, startTransferTimeout)
+	}
 }
 
 // applyChanges applies changes of the operators' keys. If the configuration's key
 // is removed, the configuration stays in force.
-func (c *configuration) applyChanges(items []Item, revision uint64) {
-	evac := evacuation{Revision: revision, Domains: c.currentEvacuation().Domains}
+func (c *configuration) applyChanges(asked time.Time, items []Item, at Position) {
+	var changes []storeera.Change
+	isWritten := false
 	for _, item := range items {
 		if domain, ok := c.node.operatorKeys.EvacuatedDomain(item.Key); ok {
-			evac.Domains = withDomain(evac.Domains, domain, !item.Removed)
+			changes = append(changes, storeera.Change{Domain: domain, Ended: item.Removed})
 		}
 		if c.node.operatorKeys.IsConfiguration(item.Key) && !item.Removed {
-			c.applyIfNewer(item.Value, nil, "store")
+			c.applyStored(asked, at, item)
+			isWritten = true
 		}
 	}
-	c.setEvacuation(evac, "store")
+	c.updateEvacuation(sourceStore, func(e *storeera.Evacuations) { e.Changed(asked, at, changes) })
+	if !isWritten {
+		c.applyPending(asked, at)
+	}
 }
 
-// withDomain returns the domains with the given one added or removed.
-func withDomain(domains []model.Domain, domain model.Domain, include bool) []model.Domain {
-	out := make([]model.Domain, 0, len(domains)+1)
-	for _, d := range domains {
-		if d != domain {
-			out = append(out, d)
-		}
-	}
-	if include {
-		out = append(out, domain)
-	}
-	return out
+// hearEvacuation applies the statement of another node about the failure domains out of
+// service.
+func (c *configuration) hearEvacuation(statement evacuation, source string) {
+	c.updateEvacuation(source, func(e *storeera.Evacuations) { e.Hear(statement) })
 }
 
-// setEvacuation replaces the set if the given one is newer. It notifies the node
-// only if the domains differ.
-func (c *configuration) setEvacuation(evac evacuation, source string) {
+// updateEvacuation changes the failure domains out of service. It notifies the node only
+// if they differ afterwards.
+func (c *configuration) updateEvacuation(source string, update func(*storeera.Evacuations)) {
 	c.mu.Lock()
-	if evac.Revision <= c.evac.Revision {
-		c.mu.Unlock()
-		return
-	}
-	same := sameDomains(evac.Domains, c.evac.Domains)
-	c.evac = evac
+	before, restored := c.evac.Statement(), c.evac.Restored()
+	update(&c.evac)
+	after := c.evac.Statement()
+	restored = c.evac.Restored() - restored
 	c.mu.Unlock()
-	if same {
+	evacuationsRestored.Add(restored)
+	if sameDomains(before.Domains, after.Domains) {
 		return
 	}
 	c.node.log.Info("failure domains out of service changed", "part", "configuration", "source", source,
-		"domains", evac.Domains, "store_revision", evac.Revision)
-	c.node.evacuationChanged(evac)
+		"domains", after.Domains, "of_earlier_era", after.Carried, "store_era", after.Era, "store_revision", after.Revision)
+	c.node.evacuationChanged(after)
 }
 
 // sameDomains reports whether two sets of domains are equal.
@@ -225,7 +289,7 @@
 		return false
 	}
 	for _, d := range a {
-		if !(evacuation{Domains: b}).contains(d) {
+		if !slices.Contains(b, d) {
 			return false
 		}
 	}
@@ -266,7 +330,11 @@
 // waitForRevision waits until the revision or a later one is in force. It
 // reports false when the wait times out.
 func (c *configuration) waitForRevision(ctx context.Context, revision model.Revision) bool {
-	ctx, cancel := context.WithTimeout(ctx, catchUpTimeout)
+	return c.awaitRevision(ctx, revision, catchUpTimeout)
+}
+
+func (c *configuration) awaitRevision(ctx context.Context, revision model.Revision, timeout time.Duration) bool {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	for {
 		c.mu.Lock()
--- a/node/sidecar/entry.go
+++ b/node/sidecar/entry.go
@@ -69,7 +69,7 @@
 		byService[service] = nil
 	}
 	for _, r := range records {
-		if r.Service != "" && !evac.contains(r.Domain) {
+		if r.Service != "" && !evac.Contains(r.Domain) {
 			byService[r.Service] = append(byService[r.Service], placementTarget(r))
 		}
 	}
--- a/node/sidecar/exchange.go
+++ b/node/sidecar/exchange.go
@@ -28,6 +28,8 @@
 	Watching bool `cbor:"7,keyasint,omitempty"`
 	// Missing is true if the receiver's entry is missing in the store.
 	Missing bool `cbor:"8,keyasint,omitempty"`
+	// Era is the newest era of the store that the sender knows.
+	Era uint64 `cbor:"10,keyasint,omitempty"`
 }
 
 // contactVanished contacts a node whose entry vanished from the store, and
@@ -64,6 +66,35 @@
 	}
 }
 
+// greetSome exchanges greetings with up to maxGreetedAtStart nodes, as soon as the fleet was
+// listed, and waits for their answers until the context ends.
+func (f *fleet) greetSome(ctx context.Context) {
+	select {
+	case <-f.follower.listed:
+	case <-ctx.Done():
+	}
+	f.mu.Lock()
+	records := f.roster.Records()
+	f.mu.Unlock()
+	rand.Shuffle(len(records), func(i, j int) { records[i], records[j] = records[j], records[i] })
+	records = records[:min(len(records), maxGreetedAtStart)]
+	answered := make(chan struct{}, len(records))
+	g := f.greeting()
+	for _, r := range records {
+		f.node.goBackground(func() {
+			f.exchange(r.Node, g)
+			answered <- struct{}{}
+		})
+	}
+	for range records {
+		select {
+		case <-answered:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
 // exchangePartners returns the nodes to exchange greetings with now.
 func (f *fleet) exchangePartners() []model.NodeAddr {
 	f.mu.Lock()
@@ -104,6 +135,7 @@
 
 // greeting returns the state to send to another node.
 func (f *fleet) greeting() greeting {
+	era, _ := f.node.store.Era()
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	now := time.Now()
@@ -115,7 +147,7 @@
 		Records: recent,
 		From:    f.self, Revision: f.node.configuration.revision(), Evacuation: f.node.configuration.currentEvacuation(),
 		Digest: roster.Digest(f.roster.Records(), f.self), Notices: f.node.crashes.notices(),
-		Watching: f.follower.readable.Load(),
+		Watching: f.follower.readable.Load(), Era: era,
 	}
 }
 
@@ -148,6 +180,7 @@
 		f.node.log.Warn("greeting unreadable", "part", "fleet", "error", err.Error())
 		return g, false
 	}
+	f.node.store.LearnEra(g.Era)
 	now := time.Now()
 	f.mu.Lock()
 	f.roster.Refresh(now, g.From)
@@ -170,7 +203,7 @@
 		notify(f.entryNotice)
 	}
 	f.node.crashes.recordReported(g.Notices)
-	f.node.configuration.setEvacuation(g.Evacuation, string(g.From.Node))
+	f.node.configuration.hearEvacuation(g.Evacuation, string(g.From.Node))
 	f.node.configuration.recordReported(g.Revision, g.From.Node)
 	f.updatePlacement()
 	return g, true
--- a/node/sidecar/fixture_test.go
+++ b/node/sidecar/fixture_test.go
@@ -79,11 +79,16 @@
 	return ok
 }
 
-func (s *memoryStore) List(_ context.Context, prefix string) ([]Item, uint64, error) {
+// The era is never stated.
+func (s *memoryStore) Era() (uint64, <-chan struct{}) { return 0, nil }
+func (s *memoryStore) LearnEra(uint64)                {}
+func (s *memoryStore) Problems() <-chan error         { return nil }
+
+func (s *memoryStore) List(_ context.Context, prefix string) ([]Item, Position, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.down {
-		return nil, 0, errDown
+		return nil, Position{}, errDown
 	}
 	var out []Item
 	for key, item := range s.keys {
@@ -91,10 +96,10 @@
 			out = append(out, item)
 		}
 	}
-	return out, s.revision, nil
+	return out, Position{Revision: s.revision}, nil
 }
 
-func (s *memoryStore) Watch(ctx context.Context, prefix string, after uint64, wait time.Duration) ([]Item, uint64, error) {
+func (s *memoryStore) Watch(ctx context.Context, prefix string, after Position, wait time.Duration) ([]Item, Position, error) {
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
 	for {
@@ -102,23 +107,23 @@
 		changed, down, revision := s.changed, s.down, s.revision
 		var out []Item
 		for _, item := range s.history {
-			if item.Revision > after && strings.HasPrefix(item.Key, prefix) {
+			if item.Revision > after.Revision && strings.HasPrefix(item.Key, prefix) {
 				out = append(out, item)
 			}
 		}
 		s.mu.Unlock()
 		if down {
-			return nil, 0, errDown
+			return nil, Position{}, errDown
 		}
 		if len(out) > 0 {
-			return out, revision, nil
+			return out, Position{Revision: revision}, nil
 		}
 		select {
 		case <-changed:
 		case <-timer.C:
-			return nil, revision, nil
+			return nil, Position{Revision: revision}, nil
 		case <-ctx.Done():
-			return nil, 0, ctx.Err()
+			return nil, Position{}, ctx.Err()
 		}
 	}
 }
@@ -127,11 +132,12 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.down {
-		return 0, errDown
+		return Lease{}, errDown
 	}
 	s.lease++
-	s.leases[Lease(s.lease)] = true
-	return Lease(s.lease), nil
+	lease := Lease{ID: s.lease}
+	s.leases[lease] = true
+	return lease, nil
 }
 
 func (s *memoryStore) Renew(_ context.Context, lease Lease) (bool, error) {
--- a/node/sidecar/fleet.go
+++ b/node/sidecar/fleet.go
@@ -19,6 +19,9 @@
 	// renewInterval is the time between lease renewals: two may be lost before
 	// the lease expires.
 	renewInterval = 3 * time.Second
+	// entrySpreadPerNode is the time for each node over which the entries are spread
+	// when the store has lost them: each takes two writes.
+	entrySpreadPerNode = 6 * time.Millisecond
 	// verifyDelay is the minimum time between reads of this node's own entry.
 	verifyDelay = 300 * time.Millisecond
 	// maxTargetWait bounds how long a new node waits for its target before it
@@ -35,6 +38,9 @@
 	// minPullInterval is the minimum time between requests for all records of
 	// another node: recent changes come with each greeting.
 	minPullInterval = 2500 * time.Millisecond
+	// maxGreetedAtStart bounds the nodes that a starting node asks for what is newer
+	// than in the store.
+	maxGreetedAtStart = 8
 	// recentAge is the age up to which a changed record is included in a
 	// greeting, and maxRecent bounds the number of such records.
 	recentAge = 2500 * time.Millisecond
@@ -128,7 +134,7 @@
 }
 
 // listed applies a list of all nodes' entries.
-func (f *fleet) listed(items []Item, _ uint64) {
+func (f *fleet) listed(_ time.Time, items []Item, _ Position) {
 	var records []roster.Record
 	hasOwn := false
 	for _, item := range items {
@@ -152,7 +158,7 @@
 
 // applyChanges applies changes of the nodes' entries. It contacts each node whose
 // entry was removed, because the node may still be running.
-func (f *fleet) applyChanges(items []Item, _ uint64) {
+func (f *fleet) applyChanges(_ time.Time, items []Item, _ Position) {
 	now := time.Now()
 	for _, item := range items {
 		if item.Key == f.entryKey() {
--- a/node/sidecar/fleet_test.go
+++ b/node/sidecar/fleet_test.go
@@ -88,7 +88,7 @@
 	store.configure(t, 2, "front", "back")
 	store.put("ops/out/z", []byte("{}"), false)
 	eventually(t, "the configuration arrives", func() bool { return restarted.configuration.revision() == 2 })
-	eventually(t, "the evacuation arrives", func() bool { return restarted.configuration.currentEvacuation().contains("z") })
+	eventually(t, "the evacuation arrives", func() bool { return restarted.configuration.currentEvacuation().Contains("z") })
 }
 
 func TestRemovedEntryIsRewritten(t *testing.T) {
@@ -122,12 +122,12 @@
 	released chan struct{}
 }
 
-func (s *gatedStore) List(ctx context.Context, prefix string) ([]Item, uint64, error) {
+func (s *gatedStore) List(ctx context.Context, prefix string) ([]Item, Position, error) {
 	if prefix == (testOperators{}).Prefix() {
 		select {
 		case <-s.released:
 		case <-ctx.Done():
-			return nil, 0, ctx.Err()
+			return nil, Position{}, ctx.Err()
 		}
 	}
 	return s.memoryStore.List(ctx, prefix)
--- a/node/sidecar/measure.go
+++ b/node/sidecar/measure.go
@@ -9,40 +9,40 @@
 )
 
 // countedStore counts the calls of a store.
-type countedStore struct{ store Store }
+type countedStore struct{ Store }
 
-func (s countedStore) List(ctx context.Context, prefix string) ([]Item, uint64, error) {
-	items, revision, err := s.store.List(ctx, prefix)
+func (s countedStore) List(ctx context.Context, prefix string) ([]Item, Position, error) {
+	items, at, err := s.Store.List(ctx, prefix)
 	countStoreCall("list", err)
-	return items, revision, err
+	return items, at, err
 }
 
-func (s countedStore) Watch(ctx context.Context, prefix string, after uint64, wait time.Duration) ([]Item, uint64, error) {
-	items, revision, err := s.store.Watch(ctx, prefix, after, wait)
+func (s countedStore) Watch(ctx context.Context, prefix string, after Position, wait time.Duration) ([]Item, Position, error) {
+	items, at, err := s.Store.Watch(ctx, prefix, after, wait)
 	countStoreCall("watch", err)
-	return items, revision, err
+	return items, at, err
 }
 
 func (s countedStore) Grant(ctx context.Context, ttl time.Duration) (Lease, error) {
-	lease, err := s.store.Grant(ctx, ttl)
+	lease, err := s.Store.Grant(ctx, ttl)
 	countStoreCall("grant", err)
 	return lease, err
 }
 
 func (s countedStore) Renew(ctx context.Context, lease Lease) (bool, error) {
-	held, err := s.store.Renew(ctx, lease)
+	held, err := s.Store.Renew(ctx, lease)
 	countStoreCall("renew", err)
 	return held, err
 }
 
 func (s countedStore) Write(ctx context.Context, key string, value []byte, lease Lease) (bool, error) {
-	held, err := s.store.Write(ctx, key, value, lease)
+	held, err := s.Store.Write(ctx, key, value, lease)
 	countStoreCall("write", err)
 	return held, err
 }
 
 func (s countedStore) End(ctx context.Context, lease Lease) error {
-	err := s.store.End(ctx, lease)
+	err := s.Store.End(ctx, lease)
 	countStoreCall("end", err)
 	return err
 }
--- a/node/sidecar/node.go
+++ b/node/sidecar/node.go
@@ -201,6 +201,7 @@
 	n.goBackground(func() { operators.run(n.ctx) })
 	n.goBackground(func() { n.fleet.follower.run(n.ctx) })
 	n.goBackground(func() { n.configuration.pull(n.ctx) })
+	n.goBackground(func() { n.followEra(n.ctx) })
 	n.goBackground(func() { n.fleet.register(n.ctx) })
 	n.goBackground(func() { n.fleet.exchangeLoop(n.ctx) })
 	n.goBackground(func() { n.target.watchHealth(n.ctx) })
@@ -264,7 +265,7 @@
 
 // evacuationChanged applies a new set of failure domains out of service.
 func (n *Node) evacuationChanged(evac evacuation) {
-	n.owner.setGate(dispatch.GateDomainOut, evac.contains(n.settings.Domain))
+	n.owner.setGate(dispatch.GateDomainOut, evac.Contains(n.settings.Domain))
 	n.target.publishState()
 	n.fleet.updatePlacement()
 	n.fleet.pushToChildren()
--- a/node/sidecar/register.go
+++ b/node/sidecar/register.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"math/rand/v2"
 	"time"
 
 	"zinniafall/policy/model"
@@ -43,14 +44,20 @@
 	var lease Lease
 	written := []byte(nil)
 	backoff := minRenewBackoff
+	restoring := false // the entry may be missing since the store's return from a copy
 	f.awaitTarget(ctx)
 	for ctx.Err() == nil {
+		era, eraChanged := f.node.store.Era()
+		if lease != (Lease{}) && lease.Era != era {
+			lease, written, backoff, restoring = Lease{}, nil, minRenewBackoff, true
+			sleep(ctx, f.entryDelay())
+		}
 		f.mu.Lock()
 		desired := f.ownEntry
 		f.mu.Unlock()
 		delay := renewInterval
 		var err error
-		if lease == 0 {
+		if lease == (Lease{}) {
 			lease, err = f.node.store.Grant(ctx, leaseTTL)
 			written = nil
 		}
@@ -61,14 +68,18 @@
 			var held bool
 			if held, err = f.node.store.Write(ctx, f.entryKey(), desired, lease); err == nil && held {
 				written = desired
+				if restoring {
+					restoring = false
+					entriesRestored.Inc()
+				}
 			} else if err == nil {
-				lease, delay = 0, 0
+				lease, delay = Lease{}, 0
 			}
 		default:
 			var held bool
 			if held, err = f.node.store.Renew(ctx, lease); err == nil && !held {
-				f.node.log.Info("lease lapsed", "part", "fleet", "lease", uint64(lease))
-				lease, delay = 0, 0
+				f.node.log.Info("lease lapsed", "part", "fleet", "lease", lease.ID, "store_era", lease.Era)
+				lease, delay = Lease{}, 0
 			}
 		}
 		if err != nil {
@@ -77,11 +88,11 @@
 			backoff = minRenewBackoff
 		}
 		f.logStoreStatus(err)
-		if f.waitForEntryNotice(ctx, delay) && !f.verifyEntry(ctx, written) {
+		if f.waitForEntryNotice(ctx, delay, eraChanged) && !f.verifyEntry(ctx, written) {
 			written = nil
 		}
 	}
-	if lease != 0 {
+	if lease != (Lease{}) {
 		end, cancel := context.WithTimeout(context.WithoutCancel(ctx), exchangeTimeout)
 		defer cancel()
 		if err := f.node.store.End(end, lease); err != nil {
@@ -103,6 +114,12 @@
 	}
 }
 
+// entryDelay returns how long this node waits before it restores its entry, so that all
+// nodes together keep to the store's rates.
+func (f *fleet) entryDelay() time.Duration {
+	return rand.N(time.Duration(f.size()) * entrySpreadPerNode)
+}
+
 // verifyEntry reads this node's entry after a notice that it is missing or
 // outdated, and reports whether it is as written. The notice may be older than
 // the write, and a read costs less than a write that wakes all watchers.
@@ -145,13 +162,15 @@
 }
 
 // waitForEntryNotice waits for the delay or for a notice that this node's entry
-// is missing or outdated, and reports whether there was one.
-func (f *fleet) waitForEntryNotice(ctx context.Context, d time.Duration) bool {
+// is missing or outdated, and reports whether there was one. A new era of the store ends
+// the wait.
+func (f *fleet) waitForEntryNotice(ctx context.Context, d time.Duration, eraChanged <-chan struct{}) bool {
 	timer := time.NewTimer(jitter(d))
 	defer timer.Stop()
 	select {
 	case <-ctx.Done():
 	case <-timer.C:
+	case <-eraChanged:
 	case <-f.entryNotice:
 		return true
 	}
--- a/node/sidecar/report.go
+++ b/node/sidecar/report.go
@@ -22,6 +22,10 @@
 	targetTime             = metrics.NewHistogram(`zinniafall_target_seconds`)
 	callTime               = metrics.NewHistogram(`zinniafall_call_seconds`)
 
+	// What was restored in the store after it returned from a copy.
+	entriesRestored     = metrics.NewCounter(`zinniafall_store_restored_total{kind="entry"}`)
+	evacuationsRestored = metrics.NewCounter(`zinniafall_store_restored_total{kind="evacuation"}`)
+
 	// Transfers of the configuration between nodes. The bytes sent are those of
 	// transfers that were begun.
 	configurationTransfersComplete = metrics.NewCounter(`zinniafall_configuration_transfers_total{result="complete"}`)
@@ -98,6 +102,10 @@
 		}
 		return 0
 	})
+	n.metrics.NewGauge(`zinniafall_store_era`, func() float64 {
+		era, _ := n.store.Era()
+		return float64(era)
+	})
 	n.metrics.NewGauge(`zinniafall_fleet_nodes`, func() float64 { return float64(n.fleet.size()) })
 	n.metrics.NewGauge(`zinniafall_caller_connections`, func() float64 { return float64(n.front.OpenConnections()) })
 	n.metrics.NewGauge(`zinniafall_caller_connections_refused`, func() float64 { return float64(n.front.RefusedConnections()) })
--- a/node/sidecar/store.go
+++ b/node/sidecar/store.go
@@ -11,6 +11,7 @@
 	"zinniafall/node/events"
 	"zinniafall/policy/model"
 	"zinniafall/policy/routing"
+	"zinniafall/policy/storeera"
 )
 
 // Item is a key of the store with its value, or the removal of a key.
@@ -21,23 +22,43 @@
 	Removed  bool
 }
 
-// Lease identifies a lease of the store; 0 means none.
-type Lease uint64
+// Position is a revision of the store in an era.
+type Position = storeera.Position
 
-// ErrHistoryLost reports that the store no longer has the changes since a
-// revision; the keys must be listed again.
-var ErrHistoryLost = errors.New("the store no longer has this history; list the keys again")
+// Lease identifies a lease of the store in the era in which it was granted. The zero
+// value means none.
+type Lease struct {
+	Era, ID uint64
+}
+
+var (
+	// ErrHistoryLost reports that the store no longer has the changes since a
+	// position, or has begun a new era; the keys must be listed again.
+	ErrHistoryLost = errors.New("the store no longer has this history; list the keys again")
+	// ErrEarlierEra reports an answer from before the store returned from a copy.
+	ErrEarlierEra = errors.New("the answer is older than the store's return from a copy; ask again")
+)
 
-// Store is the platform's key-value store.
+// Store is the platform's key-value store. It begins a new era when it returns from an
+// older copy; see package storeera. Answers of earlier eras are errors.
 type Store interface {
-	// List returns the keys with the prefix and a revision that they include.
-	List(ctx context.Context, prefix string) ([]Item, uint64, error)
-	// Watch returns the changes after the revision as soon as there are any, or
-	// none when the wait ends, and the revision to continue from.
-	Watch(ctx context.Context, prefix string, after uint64, wait time.Duration) ([]Item, uint64, error)
+	// Era returns the newest era that is known, or 0 if none was stated, and a channel
+	// that is closed when a newer one becomes known. Any answer may state it.
+	Era() (era uint64, changed <-chan struct{})
+	// LearnEra records an era that another node stated.
+	LearnEra(era uint64)
+	// Problems returns what the store could not make sense of and ignored.
+	Problems() <-chan error
+	// List returns the keys with the prefix and a position that they include.
+	List(ctx context.Context, prefix string) ([]Item, Position, error)
+	// Watch returns the changes after the position as soon as there are any, or none
+	// when the wait ends, and the position to continue from. It returns
+	// ErrHistoryLost once the store is in another era than that of the position.
+	Watch(ctx context.Context, prefix string, after Position, wait time.Duration) ([]Item, Position, error)
 	// Grant creates a lease.
 	Grant(ctx context.Context, ttl time.Duration) (Lease, error)
-	// Renew extends a lease. It returns false if the lease has ended.
+	// Renew extends a lease. It returns false if the lease has ended. Renew, Write and
+	// End make no call for a lease of an earlier era, which has ended for its owner.
 	Renew(ctx context.Context, lease Lease) (bool, error)
 	// Write sets a key. It returns false if the lease has ended.
 	Write(ctx context.Context, key string, value []byte, lease Lease) (bool, error)
@@ -99,9 +120,10 @@
 	otherListed <-chan struct{}
 	listed      chan struct{}
 	listedOnce  sync.Once
-	onList      func(items []Item, revision uint64)
-	onChange    func(items []Item, revision uint64)
-	readable    atomic.Bool
+	// onList and onChange are called with the time at which the store was asked.
+	onList   func(asked time.Time, items []Item, at Position)
+	onChange func(asked time.Time, items []Item, at Position)
+	readable atomic.Bool
 	// retryDelay is the delay after the next failed call. Only the run
 	// goroutine accesses it.
 	retryDelay time.Duration
@@ -114,23 +136,25 @@
 		if f.readable.Swap(false) || f.retryDelay == minRetryDelay {
 			f.log.Warn("dependency lost", "part", "store", "watch", f.name, "error", err.Error())
 		}
-		f.backOff(ctx, f.retryDelay)
-		f.retryDelay = min(2*f.retryDelay, maxRetryDelay)
+		delay := f.retryDelay
+		f.retryDelay = min(2*delay, maxRetryDelay)
+		f.backOff(ctx, delay)
 	}
 	for ctx.Err() == nil {
 		if !f.waitUntilNeeded(ctx) {
 			return
 		}
-		items, revision, err := f.store.List(ctx, f.prefix)
+		asked := time.Now()
+		items, at, err := f.store.List(ctx, f.prefix)
 		if err != nil {
 			failed(err)
 			continue
 		}
-		f.markReadable(revision)
-		f.onList(items, revision)
+		f.markReadable(at)
+		f.onList(asked, items, at)
 		f.listedOnce.Do(func() { close(f.listed) })
 		f.waitForOtherList(ctx)
-		f.watch(ctx, revision, failed)
+		f.watch(ctx, at, failed)
 	}
 }
 
@@ -170,10 +194,12 @@
 // backOff waits after a failed call. A node that shares the attempts leaves
 // frequent ones to the watchers. The limit of the delay and whether the store
 // is needed are checked again during the wait, since both may change. A limit
-// above maxRetryDelay takes the place of the delay.
+// above maxRetryDelay takes the place of the delay. The wait ends when a new era of the
+// store becomes known, since the store has answered then.
 func (f *follower) backOff(ctx context.Context, delay time.Duration) {
 	fraction := jitter(time.Second).Seconds()
 	began := time.Now()
+	_, eraChanged := f.store.Era()
 	for ctx.Err() == nil && f.needed() {
 		limit := f.retryDelayLimit()
 		if limit <= maxRetryDelay {
@@ -183,30 +209,40 @@
 		if remaining <= 0 {
 			return
 		}
-		sleep(ctx, min(remaining, idlePollInterval))
+		timer := time.NewTimer(min(remaining, idlePollInterval))
+		select {
+		case <-eraChanged:
+			timer.Stop()
+			f.retryDelay = minRetryDelay
+			return
+		case <-ctx.Done():
+		case <-timer.C:
+		}
+		timer.Stop()
 	}
 }
 
 // markReadable resets the retry delay and logs if the store is readable again.
-func (f *follower) markReadable(revision uint64) {
+func (f *follower) markReadable(at Position) {
 	f.retryDelay = minRetryDelay
 	if !f.readable.Swap(true) {
-		f.log.Info("dependency regained", "part", "store", "watch", f.name, "store_revision", revision)
+		f.log.Info("dependency regained", "part", "store", "watch", f.name, "store_revision", at.Revision)
 	}
 }
 
 // watch applies changes until the keys must be listed again, the store need not be
 // followed or the context ends. The first of consecutive failures is retried at
 // once, without a call of failed.
-func (f *follower) watch(ctx context.Context, revision uint64, failed func(error)) {
+func (f *follower) watch(ctx context.Context, at Position, failed func(error)) {
 	failures := 0
 	for ctx.Err() == nil && f.needed() {
 		// Watches that end at the same time on all nodes would miss the same
 		// changes, so the duration varies.
-		items, next, err := f.store.Watch(ctx, f.prefix, revision, f.watchTimeout-rand.N(f.watchTimeout/4))
+		asked := time.Now()
+		items, next, err := f.store.Watch(ctx, f.prefix, at, f.watchTimeout-rand.N(f.watchTimeout/4))
 		switch {
 		case errors.Is(err, ErrHistoryLost):
-			f.log.Info("store history lost", "part", "store", "watch", f.name, "store_revision", revision)
+			f.log.Info("store history lost", "part", "store", "watch", f.name, "store_era", at.Era, "store_revision", at.Revision)
 			return
 		case err != nil:
 			failures++
@@ -217,8 +253,10 @@
 		}
 		failures = 0
 		f.markReadable(next)
-		revision = max(revision, next)
-		f.onChange(items, next)
+		if at.Before(next) {
+			at = next
+		}
+		f.onChange(asked, items, next)
 		if len(items) > 0 {
 			sleep(ctx, f.watchDelay)
 		}
--- a/node/sidecar/store_test.go
+++ b/node/sidecar/store_test.go
@@ -21,7 +21,7 @@
 	lists atomic.Int64
 }
 
-func (s *countingStore) List(ctx context.Context, prefix string) ([]Item, uint64, error) {
+func (s *countingStore) List(ctx context.Context, prefix string) ([]Item, Position, error) {
 	s.lists.Add(1)
 	return s.memoryStore.List(ctx, prefix)
 }
@@ -36,7 +36,7 @@
 		store: store, log: events.New(io.Discard, "n"), name: "test", watchTimeout: time.Second, needed: needed.Load,
 		standInDelay:    func() time.Duration { return 0 },
 		retryDelayLimit: func() time.Duration { return time.Duration(limit.Load()) },
-		listed:          make(chan struct{}), onList: func([]Item, uint64) {}, onChange: func([]Item, uint64) {},
+		listed:          make(chan struct{}), onList: func(time.Time, []Item, Position) {}, onChange: func(time.Time, []Item, Position) {},
 	}
 	go f.run(ctx)
 	return store, f, func() {
--- a/node/sidecar/transfer.go
+++ b/node/sidecar/transfer.go
@@ -61,6 +61,8 @@
 type transfer struct {
 	body    []byte
 	updates bool
+	// revision is the revision in force at the other node, or 0 if that is unknown.
+	revision model.Revision
 	// alternatives are set if the node was busy.
 	busy         bool
 	alternatives []model.NodeAddr
@@ -97,12 +99,23 @@
 	}
 	configurationTransfersComplete.Inc()
 	if outdated {
+		if len(updates) == 0 && t.revision > c.revision() {
+			c.applyIfNewer(base, nil, t.revision, string(from))
+		}
 		return distribution.Received, nil
 	}
-	c.applyIfNewer(document, updates, string(from))
+	c.applyIfNewer(document, updates, revisionOf(updates), string(from))
 	return distribution.Received, nil
 }
 
+// revisionOf returns the revision to which updates lead, or 0 without any.
+func revisionOf(updates []distribution.Update) model.Revision {
+	if len(updates) == 0 {
+		return 0
+	}
+	return updates[len(updates)-1].Revision
+}
+
 // download returns the configuration of another node or, with an error, the part of it
 // that arrived.
 func (c *configuration) download(ctx context.Context, from model.NodeAddr, base distribution.Sum) (transfer, error) {
@@ -130,7 +143,11 @@
 	if err == nil && len(raw) > maxTransferBytes {
 		err = errors.New("the configuration is larger than the store allows")
 	}
-	return transfer{body: raw, updates: answer.Updates}, err
+	t := transfer{body: raw, updates: answer.Updates}
+	if answer.Report != nil {
+		t.revision = answer.Report.Revision
+	}
+	return t, err
 }
 
 // progressReader calls progress whenever bytes were read.
@@ -166,6 +183,7 @@
 		complete := false
 		defer func() { c.endSending(len(body), revision, request.From, complete) }()
 		answer.Status, answer.Length, answer.Updates = 200, int64(len(body)), request.Updates
+		answer.Report = &model.Report{Revision: revision}
 		if stream.Answer(answer) != nil || stream.SendBody(bytes.NewReader(body)) != nil {
 			stream.Fail()
 			return
