Tell nodes of missing entries, and mistrust entries of a copy

A watcher told a node that its entry was missing only on a removal event, which a list does not have. It now says so in its greetings; a node that cannot reach the store keeps to its backoff.

--- a/node/sidecar/exchange.go
+++ b/node/sidecar/exchange.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -58,10 +59,19 @@
 	}
 }
 
-// greetPartners sends a greeting to the nodes that exchangePartners returns.
+// greetPartners sends a greeting to the nodes that exchangePartners returns. If this node
+// follows the store, it tells them whether their entries are missing there.
 func (f *fleet) greetPartners() {
 	g := f.greeting()
+	var unlisted []model.NodeAddr
+	if g.Watching {
+		f.mu.Lock()
+		unlisted = f.roster.Unlisted()
+		f.mu.Unlock()
+	}
 	for _, node := range f.exchangePartners() {
+		g := g
+		g.Missing = slices.Contains(unlisted, node)
 		f.node.goBackground(func() { f.exchange(node, g) })
 	}
 }
--- a/node/sidecar/fleet.go
+++ b/node/sidecar/fleet.go
@@ -63,6 +63,8 @@
 
 	follower *follower
 	watchers *roster.WatchPolicy
+	// listedEra is the era of the last list. Only the follower accesses it.
+	listedEra uint64
 	// registrationFailing is true while the registration cannot reach the
 	// store. Only the register goroutine accesses it.
 	registrationFailing bool
@@ -133,8 +135,9 @@
 	}
 }
 
-// listed applies a list of all nodes' entries.
-func (f *fleet) listed(_ time.Time, items []Item, _ Position) {
+// listed applies a list of all nodes' entries. It contacts the nodes whose entries came
+// back from a copy and those of which the store lacks them.
+func (f *fleet) listed(_ time.Time, items []Item, at Position) {
 	var records []roster.Record
 	hasOwn := false
 	for _, item := range items {
@@ -143,15 +146,24 @@
 			records = append(records, record)
 		}
 	}
+	var suspects []model.NodeAddr
 	f.mu.Lock()
-	f.roster.ReplaceStored(time.Now(), records)
-	standsIn := f.watchers.IsFallback()
+	if f.listedEra != 0 && f.listedEra != at.Era {
+		suspects = f.roster.ReplaceRestored(time.Now(), records)
+	} else {
+		f.roster.ReplaceStored(time.Now(), records)
+	}
+	greets := f.watchers.IsFallback() || len(f.roster.Unlisted()) > 0
 	f.mu.Unlock()
+	f.listedEra = at.Era
+	for _, node := range suspects {
+		f.contactVanished(node)
+	}
 	if !hasOwn {
 		notify(f.entryNotice)
 	}
 	f.updatePlacement()
-	if standsIn {
+	if greets {
 		f.greetPartners() // so that other nodes need not follow the store as well
 	}
 }
--- a/node/sidecar/fleet_test.go
+++ b/node/sidecar/fleet_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -187,3 +188,49 @@
 		return a.status == http.StatusServiceUnavailable && strings.Contains(a.body, "all targets of back are in failure domains out of service")
 	})
 }
+
+// forgetfulStore answers watches of the nodes' entries with ErrHistoryLost, as often as
+// forgets says.
+type forgetfulStore struct {
+	*memoryStore
+	forgets atomic.Int64
+}
+
+func (s *forgetfulStore) Watch(ctx context.Context, prefix string, after Position, wait time.Duration) ([]Item, Position, error) {
+	items, next, err := s.memoryStore.Watch(ctx, prefix, after, wait)
+	if prefix == nodePrefix && s.forgets.Add(-1) >= 0 {
+		return nil, Position{}, ErrHistoryLost
+	}
+	return items, next, err
+}
+
+// A watcher that lists the store tells a node that its entry is missing, although no
+// removal was seen.
+func TestNodeLearnsFromAListThatItsEntryIsMissing(t *testing.T) {
+	store := &forgetfulStore{memoryStore: newMemoryStore()}
+	store.configure(t, 1, "front")
+	var nodes []*testNode
+	for i := range 3 {
+		nodes = append(nodes, startNode(t, store, "a", "front", newTestTarget(t, fmt.Sprintf("t%d", i))))
+	}
+	var follows *testNode
+	eventually(t, "one node relies on two watchers", func() bool {
+		relying := 0
+		for _, n := range nodes {
+			if n.fleet.size() != 3 || !store.has(n.fleet.entryKey()) {
+				return false
+			}
+			if !n.fleet.followsStore() && !n.fleet.follower.readable.Load() {
+				relying++
+				follows = n
+			}
+		}
+		return relying == 1
+	})
+	store.mu.Lock()
+	delete(store.keys, follows.fleet.entryKey())
+	store.mu.Unlock()
+	store.forgets.Store(2)
+	store.put(nodePrefix+"x", nil, true) // ends the watches of both watchers
+	eventually(t, "the entry is rewritten", func() bool { return store.has(follows.fleet.entryKey()) })
+}
--- a/node/sidecar/register.go
+++ b/node/sidecar/register.go
@@ -88,7 +88,11 @@
 			backoff = minRenewBackoff
 		}
 		f.logStoreStatus(err)
-		if f.waitForEntryNotice(ctx, delay, eraChanged) && !f.verifyEntry(ctx, written) {
+		notices := f.entryNotice
+		if err != nil {
+			notices = nil // the watchers repeat them, and the next attempt handles them
+		}
+		if waitForEntryNotice(ctx, delay, notices, eraChanged) && !f.verifyEntry(ctx, written) {
 			written = nil
 		}
 	}
@@ -164,14 +168,14 @@
 // waitForEntryNotice waits for the delay or for a notice that this node's entry
 // is missing or outdated, and reports whether there was one. A new era of the store ends
 // the wait.
-func (f *fleet) waitForEntryNotice(ctx context.Context, d time.Duration, eraChanged <-chan struct{}) bool {
+func waitForEntryNotice(ctx context.Context, d time.Duration, notices, eraChanged <-chan struct{}) bool {
 	timer := time.NewTimer(jitter(d))
 	defer timer.Stop()
 	select {
 	case <-ctx.Done():
 	case <-timer.C:
 	case <-eraChanged:
-	case <-f.entryNotice:
+	case <-notices:
 		return true
 	}
 	return false
--- a/policy/roster/roster.go
+++ b/policy/roster/roster.go
@@ -33,6 +33,9 @@
 	// droppedTTL is how long records relayed by other nodes do not bring back a
 	// dropped process.
 	droppedTTL = 30 * time.Second
+	// suspectSilence is the silence after which a node whose entry was gone is not
+	// used when the entry comes back with a copy of the store.
+	suspectSilence = 2 * time.Second
 )
 
 // Record is what a node publishes about itself.
@@ -56,6 +59,8 @@
 type member struct {
 	Record
 	stored bool
+	// suspect is set while only an entry from a copy of the store speaks for the node.
+	suspect bool
 	// lastContact is the time of the last direct contact, or when the node became
 	// known.
 	lastContact time.Time
@@ -86,6 +91,13 @@
 		m = r.put(now, record)
 	}
 	m.stored = true
+	r.trust(m)
+}
+
+// trust uses a member again.
+func (r *Roster) trust(m *member) {
+	r.changed = r.changed || m.suspect
+	m.suspect = false
 }
 
 // ReplaceStored applies a complete listing of the store: members that it does not
@@ -94,6 +106,9 @@
 	listed := make(map[model.NodeAddr]bool, len(records))
 	for _, record := range records {
 		listed[record.Node] = true
+		if m := r.members[record.Node]; m != nil && m.suspect && m.Record == record {
+			continue // still the entry of the copy
+		}
 		r.PutStored(now, record)
 	}
 	for node, m := range r.members {
@@ -101,6 +116,50 @@
 	}
 }
 
+// ReplaceRestored applies the first listing of the store after it returned from a copy. An
+// entry of a node that was gone before brings it back only when the node is heard from:
+// those are returned, to be contacted. Nodes that the copy lacks have unlistedTimeout to
+// write their entries.
+func (r *Roster) ReplaceRestored(now time.Time, records []Record) (suspects []model.NodeAddr) {
+	listed := make(map[model.NodeAddr]bool, len(records))
+	for _, record := range records {
+		m := r.members[record.Node]
+		droppedAt, dropped := r.dropped[record.Process]
+		dropped = dropped && now.Sub(droppedAt) < droppedTTL
+		switch {
+		case m != nil && m.Process != record.Process && (dropped || now.Sub(m.lastContact) < unlistedTimeout):
+			continue // the process in the copy was replaced
+		case dropped || m != nil && m.Process == record.Process && !m.stored && now.Sub(m.lastContact) >= suspectSilence:
+			if m == nil {
+				m = r.put(now, record)
+			}
+			r.changed = true
+			m.stored, m.suspect = true, true
+			suspects = append(suspects, record.Node)
+		default:
+			r.PutStored(now, record)
+		}
+		listed[record.Node] = true
+	}
+	for node, m := range r.members {
+		if m.stored && !listed[node] {
+			m.stored, m.lastContact = false, now
+		}
+	}
+	return suspects
+}
+
+// Unlisted returns the members whose entries the store lacks.
+func (r *Roster) Unlisted() []model.NodeAddr {
+	var out []model.NodeAddr
+	for node, m := range r.members {
+		if !m.stored {
+			out = append(out, node)
+		}
+	}
+	return out
+}
+
 // DeleteStored applies the deletion of an entry from the store.
 func (r *Roster) DeleteStored(node model.NodeAddr) {
 	if m := r.members[node]; m != nil {
@@ -121,12 +180,14 @@
 		m = r.put(now, record)
 	}
 	m.lastContact = now
+	r.trust(m)
 }
 
 // MarkAlive records direct contact with a member that sent no record.
 func (r *Roster) MarkAlive(now time.Time, node model.NodeAddr) {
 	if m := r.members[node]; m != nil {
 		m.lastContact = now
+		r.trust(m)
 	}
 }
 
@@ -203,11 +264,13 @@
 	return m.Domain, true
 }
 
-// Records returns the records of all members, sorted by address.
+// Records returns the records of the members that may be used, sorted by address.
 func (r *Roster) Records() []Record {
 	out := make([]Record, 0, len(r.members))
 	for _, m := range r.members {
-		out = append(out, m.Record)
+		if !m.suspect {
+			out = append(out, m.Record)
+		}
 	}
 	slices.SortFunc(out, func(a, b Record) int { return cmp.Compare(a.Node, b.Node) })
 	return out
@@ -218,7 +281,7 @@
 func (r *Roster) ChangedSince(since time.Time, limit int) []Record {
 	var out []Record
 	for _, m := range r.members {
-		if m.changed.After(since) && len(out) < limit {
+		if m.changed.After(since) && !m.suspect && len(out) < limit {
 			out = append(out, m.Record)
 		}
 	}
--- a/policy/roster/roster_test.go
+++ b/policy/roster/roster_test.go
@@ -83,3 +83,44 @@
 	qt.Assert(t, recent, qt.DeepEquals, []Record{record("b", 2, 2)})
 	qt.Assert(t, r.ChangedSince(start.Add(-time.Second), 1), qt.HasLen, 1)
 }
+
+func TestEntryOfACopyAloneDoesNotBringNodeBack(t *testing.T) {
+	r := New("self")
+	r.PutStored(start, record("gone", 1, 1))
+	r.PutStored(start, record("leaving", 2, 1))
+	r.PutStored(start, record("restarted", 3, 1))
+	r.PutStored(start, record("live", 4, 1))
+	copied := []Record{record("gone", 1, 1), record("leaving", 2, 1), record("restarted", 3, 1), record("live", 4, 1)}
+	r.DeleteStored("gone")
+	now := start.Add(unlistedTimeout)
+	qt.Assert(t, r.Expire(now, true), qt.HasLen, 1)
+	r.DeleteStored("leaving")
+	r.Refresh(now, record("restarted", 5, 1))
+	nodes := func() (out []model.NodeAddr) {
+		for _, rec := range r.Records() {
+			out = append(out, rec.Node)
+		}
+		return out
+	}
+	suspects := r.ReplaceRestored(now, copied)
+	qt.Assert(t, suspects, qt.DeepEquals, []model.NodeAddr{"gone", "leaving"})
+	qt.Assert(t, nodes(), qt.DeepEquals, []model.NodeAddr{"live", "restarted"})
+	qt.Assert(t, r.Records()[1].Process, qt.Equals, model.ProcessID{5})
+	r.ReplaceStored(now, append(copied[:2:2], record("restarted", 5, 1), copied[3]))
+	qt.Assert(t, nodes(), qt.DeepEquals, []model.NodeAddr{"live", "restarted"})
+	r.Refresh(now, record("leaving", 2, 1))
+	qt.Assert(t, nodes(), qt.DeepEquals, []model.NodeAddr{"leaving", "live", "restarted"})
+	r.PutStored(now, record("gone", 1, 1)) // written in the new era
+	qt.Assert(t, nodes(), qt.DeepEquals, []model.NodeAddr{"gone", "leaving", "live", "restarted"})
+}
+
+// A node of another failure domain may not have been heard from for long.
+func TestNodeThatACopyLacksStaysUntilItMayHaveWritten(t *testing.T) {
+	r := New("self")
+	r.PutStored(start, record("a", 1, 1))
+	now := start.Add(time.Hour)
+	qt.Assert(t, r.ReplaceRestored(now, nil), qt.HasLen, 0)
+	qt.Assert(t, r.Unlisted(), qt.DeepEquals, []model.NodeAddr{"a"})
+	qt.Assert(t, r.Expire(now.Add(unlistedTimeout-1), true), qt.HasLen, 0)
+	qt.Assert(t, r.Expire(now.Add(unlistedTimeout), true), qt.HasLen, 1)
+}
