--- a/node/sidecar/fleet.go
+++ b/node/sidecar/fleet.go
@@ -164,7 +164,8 @@
 	}
 	f.updatePlacement()
 	if greets {
-		f.greetPartners() // so that other nodes need not follow the store as well
+		// They hear that the store is read here, and whether their entries are missing.
+		f.greetPartners()
 	}
 }
 
--- a/node/sidecar/store.go
+++ b/node/sidecar/store.go
@@ -194,8 +194,8 @@
 // backOff waits after a failed call. A node that shares the attempts leaves
 // frequent ones to the watchers. The limit of the delay and whether the store
 // is needed are checked again during the wait, since both may change. A limit
-// above maxRetryDelay takes the place of the delay. The wait ends when a new era of the
-// store becomes known, since the store has answered then.
+// above maxRetryDelay takes the place of the delay. A new era of the store ends the wait
+// of a node that does not share the attempts, since the store has answered then.
 func (f *follower) backOff(ctx context.Context, delay time.Duration) {
 	fraction := jitter(time.Second).Seconds()
 	began := time.Now()
@@ -212,13 +212,14 @@
 		timer := time.NewTimer(min(remaining, idlePollInterval))
 		select {
 		case <-eraChanged:
-			timer.Stop()
-			f.retryDelay = minRetryDelay
-			return
+			eraChanged = nil
+			if limit <= maxRetryDelay {
+				f.retryDelay = minRetryDelay
+				return
+			}
 		case <-ctx.Done():
 		case <-timer.C:
 		}
-		timer.Stop()
 	}
 }
 
--- a/node/sidecar/store_test.go
+++ b/node/sidecar/store_test.go
@@ -15,10 +15,20 @@
 	"zinniafall/node/events"
 )
 
-// countingStore counts the list calls.
+// countingStore counts the list calls. Closing newEra shows that an era has begun.
 type countingStore struct {
 	*memoryStore
-	lists atomic.Int64
+	lists  atomic.Int64
+	newEra chan struct{}
+}
+
+func (s *countingStore) Era() (uint64, <-chan struct{}) {
+	select {
+	case <-s.newEra:
+		return 2, nil
+	default:
+		return 1, s.newEra
+	}
 }
 
 func (s *countingStore) List(ctx context.Context, prefix string) ([]Item, Position, error) {
@@ -29,7 +39,7 @@
 // startFollower starts a follower of a store that is down.
 func startFollower(limit *atomic.Int64, needed *atomic.Bool) (store *countingStore, f *follower, end func()) {
 	ctx, cancel := context.WithCancel(context.Background())
-	store = &countingStore{memoryStore: newMemoryStore()}
+	store = &countingStore{memoryStore: newMemoryStore(), newEra: make(chan struct{})}
 	store.setDown(true)
 	needed.Store(true)
 	f = &follower{
@@ -67,6 +77,29 @@
 	})
 }
 
+// The nodes that share the attempts would all list at once.
+func TestNewEraEndsBackoffOfANodeThatDoesNotShareAttempts(t *testing.T) {
+	for _, test := range []struct {
+		limit time.Duration
+		lists int64
+	}{{maxRetryDelay, 1}, {5 * time.Second, 0}} {
+		synctest.Test(t, func(t *testing.T) {
+			var limit atomic.Int64
+			var needed atomic.Bool
+			limit.Store(int64(test.limit))
+			store, _, end := startFollower(&limit, &needed)
+			defer end()
+			for before := int64(0); before < 10; before = store.lists.Load() {
+				time.Sleep(idlePollInterval)
+			}
+			before := store.lists.Load()
+			close(store.newEra)
+			synctest.Wait()
+			qt.Assert(t, store.lists.Load()-before, qt.Equals, test.lists)
+		})
+	}
+}
+
 func TestFollowerStopsReadingWhenNotNeeded(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		var limit atomic.Int64
