--- a/node/sidecar/fleet.go
+++ b/node/sidecar/fleet.go
@@ -19,6 +19,9 @@
 	// renewInterval is the time between lease renewals: two may be lost before
 	// the lease expires.
 	renewInterval = 3 * time.Second
+	// entrySpreadPerNode is the time for each node over which the entries are spread
+	// when the store has lost them: each takes two writes.
+	entrySpreadPerNode = 6 * time.Millisecond
 	// verifyDelay is the minimum time between reads of this node's own entry.
 	verifyDelay = 300 * time.Millisecond
 	// maxTargetWait bounds how long a new node waits for its target before it
@@ -39,6 +42,9 @@
 	// minPullInterval is the minimum time between requests for all records of
 	// another node: recent changes come with each greeting.
 	minPullInterval = 2500 * time.Millisecond
+	// maxGreetedAtStart bounds the nodes that a starting node asks for what is newer
+	// than in the store.
+	maxGreetedAtStart = 8
 	// recentAge is the age up to which a changed record is included in a
 	// greeting, and maxRecent bounds the number of such records.
 	recentAge = 2500 * time.Millisecond
@@ -61,6 +67,8 @@
 
 	follower *follower
 	watchers *roster.WatchPolicy
+	// listedEra is the era of the last list. Only the follower accesses it.
+	listedEra uint64
 	// registrationFailing is true while the registration cannot reach the
 	// store. Only the register goroutine accesses it.
 	registrationFailing bool
@@ -131,8 +139,9 @@
 	}
 }
 
-// listed applies a list of all nodes' entries.
-func (f *fleet) listed(items []Item, _ uint64) {
+// listed applies a list of all nodes' entries. It contacts the nodes whose entries came
+// back from a copy and those of which the store lacks them.
+func (f *fleet) listed(_ time.Time, items []Item, at Position) {
 	var records []roster.Record
 	hasOwn := false
 	for _, item := range items {
@@ -141,22 +150,32 @@
 			records = append(records, record)
 		}
 	}
+	var suspects []model.NodeAddr
 	f.mu.Lock()
-	f.roster.ReplaceStored(time.Now(), records)
-	standsIn := f.watchers.IsFallback()
+	if f.listedEra != 0 && f.listedEra != at.Era {
+		suspects = f.roster.ReplaceRestored(time.Now(), records)
+	} else {
+		f.roster.ReplaceStored(time.Now(), records)
+	}
+	greets := f.watchers.IsFallback() || len(f.roster.Unlisted()) > 0
 	f.mu.Unlock()
+	f.listedEra = at.Era
+	for _, node := range suspects {
+		f.contactVanished(node)
+	}
 	if !hasOwn {
 		notify(f.entryNotice)
 	}
 	f.updatePlacement()
-	if standsIn {
-		f.greetPartners() // so that other nodes need not follow the store as well
+	if greets {
+		// They hear that the store is read here, and whether their entries are missing.
+		f.greetPartners()
 	}
 }
 
 // applyChanges applies changes of the nodes' entries. It contacts each node whose
 // entry was removed, because the node may still be running.
-func (f *fleet) applyChanges(items []Item, _ uint64) {
+func (f *fleet) applyChanges(_ time.Time, items []Item, _ Position) {
 	now := time.Now()
 	for _, item := range items {
 		if item.Key == f.entryKey() {
--- a/node/sidecar/store_test.go
+++ b/node/sidecar/store_test.go
@@ -15,13 +15,23 @@
 	"zinniafall/node/events"
 )
 
-// countingStore counts the list calls.
+// countingStore counts the list calls. Closing newEra shows that an era has begun.
 type countingStore struct {
 	*memoryStore
-	lists atomic.Int64
+	lists  atomic.Int64
+	newEra chan struct{}
 }
 
-func (s *countingStore) List(ctx context.Context, prefix string) ([]Item, uint64, error) {
+func (s *countingStore) Era() (uint64, <-chan struct{}) {
+	select {
+	case <-s.newEra:
+		return 2, nil
+	default:
+		return 1, s.newEra
+	}
+}
+
+func (s *countingStore) List(ctx context.Context, prefix string) ([]Item, Position, error) {
 	s.lists.Add(1)
 	return s.memoryStore.List(ctx, prefix)
 }
@@ -29,14 +39,14 @@
 // startFollower starts a follower of a store that is down.
 func startFollower(limit *atomic.Int64, needed *atomic.Bool) (store *countingStore, f *follower, end func()) {
 	ctx, cancel := context.WithCancel(context.Background())
-	store = &countingStore{memoryStore: newMemoryStore()}
+	store = &countingStore{memoryStore: newMemoryStore(), newEra: make(chan struct{})}
 	store.setDown(true)
 	needed.Store(true)
 	f = &follower{
 		store: store, log: events.New(io.Discard, "n"), name: "test", watchTimeout: time.Second, needed: needed.Load,
 		standInDelay:    func() time.Duration { return 0 },
 		retryDelayLimit: func() time.Duration { return time.Duration(limit.Load()) },
-		listed:          make(chan struct{}), onList: func([]Item, uint64) {}, onChange: func([]Item, uint64) {},
+		listed:          make(chan struct{}), onList: func(time.Time, []Item, Position) {}, onChange: func(time.Time, []Item, Position) {},
 	}
 	go f.run(ctx)
 	return store, f, func() {
@@ -67,6 +77,29 @@
 	})
 }
 
+// The nodes that share the attempts would all list at once.
+func TestNewEraEndsBackoffOfANodeThatDoesNotShareAttempts(t *testing.T) {
+	for _, test := range []struct {
+		limit time.Duration
+		lists int64
+	}{{maxRetryDelay, 1}, {5 * time.Second, 0}} {
+		synctest.Test(t, func(t *testing.T) {
+			var limit atomic.Int64
+			var needed atomic.Bool
+			limit.Store(int64(test.limit))
+			store, _, end := startFollower(&limit, &needed)
+			defer end()
+			for before := int64(0); before < 10; before = store.lists.Load() {
+				time.Sleep(idlePollInterval)
+			}
+			before := store.lists.Load()
+			close(store.newEra)
+			synctest.Wait()
+			qt.Assert(t, store.lists.Load()-before, qt.Equals, test.lists)
+		})
+	}
+}
+
 func TestFollowerStopsReadingWhenNotNeeded(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		var limit atomic.Int64
--- a/node/sidecar/transfer.go
+++ b/node/sidecar/transfer.go
@@ -67,6 +67,8 @@
 type transfer struct {
 	body    []byte
 	updates bool
+	// revision is the revision in force at the other node, or 0 if that is unknown.
+	revision model.Revision
 	// alternatives are set if the node was busy.
 	busy         bool
 	alternatives []model.NodeAddr
@@ -107,12 +109,23 @@
 	}
 	configurationTransfersComplete.Inc()
 	if outdated {
+		if len(updates) == 0 && t.revision > c.revision() {
+			c.applyIfNewer(base, nil, t.revision, string(from))
+		}
 		return distribution.Received, nil
 	}
-	c.applyIfNewer(document, updates, string(from))
+	c.applyIfNewer(document, updates, revisionOf(updates), string(from))
 	return distribution.Received, nil
 }
 
+// revisionOf returns the revision to which updates lead, or 0 without any.
+func revisionOf(updates []distribution.Update) model.Revision {
+	if len(updates) == 0 {
+		return 0
+	}
+	return updates[len(updates)-1].Revision
+}
+
 // alternativesLike returns the alternatives that are, like the busy node, in this node's
 // failure domain or outside it. It leaves out this node.
 func (c *configuration) alternativesLike(busy model.NodeAddr, alternatives []model.NodeAddr) []model.NodeAddr {
@@ -163,7 +176,11 @@
 	if err != nil {
 		err = errors.Join(err, context.Cause(ctx))
 	}
-	return transfer{body: raw, updates: answer.Updates}, err
+	t := transfer{body: raw, updates: answer.Updates}
+	if answer.Report != nil {
+		t.revision = answer.Report.Revision
+	}
+	return t, err
 }
 
 // progressReader calls progress whenever bytes were read.
@@ -199,6 +216,7 @@
 		complete := false
 		defer func() { c.endSending(len(body), revision, request.From, complete) }()
 		answer.Status, answer.Length, answer.Updates = 200, int64(len(body)), request.Updates
+		answer.Report = &model.Report{Revision: revision}
 		if stream.Answer(answer) != nil || stream.SendBody(bytes.NewReader(body)) != nil {
 			stream.Fail()
 			return
--- a/node/sidecar/waiting_test.go
+++ b/node/sidecar/waiting_test.go
@@ -79,7 +79,7 @@
 		answered <- a
 	}()
 	eventually(t, "the call has arrived", func() bool { return n.calls.Load() > 0 })
-	holder.configuration.applyIfNewer(newDocument(t, 2, "front", "back"), nil, "test")
+	holder.configuration.applyIfNewer(newDocument(t, 2, "front", "back"), nil, 0, "test")
 	n.configuration.recordReported(2, holder.self)
 	a := <-answered
 	qt.Assert(t, n.configuration.revision(), qt.Equals, model.Revision(2))
