Enter a starting fleet at once, and leave the first watch to the likely watchers

Cause: when a fleet starts, each node takes itself for a watcher until it knows the others.

Change: a node that finds no other of its failure domain in the store writes its entry at once, and leaves the first watch for 0.3 to 1.5 s to the nodes that are likely to be the watchers (wide links, then the order of the hash; WatchPolicy.FirstWatchDelay). A node that finds others tells the watchers among them of itself, so that it hears from them before its entry is there. A change seen by a node that knew nobody is greeted on at once.

--- a/node/sidecar/fleet.go
+++ b/node/sidecar/fleet.go
@@ -82,7 +82,7 @@
 	f.self = roster.Record{Node: n.self, Process: n.process, Domain: n.settings.Domain, Region: n.settings.Region, Service: n.settings.Service, Sequence: 1, LinkMbps: int(n.settings.LinkMbps)}
 	f.follower = &follower{
 		store: n.store, log: n.log, name: "fleet", prefix: nodePrefix, watchDelay: fleetWatchDelay, watchTimeout: fleetWatchTimeout,
-		needed: f.followsStore, standInDelay: f.standInDelay, retryDelayLimit: f.retryDelayLimit, listed: make(chan struct{}), onList: f.listed, onChange: f.applyChanges,
+		needed: f.followsStore, standInDelay: f.standInDelay, retryDelayLimit: f.retryDelayLimit, firstWatchDelay: f.firstWatchDelay, listed: make(chan struct{}), onList: f.listed, onChange: f.applyChanges,
 	}
 	f.renderEntry()
 	return f
@@ -95,6 +95,14 @@
 	return f.watchers.ShouldWatch(time.Now())
 }
 
+// firstWatchDelay returns how long a node that starts leaves watching the store to
+// others.
+func (f *fleet) firstWatchDelay() time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.watchers.FirstWatchDelay()
+}
+
 // standInDelay returns how long this node leaves the store to other nodes that
 // stand in for the watchers.
 func (f *fleet) standInDelay() time.Duration {
@@ -167,16 +175,37 @@
 		notify(f.entryNotice)
 	}
 	f.updatePlacement()
+	if !f.isListed() {
+		f.greetWatchers()
+	}
 	if greets {
 		// They hear that the store is read here, and whether their entries are missing.
 		f.greetPartners()
 	}
 }
 
+// greetWatchers tells the watchers of this failure domain, if they are others, of this node
+// before its entry does, and hears that they follow the store.
+func (f *fleet) greetWatchers() {
+	f.mu.Lock()
+	var watchers []model.NodeAddr
+	if !f.watchers.IsWatcher() {
+		watchers = f.watchers.Watchers()
+	}
+	f.mu.Unlock()
+	g := f.greeting()
+	for _, node := range watchers {
+		f.node.goBackground(func() { f.exchange(node, g) })
+	}
+}
+
 // applyChanges applies changes of the nodes' entries. It contacts each node whose
 // entry was removed, because the node may still be running.
 func (f *fleet) applyChanges(_ time.Time, items []Item, _ Position) {
 	now := time.Now()
+	f.mu.Lock()
+	alone := len(f.roster.Records()) == 0
+	f.mu.Unlock()
 	for _, item := range items {
 		if item.Key == f.entryKey() {
 			f.checkOwnEntry(item)
@@ -196,6 +225,9 @@
 		}
 	}
 	f.updatePlacement()
+	if alone {
+		f.greetPartners() // so that nodes that start with it need not follow the store
+	}
 }
 
 // decodeEntry decodes a node's entry. It reports false if the entry was removed
--- a/node/sidecar/node.go
+++ b/node/sidecar/node.go
@@ -196,7 +196,7 @@
 func (n *Node) startBackground() {
 	operators := &follower{
 		store: n.store, log: n.log, name: "operators", prefix: n.operatorKeys.Prefix(), watchDelay: operatorWatchDelay, watchTimeout: operatorWatchTimeout,
-		needed: n.followsOperators, standInDelay: n.fleet.standInDelay, retryDelayLimit: n.fleet.retryDelayLimit, otherListed: n.fleet.follower.listed, listed: make(chan struct{}), onList: n.configuration.listed, onChange: n.configuration.applyChanges,
+		needed: n.followsOperators, standInDelay: n.fleet.standInDelay, retryDelayLimit: n.fleet.retryDelayLimit, firstWatchDelay: n.fleet.firstWatchDelay, otherListed: n.fleet.follower.listed, listed: make(chan struct{}), onList: n.configuration.listed, onChange: n.configuration.applyChanges,
 	}
 	n.goBackground(func() { operators.run(n.ctx) })
 	n.goBackground(func() { n.fleet.follower.run(n.ctx) })
--- a/node/sidecar/register.go
+++ b/node/sidecar/register.go
@@ -151,12 +151,14 @@
 	}
 }
 
-// awaitTarget waits up to maxTargetWait until the target is known.
+// awaitTarget waits up to maxTargetWait until the target is known. A node that knows no
+// other of its failure domain does not wait: when a fleet starts, nodes find the watchers
+// by their entries.
 func (f *fleet) awaitTarget(ctx context.Context) {
 	began := time.Now()
 	for ctx.Err() == nil && time.Since(began) < maxTargetWait {
 		f.mu.Lock()
-		known := f.self.Slots > 0
+		known := f.self.Slots > 0 || f.isListed() && len(f.watchers.Watchers()) == 0
 		f.mu.Unlock()
 		if known {
 			return
@@ -165,6 +167,16 @@
 	}
 }
 
+// isListed reports whether the fleet has been listed since the start.
+func (f *fleet) isListed() bool {
+	select {
+	case <-f.follower.listed:
+		return true
+	default:
+		return false
+	}
+}
+
 // waitForEntryNotice waits for the delay or for a notice that this node's entry
 // is missing or outdated, and reports whether there was one. A new era of the store ends
 // the wait.
--- a/node/sidecar/store.go
+++ b/node/sidecar/store.go
@@ -115,6 +115,8 @@
 	// leaves it to others, and retryDelayLimit the longest delay after a failed
 	// call.
 	standInDelay, retryDelayLimit func() time.Duration
+	// firstWatchDelay returns how long the first watch is left to others. It may be nil.
+	firstWatchDelay func() time.Duration
 	// otherListed is closed when another follower has listed its keys, which
 	// may show that this one is not needed. If it is nil, there is no wait.
 	otherListed <-chan struct{}
@@ -152,12 +154,23 @@
 		}
 		f.markReadable(at)
 		f.onList(asked, items, at)
-		f.listedOnce.Do(func() { close(f.listed) })
+		first := false
+		f.listedOnce.Do(func() { close(f.listed); first = true })
 		f.waitForOtherList(ctx)
+		if first && f.firstWatchDelay != nil {
+			f.leaveToOthers(ctx, f.firstWatchDelay())
+		}
 		f.watch(ctx, at, failed)
 	}
 }
 
+// leaveToOthers waits until the store need not be followed, up to a time.
+func (f *follower) leaveToOthers(ctx context.Context, limit time.Duration) {
+	for began := time.Now(); ctx.Err() == nil && f.needed() && time.Since(began) < limit; {
+		sleep(ctx, min(idlePollInterval, limit))
+	}
+}
+
 // waitForOtherList gives the other follower up to otherListTimeout to list its
 // keys.
 func (f *follower) waitForOtherList(ctx context.Context) {
--- a/policy/roster/watchers.go
+++ b/policy/roster/watchers.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 
@@ -24,6 +25,13 @@
 	// limits the delay, because operators' changes have to be known within 2 s.
 	fallbackDelayStep = 15 * time.Millisecond
 	maxFallbackDelay  = 300 * time.Millisecond
+	// minFirstWatchDelay and maxFirstWatchDelay bound how long a node that starts and
+	// knows no other leaves the first watch to those that start with it: they write
+	// their entries within some 300 ms, and a watch ends with the first of these.
+	minFirstWatchDelay = 300 * time.Millisecond
+	maxFirstWatchDelay = 1500 * time.Millisecond
+	// wideLinkMbps is the capacity of a link that halves the part that varies.
+	wideLinkMbps = 50
 	// maxFallbackRetriers is the number of nodes of a failure domain, besides the
 	// watchers, that retry the store at the usual rate while none reaches it.
 	maxFallbackRetriers = 4
@@ -49,6 +57,8 @@
 	// rank is this node's position in the order in which nodes become watchers,
 	// domainSize the number of nodes in the failure domain.
 	rank, domainSize int
+	// watchers are the other nodes of the failure domain that are ranked first.
+	watchers []model.NodeAddr
 	// children are the nodes to which this node forwards changes.
 	children []model.NodeAddr
 	// lastWatcherContact is when a watcher that reaches the store was last heard
@@ -96,6 +106,12 @@
 	w.watcher = watcher
 	at := slices.Index(own, w.self)
 	w.rank, w.domainSize = at, len(own)
+	w.watchers = nil
+	for _, c := range own[:min(len(own), watchersPerDomain)] {
+		if c != w.self {
+			w.watchers = append(w.watchers, c.node)
+		}
+	}
 	w.children = nil
 	for _, child := range own[min(treeFanOut*at+1, len(own)):min(treeFanOut*(at+1)+1, len(own))] {
 		w.children = append(w.children, child.node)
@@ -138,6 +154,18 @@
 	return min(time.Duration(max(w.rank-watchersPerDomain, 0))*fallbackDelayStep, maxFallbackDelay)
 }
 
+// FirstWatchDelay returns how long a node that has just listed the store leaves the first
+// watch to others. When a whole fleet starts, nobody is in the store yet, and each node
+// would watch until it knows the watchers; the nodes that are likely to be the watchers
+// begin first and greet the others.
+func (w *WatchPolicy) FirstWatchDelay() time.Duration {
+	if len(w.candidates) > 0 {
+		return 0
+	}
+	fraction := float64(xxhash.Sum64String(string(w.self.node))) / math.MaxUint64 / (1 + float64(w.self.linkMbps)/wideLinkMbps)
+	return minFirstWatchDelay + time.Duration(fraction*float64(maxFirstWatchDelay-minFirstWatchDelay))
+}
+
 // MaxRetryDelay returns the upper bound of the delay between retries of a failed
 // store call. usual is the bound for a node on its own; nodes in contact with
 // others of their failure domain share the retries and get a longer one.
@@ -151,6 +179,9 @@
 // IsWatcher reports whether the node is one of its failure domain's watchers.
 func (w *WatchPolicy) IsWatcher() bool { return w.watcher }
 
+// Watchers returns the failure domain's watchers other than this node.
+func (w *WatchPolicy) Watchers() []model.NodeAddr { return w.watchers }
+
 // Children returns the nodes of the failure domain to which this node forwards
 // changes at once. They form a tree with a watcher at its root, which limits how
 // often any link carries a large configuration to a few times.
--- a/policy/roster/watchers_test.go
+++ b/policy/roster/watchers_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -166,3 +167,37 @@
 		}
 	}
 }
+
+// TestLikelyWatchersWatchFirst requires that of nodes that start together and know nobody
+// the later watchers begin first, and that a node that knows others does not wait.
+func TestLikelyWatchersWatchFirst(t *testing.T) {
+	records, watchers := newDomain(22)
+	delays := map[model.NodeAddr]time.Duration{}
+	for _, w := range watchers {
+		delays[w.self.node] = w.FirstWatchDelay()
+		qt.Assert(t, delays[w.self.node] >= minFirstWatchDelay && delays[w.self.node] <= maxFirstWatchDelay, qt.IsTrue)
+	}
+	for i, w := range watchers {
+		w.SetMembers(start, append(append([]Record(nil), records[:i]...), records[i+1:]...))
+		qt.Assert(t, w.FirstWatchDelay(), qt.Equals, time.Duration(0))
+		qt.Assert(t, w.Watchers(), qt.HasLen, watchersPerDomain-map[bool]int{true: 1}[w.IsWatcher()])
+		for _, node := range w.Watchers() {
+			j := slices.IndexFunc(watchers, func(other *WatchPolicy) bool { return other.self.node == node })
+			qt.Assert(t, j != i, qt.IsTrue)
+		}
+	}
+	for _, w := range watchers {
+		for _, node := range w.Watchers() {
+			j := slices.IndexFunc(watchers, func(other *WatchPolicy) bool { return other.self.node == node })
+			qt.Assert(t, watchers[j].IsWatcher(), qt.IsTrue)
+		}
+	}
+	for _, w := range watchers {
+		for _, other := range watchers {
+			if w.IsWatcher() && !other.IsWatcher() {
+				qt.Assert(t, delays[w.self.node] < delays[other.self.node], qt.IsTrue)
+			}
+		}
+	}
+	qt.Assert(t, NewWatchPolicy("x", "a", 200).FirstWatchDelay() < NewWatchPolicy("x", "a", 10).FirstWatchDelay(), qt.IsTrue)
+}
