--- a/policy/storeera/configuration.go
+++ b/policy/storeera/configuration.go
@@ -68,8 +68,8 @@
 func (c *Configuration) Revision() model.Revision { return c.revision }
 
 // Shown records that the store, asked at a time, shows a configuration that was written
-// at a revision. It returns the revision that the configuration has and reports whether to put it in force,
-// which Applied confirms.
+// at a revision. It returns the revision that the configuration has and reports whether to
+// put it in force, which Applied confirms.
 func (c *Configuration) Shown(asked time.Time, at Position, writtenAt uint64, content Content) (model.Revision, bool) {
 	if at.Before(c.at) {
 		return 0, false
