Move the decisions on waiting into policy, with the loads that they answer

Cause: how long a call waits for a configuration, how entries are spread after a return of the store from a copy, how long a starting node asks others, and the Retry-After of a node that is behind were constants in node/sidecar and node/entry, without the load that they answer. Names and comments of storeera were figurative (Hear, hearing, "speaks for").

Change: distribution.CallWait, storeera.EntryDelay, MaxAskTime and MaxCatchUpTime, config.LagRetryAfter. The values are the same, so that no behavior changes. The refusal of a node that is behind is checked to say "not run".

--- a/node/entry/ingress.go
+++ b/node/entry/ingress.go
@@ -14,6 +14,7 @@
 	"zinniafall/node/peer"
 	"zinniafall/node/trace"
 	"zinniafall/policy/calltoken"
+	"zinniafall/policy/config"
 	"zinniafall/policy/model"
 	"zinniafall/policy/problem"
 	"zinniafall/policy/retry"
@@ -94,9 +95,6 @@
 	return &unknown
 }
 
-// lagRetryAfter is the Retry-After of a node that fetches a newer configuration.
-const lagRetryAfter = 500 * time.Millisecond
-
 // notFinalWhileBehind replaces the refusal of an unknown account or service while other
 // nodes have a newer configuration, which may have it: callers do not come back after
 // 401 and 404.
@@ -104,7 +102,7 @@
 	if refusal == nil || refusal.Kind != problem.Unauthenticated && refusal.Kind != problem.UnknownService || e.opts.Behind == nil || !e.opts.Behind() {
 		return refusal
 	}
-	return problem.New(problem.ConfigurationLag, refusal.Run, refusal.Detail+"; other nodes have a newer configuration").After(lagRetryAfter)
+	return problem.New(problem.ConfigurationLag, refusal.Run, refusal.Detail+"; other nodes have a newer configuration").After(config.LagRetryAfter)
 }
 
 // authenticate determines the account from its key, or from the token of the
--- a/node/server/behind_test.go
+++ b/node/server/behind_test.go
@@ -32,5 +32,6 @@
 		set(request.Header)
 		result := readResult(http.DefaultClient.Do(request))
 		qt.Check(t, result.status, qt.Equals, http.StatusServiceUnavailable, qt.Commentf("%s: %s", name, result.kind))
+		qt.Check(t, result.run, qt.Equals, "no")
 	}
 }
--- a/node/sidecar/call.go
+++ b/node/sidecar/call.go
@@ -9,6 +9,7 @@
 
 	"zinniafall/node/front"
 	"zinniafall/node/peer"
+	"zinniafall/policy/distribution"
 	"zinniafall/policy/model"
 	"zinniafall/policy/problem"
 	"zinniafall/policy/quarantine"
@@ -100,10 +101,9 @@
 }
 
 // awaitRoute resolves the route. While it is unknown and other nodes have a newer
-// configuration, it waits for the next one, up to catchUpTimeout and a part of the
-// caller's time.
+// configuration, it waits for the next one, as long as distribution.CallWait allows.
 func (c *call) awaitRoute(ctx context.Context, r *front.Request) *problem.Error {
-	ctx, cancel := context.WithTimeout(ctx, min(catchUpTimeout, time.Until(c.deadline)/retryAfterDivisor))
+	ctx, cancel := context.WithTimeout(ctx, distribution.CallWait(time.Until(c.deadline)))
 	defer cancel()
 	for {
 		changed := c.node.configuration.nextChange()
--- a/node/sidecar/configuration.go
+++ b/node/sidecar/configuration.go
@@ -15,13 +15,6 @@
 )
 
 const (
-	// catchUpTimeout bounds the wait for a configuration that another node has.
-	catchUpTimeout = 400 * time.Millisecond
-	// startAskTimeout bounds how long a node that starts asks others before it relies on
-	// the configuration in the store, and startTransferTimeout how long it then waits
-	// for a newer one that they have.
-	startAskTimeout      = 300 * time.Millisecond
-	startTransferTimeout = 2 * time.Second
 	// sourceStore is the source of what the store shows, in the log.
 	sourceStore = "store"
 	// maxLoggedProblems bounds the log lines about one configuration.
@@ -245,11 +238,11 @@
 // other nodes: the store may have returned from a copy, and the operators may not have
 // repeated yet what it lost.
 func (c *configuration) askOthers() {
-	ctx, cancel := context.WithTimeout(c.node.ctx, startAskTimeout)
+	ctx, cancel := context.WithTimeout(c.node.ctx, storeera.MaxAskTime)
 	defer cancel()
 	c.node.fleet.greetSome(ctx)
 	if reported := c.newestReported(); reported > 0 {
-		c.awaitRevision(c.node.ctx, reported, startTransferTimeout)
+		c.awaitRevision(c.node.ctx, reported, storeera.MaxCatchUpTime)
 	}
 }
 
@@ -273,10 +266,10 @@
 	}
 }
 
-// hearEvacuation applies the statement of another node about the failure domains out of
+// applyEvacuationOf applies the statement of another node about the failure domains out of
 // service.
-func (c *configuration) hearEvacuation(statement evacuation, source string) {
-	c.updateEvacuation(source, func(e *storeera.Evacuations) { e.Hear(statement) })
+func (c *configuration) applyEvacuationOf(statement evacuation, source string) {
+	c.updateEvacuation(source, func(e *storeera.Evacuations) { e.ApplyStatement(statement) })
 }
 
 // updateEvacuation changes the failure domains out of service. It notifies the node only
@@ -351,7 +344,7 @@
 // waitForRevision waits until the revision or a later one is in force. It
 // reports false when the wait times out.
 func (c *configuration) waitForRevision(ctx context.Context, revision model.Revision) bool {
-	return c.awaitRevision(ctx, revision, catchUpTimeout)
+	return c.awaitRevision(ctx, revision, distribution.MaxCallWait)
 }
 
 func (c *configuration) awaitRevision(ctx context.Context, revision model.Revision, timeout time.Duration) bool {
--- a/node/sidecar/exchange.go
+++ b/node/sidecar/exchange.go
@@ -213,7 +213,7 @@
 		notify(f.entryNotice)
 	}
 	f.node.crashes.recordReported(g.Notices)
-	f.node.configuration.hearEvacuation(g.Evacuation, string(g.From.Node))
+	f.node.configuration.applyEvacuationOf(g.Evacuation, string(g.From.Node))
 	f.node.configuration.recordReported(g.Revision, g.From.Node)
 	f.updatePlacement()
 	return g, true
--- a/node/sidecar/execute.go
+++ b/node/sidecar/execute.go
@@ -103,7 +103,7 @@
 }
 
 // agreeOnRevision ensures that this node and the entry decide by the same
-// configuration. If the entry's is newer, it waits up to catchUpTimeout for it.
+// configuration. If the entry's is newer, it waits up to distribution.MaxCallWait for it.
 func (n *Node) agreeOnRevision(ctx context.Context, r *peer.Request) *problem.Error {
 	ownRevision := n.configuration.revision()
 	if r.Revision > ownRevision {
--- a/node/sidecar/fleet.go
+++ b/node/sidecar/fleet.go
@@ -19,9 +19,6 @@
 	// renewInterval is the time between lease renewals: two may be lost before
 	// the lease expires.
 	renewInterval = 3 * time.Second
-	// entrySpreadPerNode is the time for each node over which the entries are spread
-	// when the store has lost them: each takes two writes.
-	entrySpreadPerNode = 6 * time.Millisecond
 	// verifyDelay is the minimum time between reads of this node's own entry.
 	verifyDelay = 300 * time.Millisecond
 	// maxTargetWait bounds how long a new node waits for its target before it
@@ -179,13 +176,14 @@
 		f.greetWatchers()
 	}
 	if greets {
-		// They hear that the store is read here, and whether their entries are missing.
+		// The greeting states that this node reads the store, and whose entries it lacks.
 		f.greetPartners()
 	}
 }
 
-// greetWatchers tells the watchers of this failure domain, if they are others, of this node
-// before its entry does, and hears that they follow the store.
+// greetWatchers exchanges greetings with the watchers of this failure domain, if they are
+// other nodes: they learn of this node before its entry is written, and it learns that they
+// follow the store.
 func (f *fleet) greetWatchers() {
 	f.mu.Lock()
 	var watchers []model.NodeAddr
--- a/node/sidecar/register.go
+++ b/node/sidecar/register.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"zinniafall/policy/model"
+	"zinniafall/policy/storeera"
 )
 
 // renderEntry encodes the entry for the store. It omits the state, which nodes
@@ -121,7 +122,7 @@
 // entryDelay returns how long this node waits before it restores its entry, so that all
 // nodes together keep to the store's rates.
 func (f *fleet) entryDelay() time.Duration {
-	return rand.N(time.Duration(f.size()) * entrySpreadPerNode)
+	return storeera.EntryDelay(f.size(), rand.Float64())
 }
 
 // verifyEntry reads this node's entry after a notice that it is missing or
--- a/policy/config/follow.go
+++ b/policy/config/follow.go
@@ -3,6 +3,7 @@
 import (
 	"crypto/sha256"
 	"fmt"
+	"time"
 
 	"github.com/fxamacker/cbor/v2"
 
@@ -25,6 +26,10 @@
 	stateFetching chart.State = "fetching"
 )
 
+// LagRetryAfter is the Retry-After of a call that is refused because its node is behind: a
+// fetch from another node takes milliseconds, and a failed one is repeated within a second.
+const LagRetryAfter = 500 * time.Millisecond
+
 // HeadStatus is the result of comparing a received head with the active one.
 type HeadStatus uint8
 
--- a/policy/distribution/fleet_test.go
+++ b/policy/distribution/fleet_test.go
@@ -407,3 +407,52 @@
 		}
 	}
 }
+
+// TestCallsOfNewRoutesWaitForTheirConfiguration replays the calls of the incident: callers
+// use the new routes at every node from the moment the operators' change is acknowledged,
+// and wait for 1 s. Nodes that did not have the change yet answered 404, which is final.
+func TestCallsOfNewRoutesWaitForTheirConfiguration(t *testing.T) {
+	const (
+		meanGap    = 50 * time.Millisecond // between calls at one node
+		callerTime = time.Second
+	)
+	f := newFleet(7, true, 22, 19, 14, 12)
+	c := change{at: 5 * time.Second, revision: 2, document: document(1421, 90)}
+	f.after(0, func() { f.write(change{revision: 1, document: document(21, 90)}) })
+	f.after(c.at, func() { f.write(c) })
+	var served, waited, refused, notFound int
+	var lastNotServed time.Duration
+	var arrive func(n *simNode)
+	arrive = func(n *simNode) {
+		f.after(time.Duration(f.rng.ExpFloat64()*float64(meanGap)), func() { arrive(n) })
+		switch {
+		case n.change.revision >= c.revision:
+			served++
+		case !n.puller.Behind(f.clock(), n.change.revision):
+			notFound++
+			lastNotServed = f.now - c.at
+		default:
+			f.after(CallWait(callerTime), func() {
+				if n.change.revision >= c.revision {
+					waited++
+					return
+				}
+				refused++
+				lastNotServed = f.now - c.at
+			})
+		}
+	}
+	for _, n := range f.nodes {
+		f.after(c.at, func() { arrive(n) })
+	}
+	f.run(c.at + 5*time.Second)
+	t.Logf("%d served at once, %d after a wait, %d refused, %d not found, the last %v after the change", served, waited, refused, notFound, lastNotServed)
+	qt.Check(t, waited > 0 && refused <= waited, qt.IsTrue)
+	qt.Check(t, lastNotServed <= applyBound, qt.IsTrue)
+}
+
+func TestWaitLeavesTheCallerTimeToComeBack(t *testing.T) {
+	for left, want := range map[time.Duration]time.Duration{-time.Second: 0, 0: 0, 300 * time.Millisecond: 100 * time.Millisecond, time.Minute: MaxCallWait} {
+		qt.Check(t, CallWait(left), qt.Equals, want)
+	}
+}
--- a/policy/distribution/puller.go
+++ b/policy/distribution/puller.go
@@ -32,6 +32,10 @@
 	// minRetryAfter is the shortest Retry-After of a node that lacks the newest
 	// configuration.
 	minRetryAfter = 150 * time.Millisecond
+	// MaxCallWait bounds how long a call waits for a configuration that other nodes
+	// have, and callWaitDivisor that part of the caller's remaining time.
+	MaxCallWait     = 400 * time.Millisecond
+	callWaitDivisor = 3
 	// maxHolders bounds the nodes that are known to have a newer configuration.
 	maxHolders = 16
 	// maxFetches bounds the transfers to one node at the same time, and slowTransfer is
@@ -258,3 +262,11 @@
 func (p *Puller) RetryAfter(now time.Time) time.Duration {
 	return max(minRetryAfter, now.Sub(p.firstReport)/2)
 }
+
+// CallWait returns how long a call that needs a newer configuration waits for it before it
+// is refused, if its caller waits for the given time longer. Right after a change, calls of
+// its routes come to nodes to which it is on its way; a caller that is refused must have
+// the time to come back.
+func CallWait(left time.Duration) time.Duration {
+	return max(min(MaxCallWait, left/callWaitDivisor), 0)
+}
--- a/policy/roster/roster.go
+++ b/policy/roster/roster.go
@@ -61,7 +61,8 @@
 type member struct {
 	Record
 	stored bool
-	// suspect is set while only an entry from a copy of the store speaks for the node.
+	// suspect is set while an entry from a copy of the store is the only evidence that the
+	// node is alive.
 	suspect bool
 	// lastContact is the time of the last direct contact, or when the node became
 	// known.
@@ -119,7 +120,7 @@
 }
 
 // ReplaceRestored applies the first listing of the store after it returned from a copy. An
-// entry of a node that was gone before brings it back only when the node is heard from:
+// entry of a node that was gone before brings it back only after a message of the node:
 // those are returned, to be contacted. Nodes that the copy lacks have unlistedTimeout to
 // write their entries.
 func (r *Roster) ReplaceRestored(now time.Time, records []Record) (suspects []model.NodeAddr) {
--- a/policy/storeera/configuration.go
+++ b/policy/storeera/configuration.go
@@ -61,7 +61,7 @@
 	rewritten bool
 	// older measures how long the store has shown a configuration that is older than
 	// the one in force.
-	older hearing
+	older answerSpan
 }
 
 // Revision returns the revision in force, or 0.
@@ -76,10 +76,10 @@
 	}
 	if c.shown != content || c.writtenAt != writtenAt {
 		c.rewritten = at.Era == c.at.Era
-		c.older = hearing{}
+		c.older = answerSpan{}
 	} else if at.Era > c.at.Era {
 		c.rewritten = false
-		c.older = hearing{}
+		c.older = answerSpan{}
 	}
 	c.at, c.shown, c.writtenAt = at, content, writtenAt
 	return c.decide(asked)
@@ -134,7 +134,7 @@
 			c.superseded = append(c.superseded, c.content)
 			c.superseded = c.superseded[max(len(c.superseded)-maxSuperseded, 0):]
 		}
-		c.since, c.older = era, hearing{}
+		c.since, c.older = era, answerSpan{}
 	}
 	c.superseded = slices.DeleteFunc(c.superseded, func(s Content) bool { return s == content })
 	c.revision, c.content = revision, content
--- a/policy/storeera/evacuations.go
+++ b/policy/storeera/evacuations.go
@@ -7,7 +7,7 @@
 	"zinniafall/policy/model"
 )
 
-// evacuationSettleTime is how long the store of a new era must be heard from before an
+// evacuationSettleTime is how long the store of a new era must answer before an
 // evacuation ends that it does not show. Operators write again what was lost within about
 // a second.
 const evacuationSettleTime = 5 * time.Second
@@ -39,7 +39,7 @@
 	// resolved are the domains about which the store of this era has said something.
 	resolved []model.Domain
 	settled  bool
-	heard    hearing
+	answered answerSpan
 	restored int
 }
 
@@ -63,7 +63,7 @@
 	e.advance(at)
 	e.listed = slices.Clone(domains)
 	e.resolve(domains)
-	e.hear(asked)
+	e.recordAnswer(asked)
 }
 
 // Changed applies changes in the store up to a position, of which there may be none. They
@@ -80,7 +80,7 @@
 		}
 		e.resolve([]model.Domain{c.Domain})
 	}
-	e.hear(asked)
+	e.recordAnswer(asked)
 }
 
 // Change is the begin or the end of an evacuation in the store.
@@ -89,8 +89,8 @@
 	Ended  bool
 }
 
-// Hear applies the statement of another node.
-func (e *Evacuations) Hear(s Statement) {
+// ApplyStatement applies the statement of another node.
+func (e *Evacuations) ApplyStatement(s Statement) {
 	at := s.Position()
 	if at.Era < e.at.Era {
 		return
@@ -115,12 +115,12 @@
 func (e *Evacuations) advance(at Position) {
 	if at.Era > e.at.Era {
 		e.carried = slices.Concat(e.listed, e.carried)
-		e.listed, e.resolved, e.settled, e.heard = nil, nil, false, hearing{}
+		e.listed, e.resolved, e.settled, e.answered = nil, nil, false, answerSpan{}
 	}
 	e.at = at
 }
 
-// resolve leaves domains to what the store of this era says.
+// resolve drops domains from carried, since the store of this era has stated them.
 func (e *Evacuations) resolve(domains []model.Domain) {
 	before := len(e.carried)
 	e.carried = without(e.carried, domains)
@@ -128,10 +128,10 @@
 	e.resolved = append(e.resolved, without(domains, e.resolved)...)
 }
 
-// hear records an answer of the store in the era of e.at.
-func (e *Evacuations) hear(asked time.Time) {
-	e.heard.add(asked)
-	if e.heard.total >= evacuationSettleTime {
+// recordAnswer records an answer of the store in the era of e.at.
+func (e *Evacuations) recordAnswer(asked time.Time) {
+	e.answered.add(asked)
+	if e.answered.total >= evacuationSettleTime {
 		e.settled, e.carried = true, nil
 	}
 }
--- a/policy/storeera/position.go
+++ b/policy/storeera/position.go
@@ -5,9 +5,10 @@
 // leases go back and are given out again, and what was written since the copy is
 // missing until it is written again. Three decisions follow from that. What is ordered by
 // a revision is ordered by era first (Position, Tracker). An evacuation in force stays
-// until the store of the new era has been heard from for long enough to say otherwise
-// (Evacuations). A configuration in force stays while the store shows an older one,
-// unless the operators mean it (Configuration).
+// until the store of the new era has answered for long enough without it (Evacuations). A
+// configuration in force stays while the store shows an older one, until that one was
+// written in the new era or has stayed for long (Configuration). The entries of all nodes
+// are written again, spread over the store's rate of writes (EntryDelay).
 package storeera
 
 import (
@@ -51,23 +52,23 @@
 	return stated
 }
 
-// maxHeardGap is the longest time between two answers of the store that counts as time in
-// which it was heard from: a watch of the operators' keys ends sooner.
-const maxHeardGap = 3 * time.Second
+// maxAnswerGap is the longest time between two answers of the store that counts as time in
+// which it answered: a watch of the operators' keys ends sooner.
+const maxAnswerGap = 3 * time.Second
 
-// hearing measures how long the store was heard from, by the times at which it was asked:
+// answerSpan measures how long the store has answered, by the times at which it was asked:
 // an answer contains all that was written until then, however late it arrives.
-type hearing struct {
+type answerSpan struct {
 	last  time.Time
 	total time.Duration
 }
 
-func (h *hearing) add(asked time.Time) {
+func (h *answerSpan) add(asked time.Time) {
 	if h.last.IsZero() {
 		h.last = asked
 	}
 	if passed := asked.Sub(h.last); passed > 0 {
-		h.total += min(passed, maxHeardGap)
+		h.total += min(passed, maxAnswerGap)
 		h.last = asked
 	}
 }
--- a/policy/storeera/storeera_test.go
+++ b/policy/storeera/storeera_test.go
@@ -143,7 +143,7 @@
 	revision, sum := from.configuration.Revision(), from.configuration.content.Sum
 	return func() {
 		to.era.Learn(era)
-		to.evacuations.Hear(statement)
+		to.evacuations.ApplyStatement(statement)
 		if revision > to.configuration.Revision() {
 			to.configuration.Applied(to.era.Era(), revision, sum)
 		}
@@ -355,10 +355,10 @@
 
 func TestStatementsOfEarlierReleasesAreOrderedByRevision(t *testing.T) {
 	var e Evacuations
-	e.Hear(Statement{Revision: 7, Domains: []model.Domain{"a"}})
-	e.Hear(Statement{Revision: 6})
+	e.ApplyStatement(Statement{Revision: 7, Domains: []model.Domain{"a"}})
+	e.ApplyStatement(Statement{Revision: 6})
 	qt.Assert(t, e.Statement().Contains("a"), qt.IsTrue)
-	e.Hear(Statement{Revision: 8})
+	e.ApplyStatement(Statement{Revision: 8})
 	qt.Assert(t, e.Statement().Contains("a"), qt.IsFalse)
 }
 
@@ -375,6 +375,6 @@
 	e.Changed(now.Add(time.Hour), Position{2, 5}, nil) // the store was away for most of it
 	qt.Assert(t, e.Statement().Contains("b"), qt.IsTrue)
 	e.Changed(now.Add(time.Hour+evacuationSettleTime), Position{2, 5}, nil)
-	e.Hear(Statement{Revision: 3, Era: 2, Domains: []model.Domain{"b"}, Carried: []model.Domain{"b"}})
+	e.ApplyStatement(Statement{Revision: 3, Era: 2, Domains: []model.Domain{"b"}, Carried: []model.Domain{"b"}})
 	qt.Assert(t, e.Statement().Domains, qt.HasLen, 0)
 }
