--- a/node/sidecar/era.go
+++ b/node/sidecar/era.go
@@ -8,9 +8,9 @@
 // eraLogDelay is how long the log line about a new era waits for a position of it.
 const eraLogDelay = time.Second
 
-// followEra tells the nodes of this failure domain, if this node follows the store for
-// them, and the log that the store returned from an older copy. The other duties follow
-// the era themselves. It returns when the context ends.
+// followEra reports each return of the store from an older copy in the log and, on a node
+// that follows the store for its failure domain, to the nodes there. The other background
+// tasks follow the era themselves. It returns when the context ends.
 func (n *Node) followEra(ctx context.Context) {
 	era, changed := n.store.Era()
 	for {
@@ -25,7 +25,7 @@
 		before := era
 		era, changed = n.store.Era()
 		if before == 0 {
-			continue // the first that is stated
+			continue // the first era that was stated
 		}
 		n.fleet.greetPartners()
 		last := n.configuration.currentEvacuation().Position()
--- a/node/sidecar/store.go
+++ b/node/sidecar/store.go
@@ -47,7 +47,7 @@
 	Era() (era uint64, changed <-chan struct{})
 	// LearnEra records an era that another node stated.
 	LearnEra(era uint64)
-	// Problems returns what the store could not make sense of and ignored.
+	// Problems returns a channel of the first problem with a response that was ignored.
 	Problems() <-chan error
 	// List returns the keys with the prefix and a position that they include.
 	List(ctx context.Context, prefix string) ([]Item, Position, error)
--- a/policy/distribution/archive.go
+++ b/policy/distribution/archive.go
@@ -21,8 +21,8 @@
 	maxStepBytes = 256 << 10
 	// minBaseBytes is the size below which a document is not used as a dictionary.
 	minBaseBytes = 256
-	// smallDocumentBytes is the size of two documents up to which the fastest level of
-	// compression is used.
+	// smallDocumentBytes is the combined size of a document and its base up to which the
+	// fastest level of compression is used.
 	smallDocumentBytes = 64 << 10
 	// dictionaryID marks updates that need their base.
 	dictionaryID = 1
@@ -55,8 +55,8 @@
 
 // newUpdate returns the update from base, which may be nil, to a document.
 func newUpdate(base []byte, revision model.Revision, document []byte) (Update, error) {
-	// In a large document of which little repeats, the fastest level does not find again
-	// what the dictionary has.
+	// The fastest level misses most matches with a large dictionary whose text hardly
+	// repeats itself.
 	level := zstd.SpeedFastest
 	if len(base)+len(document) > smallDocumentBytes {
 		level = zstd.SpeedBetterCompression
--- a/policy/distribution/puller.go
+++ b/policy/distribution/puller.go
@@ -51,7 +51,7 @@
 	maxFailureDelay = 2 * time.Second
 	// otherDomainDelay is how long a node leaves the transfer to the nodes of its own
 	// failure domain that are known to have the configuration: bytes between failure
-	// domains are dear.
+	// domains are expensive.
 	otherDomainDelay = 500 * time.Millisecond
 )
 
@@ -207,8 +207,8 @@
 	return usable
 }
 
-// better reports whether a holder is preferred to another: one of the own failure
-// domain, then the one with the newer configuration.
+// better reports whether a holder is preferred to another: a holder in this node's failure
+// domain to one outside it, then the one with the newer configuration.
 func better(a, b *holder) bool {
 	if a.near != b.near {
 		return a.near
@@ -216,9 +216,9 @@
 	return a.revision > b.revision
 }
 
-// Finished records the end of a transfer and what was received came into force, if it
-// did. have is the revision in force now. A busy node names alternatives, which have the
-// configuration from it.
+// Finished records the end of a transfer. It must be called after what was received has been
+// put in force or rejected; have is the revision in force then. alternatives are the nodes
+// that a busy node names because they have received its configuration.
 func (p *Puller) Finished(now time.Time, from model.NodeAddr, outcome Outcome, alternatives []model.NodeAddr, have model.Revision) {
 	delete(p.active, from)
 	i := slices.IndexFunc(p.holders, func(h *holder) bool { return h.node == from })
@@ -236,7 +236,7 @@
 	case outcome == Received && have >= h.revision:
 		p.holders = slices.Delete(p.holders, i, i+1)
 	default:
-		// What it sends may be of no use here, like a configuration that is not valid.
+		// A holder may send a configuration that is not valid here.
 		h.notBefore = now.Add(p.jitter(min(minFailureDelay<<h.failures, maxFailureDelay)))
 		h.failures, h.busy = min(h.failures+1, maxHolders), 0
 	}
--- a/policy/distribution/sender.go
+++ b/policy/distribution/sender.go
@@ -8,8 +8,8 @@
 
 const (
 	// maxBytesInFlight bounds the updates that a node sends at the same time. Transfers
-	// share its link, and with calls: a few that end soon let more nodes have the
-	// configuration, and pass it on, than many that end late.
+	// and calls share its link; a few transfers that end soon make more nodes senders
+	// than many that end late.
 	maxBytesInFlight = 128 << 10
 	// maxAlternatives bounds the nodes that are named to one that is turned away.
 	maxAlternatives = 4
