Read the limit that a target states, and log it

Change: the owner reads the field from every answer of the present process of its target, in calls and health requests. policy/dispatch decides which limit is in force: a lower one at once, a higher one or none only from an answer to a request sent after the lower one was last stated. Log lines as a limit starts, changes and ends, one for an unreadable one, stated_limit in 'call at owner', a gauge, and the counter of health requests among the node's own metrics. Nothing acts on the limit yet.

--- a/node/sidecar/execute.go
+++ b/node/sidecar/execute.go
@@ -153,6 +153,7 @@
 	started := time.Now()
 	result := a.pool.Do(ctx, a.request(body))
 	targetTime.Update(time.Since(started).Seconds())
+	a.recordStatement(result.Response, started)
 	r, answered := a.classify(ctx, result)
 	if answered {
 		n.crashes.recordSuccess(a.job.request.Fingerprint)
@@ -211,6 +212,19 @@
 	}
 }
 
+// recordStatement applies what the answer to a request sent at a time states about
+// the target.
+func (a *attempt) recordStatement(response *upstream.Response, sentAt time.Time) {
+	if response == nil || !a.node.target.isCurrent(a.pool) {
+		return
+	}
+	if response.Status == http.StatusMisdirectedRequest {
+		// Another process answers: it can add a limit, but not lift one.
+		sentAt = time.Time{}
+	}
+	a.node.target.recordStatement(response.Header, sentAt)
+}
+
 // classify converts the target's result to a reply. The second result reports
 // whether the target answered with a success: only then is the elapsed time a valid
 // sample of the service time.
--- a/node/sidecar/fixture_test.go
+++ b/node/sidecar/fixture_test.go
@@ -25,7 +25,7 @@
 
 var testDialect = Dialect{
 	RequestID: "X-Id", Deadline: "X-Deadline", Mark: "X-Mark", ExpectTarget: "X-Expect", Load: "X-Load",
-	NotRun: "X-Not-Run", Origin: "X-Origin", TargetID: "X-Target", ColdLeft: "X-Cold",
+	NotRun: "X-Not-Run", Origin: "X-Origin", TargetID: "X-Target", ColdLeft: "X-Cold", StatedLimit: "X-Limit",
 }
 
 // memoryStore is an in-memory Store without the latency of the platform's.
@@ -226,6 +226,7 @@
 	mu     sync.Mutex
 	ran    []*http.Request
 	handle http.HandlerFunc
+	limit  string // the stated limit; none if empty
 }
 
 func newTestTarget(t testing.TB, id string) *testTarget {
@@ -246,8 +247,11 @@
 
 func (x *testTarget) serve(w http.ResponseWriter, r *http.Request) {
 	x.mu.Lock()
-	id := x.id
+	id, limit := x.id, x.limit
 	x.mu.Unlock()
+	if limit != "" {
+		w.Header().Set("X-Limit", limit)
+	}
 	w.Header().Set("X-Target", id)
 	w.Header().Set("X-Load", fmt.Sprintf("0,0,%d", x.slots))
 	if r.URL.Path == "/health" {
--- a/node/sidecar/node.go
+++ b/node/sidecar/node.go
@@ -100,6 +100,8 @@
 	client        *hop.Client
 	server        *hop.Server
 	metrics       *metrics.Set
+	// healthRequests counts the health requests to the target.
+	healthRequests *metrics.Counter
 
 	ctx          context.Context
 	cancel       context.CancelFunc
--- a/node/sidecar/owner.go
+++ b/node/sidecar/owner.go
@@ -81,11 +81,19 @@
 	return o.dispatch.PaceAge(time.Now())
 }
 
+// statedLimit returns the limit that the target states, in requests per second.
+func (o *owner) statedLimit() float64 {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.dispatch.StatedLimit()
+}
+
 // decisionInputs are the inputs of a decision on a call, for the log.
 type decisionInputs struct {
-	pace    float64
-	paceAge time.Duration
-	cold    time.Duration
+	pace        float64
+	paceAge     time.Duration
+	cold        time.Duration
+	statedLimit float64
 }
 
 func (o *owner) decisionInputs() decisionInputs {
@@ -93,7 +101,7 @@
 	defer o.mu.Unlock()
 	now := time.Now()
 	age, _ := o.dispatch.PaceAge(now)
-	return decisionInputs{pace: o.dispatch.Pace(now), paceAge: age, cold: o.dispatch.ColdLeft(now)}
+	return decisionInputs{pace: o.dispatch.Pace(now), paceAge: age, cold: o.dispatch.ColdLeft(now), statedLimit: o.dispatch.StatedLimit()}
 }
 
 // report returns the target's load for entries.
--- a/node/sidecar/probe.go
+++ b/node/sidecar/probe.go
@@ -125,7 +125,8 @@
 	t.mu.Lock()
 	pool, addr := t.health, t.addr
 	t.mu.Unlock()
-	probes.Inc()
+	t.node.healthRequests.Inc()
+	sentAt := time.Now()
 	result := pool.Do(ctx, &upstream.Request{
 		Method: http.MethodGet, URI: t.healthPath(), Host: addr, Header: http.Header{}, Retryable: true,
 	})
@@ -136,7 +137,7 @@
 	if result.Response.Stream != nil {
 		_ = result.Response.Stream.Close()
 	}
-	t.recordHealth(result.Response)
+	t.recordHealth(result.Response, sentAt, pool)
 }
 
 // recordNoAnswer records an unanswered health request.
@@ -177,7 +178,7 @@
 
 // recordHealth applies the answer to a health request. An answer without a target
 // ID is ignored. A new target is adopted only if it is ready and states slots.
-func (t *target) recordHealth(r *upstream.Response) {
+func (t *target) recordHealth(r *upstream.Response, sentAt time.Time, pool *upstream.Pool) {
 	id := r.Header.Get(t.node.dialect.TargetID)
 	if id == "" {
 		return
@@ -202,6 +203,9 @@
 		t.node.log.Info("target found by its health", "part", "target", "target", id, "slots", load.Slots, "cold_left_ms", cold.Milliseconds())
 		t.applyState(cold, false)
 	}
+	if adopt || t.isCurrent(pool) {
+		t.recordStatement(r.Header, sentAt)
+	}
 	t.recordAnswer()
 	t.node.owner.apply(func(d *dispatch.Owner, now time.Time) []dispatch.Decision {
 		if hasCold {
--- a/node/sidecar/report.go
+++ b/node/sidecar/report.go
@@ -3,19 +3,20 @@
 import (
 	"context"
 	"net/http"
+	"strconv"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 
 	"zinniafall/node/front"
 	"zinniafall/node/peer"
+	"zinniafall/policy/dispatch"
 	"zinniafall/policy/model"
 	"zinniafall/policy/problem"
 )
 
 var (
 	configurationsRejected = metrics.NewCounter(`zinniafall_configuration_rejected_total`)
-	probes                 = metrics.NewCounter(`zinniafall_target_health_requests_total`)
 	retries                = metrics.NewCounter(`zinniafall_call_repeats_total`)
 	requestsRejected       = metrics.NewCounter(`zinniafall_request_rejected_total`)
 	admissionWait          = metrics.NewHistogram(`zinniafall_admission_wait_seconds`)
@@ -71,7 +72,7 @@
 		"pace", in.pace, "pace_age_ms", in.paceAge.Milliseconds(), "cold_left_ms", in.cold.Milliseconds(),
 		"wait_ms", waited.Seconds() * 1000, "ms", took.Seconds() * 1000,
 		"revision", report.Revision, "in_flight", report.InFlight, "queued", report.Queued, "limit", report.Limit,
-		"target_state", report.State.String(), "priority", r.Priority, "elsewhere", r.Elsewhere, "hold", r.Hold, "objective_ms", r.Objective.Milliseconds(),
+		"target_state", report.State.String(), "stated_limit", statedLimitText(in.statedLimit), "priority", r.Priority, "elsewhere", r.Elsewhere, "hold", r.Hold, "objective_ms", r.Objective.Milliseconds(),
 	}
 	if p := a.Problem; p != nil {
 		attrs = append(attrs, "problem", p.Kind, "detail", p.Detail)
@@ -79,6 +80,14 @@
 	n.log.Info("call at owner", attrs...)
 }
 
+// statedLimitText returns a stated limit for the log, in requests per second.
+func statedLimitText(limit float64) string {
+	if limit == dispatch.Unlimited {
+		return "none"
+	}
+	return strconv.FormatFloat(limit, 'g', -1, 64)
+}
+
 // serveMetrics writes the metrics in the Prometheus text format. The node's own
 // gauges come first: a collector that limits the size cuts off the process metrics.
 func (n *Node) serveMetrics(w http.ResponseWriter, _ *http.Request) {
@@ -88,6 +97,8 @@
 
 // registerGauges registers the gauges that are read when metrics are fetched.
 func (n *Node) registerGauges() {
+	n.healthRequests = n.metrics.NewCounter(`zinniafall_target_health_requests_total`)
+	n.metrics.NewGauge(`zinniafall_target_stated_limit`, func() float64 { return n.owner.statedLimit() })
 	n.metrics.NewGauge(`zinniafall_configuration_revision`, func() float64 { return float64(n.configuration.revision()) })
 	n.metrics.NewGauge(`zinniafall_configuration_revision_reported`, func() float64 { return float64(n.configuration.newestReported()) })
 	n.metrics.NewGauge(`zinniafall_configuration_parts_not_understood`, func() float64 {
--- a/node/sidecar/settings.go
+++ b/node/sidecar/settings.go
@@ -95,4 +95,7 @@
 	// ColdLeft is the remaining time for which the target is cold, in
 	// milliseconds.
 	ColdLeft string
+	// StatedLimit is the number of requests per second, a decimal number, that
+	// the target takes from all nodes together.
+	StatedLimit string
 }
--- /dev/null
+++ b/node/sidecar/statement.go
@@ -0,0 +1,74 @@
+package sidecar
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"zinniafall/node/upstream"
+	"zinniafall/policy/dispatch"
+)
+
+var statementsUnreadable = metrics.NewCounter(`zinniafall_target_statements_unreadable_total`)
+
+// maxLoggedValue is the length in bytes up to which a header value is logged.
+const maxLoggedValue = 64
+
+// isCurrent reports whether the pool belongs to the present process of the target.
+// Answers to requests sent by a former pool are those of a former process.
+func (t *target) isCurrent(pool *upstream.Pool) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return pool == t.pool || pool == t.health
+}
+
+// recordStatement applies what an answer of the present process states about the
+// target. sentAt is when the request was sent.
+func (t *target) recordStatement(header http.Header, sentAt time.Time) {
+	values := header.Values(t.node.dialect.StatedLimit)
+	limit, ok := dispatch.ParseLimit(values)
+	if !ok {
+		t.reportUnreadable(values)
+		return
+	}
+	var before float64
+	var changed bool
+	t.node.owner.apply(func(d *dispatch.Owner, now time.Time) []dispatch.Decision {
+		before = d.StatedLimit()
+		changed = d.RecordStatement(now, dispatch.Statement{Limit: limit, SentAt: sentAt})
+		return nil
+	})
+	if changed {
+		t.logLimit(before, limit)
+	}
+}
+
+// logLimit logs that the target starts, changes or ends the limit that it states.
+func (t *target) logLimit(before, limit float64) {
+	id, _, _ := t.identity()
+	report := t.node.owner.report()
+	attrs := []any{"part", "target", "target", id, "in_flight", report.InFlight, "queued", report.Queued}
+	if before != dispatch.Unlimited {
+		attrs = append(attrs, "before_per_s", before)
+	}
+	if limit == dispatch.Unlimited {
+		t.node.log.Info("target states no limit any more", attrs...)
+		return
+	}
+	t.node.log.Info("target states a limit", append(attrs, "limit_per_s", limit)...)
+}
+
+// reportUnreadable counts a stated limit that cannot be read, and logs the first one
+// of a process. What the target stated before stays in force.
+func (t *target) reportUnreadable(values []string) {
+	statementsUnreadable.Inc()
+	t.mu.Lock()
+	logged, id := t.unreadableLogged, t.id
+	t.unreadableLogged = true
+	t.mu.Unlock()
+	if !logged {
+		value := values[0]
+		t.node.log.Warn("stated limit not readable", "part", "target", "target", id, "values", len(values), "first", value[:min(len(value), maxLoggedValue)])
+	}
+}
--- a/node/sidecar/target.go
+++ b/node/sidecar/target.go
@@ -51,6 +51,9 @@
 	// paceRefresh is closed when the health request that calls wait for has
 	// ended.
 	paceRefresh chan struct{}
+	// unreadableLogged reports whether an unreadable statement of this process
+	// was logged.
+	unreadableLogged bool
 }
 
 func newTarget(n *Node) *target {
@@ -60,7 +63,8 @@
 }
 
 // replacePools replaces the connection pools when the address changes or another
-// target process serves it. The caller holds the lock.
+// target process serves it, and drops what the former process has stated. The
+// caller holds the lock.
 func (t *target) replacePools() {
 	if t.pool != nil {
 		t.pool.Close()
@@ -70,6 +74,11 @@
 	t.pool = upstream.NewPool(t.addr, fields, t.maxConnections(t.service), t.buffers)
 	// watchHealth and refreshPace send one health request at a time each.
 	t.health = upstream.NewPool(t.addr, fields, 2, t.buffers)
+	t.unreadableLogged = false
+	t.node.owner.apply(func(d *dispatch.Owner, _ time.Time) []dispatch.Decision {
+		d.ForgetStatements()
+		return nil
+	})
 }
 
 // maxConnections returns the limit of the connections for calls to a target of the
--- a/policy/dispatch/dispatch.go
+++ b/policy/dispatch/dispatch.go
@@ -173,11 +173,12 @@
 	// started rather than refused.
 	lateStartShare float64
 	loadReadAt     time.Time
+	stated         statedLimit
 }
 
 // New returns an owner without a target.
 func New(options Options) *Owner {
-	return &Owner{options: options, gates: GateAbsent, running: make(map[Ticket]runningCall), classTimes: make(map[string]time.Duration), meanTime: initialServiceTime, pace: 1, lateStartShare: 1}
+	return &Owner{options: options, gates: GateAbsent, running: make(map[Ticket]runningCall), classTimes: make(map[string]time.Duration), meanTime: initialServiceTime, pace: 1, lateStartShare: 1, stated: statedLimit{limit: Unlimited}}
 }
 
 // SetGate closes or opens a gate.
