--- a/node/sidecar/statement_test.go
+++ b/node/sidecar/statement_test.go
@@ -1,6 +1,7 @@
 package sidecar
 
 import (
+	"net/http"
 	"testing"
 
 	qt "github.com/frankban/quicktest"
@@ -58,3 +59,16 @@
 	_, _, current := ownerA.Node.target.identity()
 	qt.Assert(t, ownerA.Node.target.isCurrent(current), qt.IsTrue)
 }
+
+// Guards against the incident LIMIT: owners ignored the limit that a target stated.
+func TestTargetThatStatesALimitGetsNoMore(t *testing.T) {
+	entry, ownerA, ownerB := startEntryAndOwners(t)
+	ownerA.target.stateLimit("0.01")
+	eventually(t, "the limit is known", func() bool { return ownerA.owner.statedLimit() == 0.01 })
+	for range 20 {
+		qt.Assert(t, entry.call(http.MethodGet, "back", "/safe/x").status, qt.Equals, http.StatusOK)
+		qt.Assert(t, entry.call(http.MethodPost, "back", "/unsafe/x").status, qt.Equals, http.StatusOK)
+	}
+	qt.Assert(t, len(ownerA.target.requests()) <= 1, qt.IsTrue, qt.Commentf("%d requests to a target that takes one in 100 s", len(ownerA.target.requests())))
+	qt.Assert(t, len(ownerA.target.requests())+len(ownerB.target.requests()), qt.Equals, 40)
+}
