Keep to the limit that a target states

Cause: nothing read the statement. The owner is the only sender to its target and bounds calls by slots, and by rate only while the target is cold.

No burst after a pause; raised, lowered and withdrawn limits decide waiting calls anew. A call with another target does not wait for a token, the others wait by urgency as long as they can be served in time, the rest is refused at once, not run, with return times that follow each other at the rate. Reports carry the time until the next start, and entries place calls elsewhere before they ask.

--- a/node/sidecar/offer.go
+++ b/node/sidecar/offer.go
@@ -70,7 +70,7 @@
 
 // placementQuery returns which targets the current stage considers.
 func (c *call) placementQuery() placement.Query {
-	q := placement.Query{Service: c.service, Exclude: c.failed}
+	q := placement.Query{Service: c.service, Exclude: c.failed, NoWait: c.stage != stageAnyWait}
 	switch c.stage {
 	case stageOwnDomain:
 		q.OwnDomainOnly, q.Exclude = true, slices.Concat(c.failed, c.declined)
--- a/node/sidecar/owner.go
+++ b/node/sidecar/owner.go
@@ -88,6 +88,14 @@
 	return o.dispatch.StatedLimit()
 }
 
+// healthInterval returns the time until the next health request, given that to a
+// target that states no limit.
+func (o *owner) healthInterval(usual time.Duration) time.Duration {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.dispatch.HealthInterval(usual)
+}
+
 // decisionInputs are the inputs of a decision on a call, for the log.
 type decisionInputs struct {
 	pace        float64
--- a/node/sidecar/probe.go
+++ b/node/sidecar/probe.go
@@ -61,6 +61,10 @@
 
 // probeInterval returns the time until the next health request.
 func (t *target) probeInterval() time.Duration {
+	return t.node.owner.healthInterval(t.unlimitedProbeInterval())
+}
+
+func (t *target) unlimitedProbeInterval() time.Duration {
 	switch {
 	case t.node.owner.gateClosed(dispatch.GateAbsent | dispatch.GateDown):
 		return discoveryInterval
@@ -77,7 +81,7 @@
 // at the latest, even without a new reading.
 func (t *target) refreshPace(ctx context.Context) {
 	age, known := t.node.owner.paceAge()
-	if !known || age < maxPaceAge || t.node.owner.gateClosed(dispatch.GateAbsent|dispatch.GateDown) {
+	if !known || t.node.owner.statedLimit() != dispatch.Unlimited || age < maxPaceAge || t.node.owner.gateClosed(dispatch.GateAbsent|dispatch.GateDown) {
 		return
 	}
 	t.mu.Lock()
--- a/node/sidecar/statement.go
+++ b/node/sidecar/statement.go
@@ -36,8 +36,9 @@
 	var changed bool
 	t.node.owner.apply(func(d *dispatch.Owner, now time.Time) []dispatch.Decision {
 		before = d.StatedLimit()
-		changed = d.RecordStatement(now, dispatch.Statement{Limit: limit, SentAt: sentAt})
-		return nil
+		var decisions []dispatch.Decision
+		changed, decisions = d.RecordStatement(now, dispatch.Statement{Limit: limit, SentAt: sentAt})
+		return decisions
 	})
 	if changed {
 		t.logLimit(before, limit)
--- a/policy/dispatch/dispatch.go
+++ b/policy/dispatch/dispatch.go
@@ -163,8 +163,7 @@
 	options    Options
 	coldUntil  time.Time
 	coldRate   float64
-	tokens     float64
-	refilledAt time.Time
+	coldTokens bucket
 
 	pace              float64
 	paceReadAt        time.Time
@@ -174,6 +173,9 @@
 	lateStartShare float64
 	loadReadAt     time.Time
 	stated         statedLimit
+	limitTokens    bucket
+	// lastReturn is the last time at which a refused call was told to return.
+	lastReturn time.Time
 }
 
 // New returns an owner without a target.
@@ -235,29 +237,32 @@
 	}
 	wait := o.predictedWait(now, q)
 	if o.rejects(now, q, wait) {
-		return false, problem.New(problem.Overloaded, model.RunNo, "the target has no slot in time").After(o.retryAfter(wait))
+		return false, o.refuseOverload(now, q, wait, "the target has no slot in time")
 	}
 	o.queue = append(o.queue, q)
 	return false, nil
 }
 
-// canStart reports whether a slot, and a token if the target is cold, is
-// available.
+// canStart reports whether a slot is available, and a token if the target is cold
+// or limited.
 func (o *Owner) canStart(now time.Time) bool {
-	if len(o.running) >= o.limit(now) {
-		return false
-	}
-	if !o.Cold(now) {
-		return true
-	}
-	o.refillTokens(now)
-	return o.tokens >= 1
+	return len(o.running) < o.limit(now) && o.tokenWait(now, 0) == 0
+}
+
+// tokenWait returns the time until a cold or limited target lets one more call start
+// after a number of others.
+func (o *Owner) tokenWait(now time.Time, others int) time.Duration {
+	return max(o.coldWait(now, others), o.limitWait(now, others))
 }
 
 func (o *Owner) start(now time.Time, c Call) {
 	if o.Cold(now) {
-		o.refillTokens(now)
-		o.tokens--
+		o.refillColdTokens(now)
+		o.coldTokens.tokens--
+	}
+	if o.limited() {
+		o.refillLimit(now)
+		o.limitTokens.tokens--
 	}
 	o.running[c.Ticket] = runningCall{class: c.Class, started: now, pace: max(o.Pace(now), 1)}
 }
@@ -306,11 +311,10 @@
 		}
 		next = earlier(next, q.Deadline.Add(-q.minRemaining()))
 	}
+	if wait := o.tokenWait(now, 0); wait > 0 {
+		next = earlier(next, now.Add(wait))
+	}
 	if o.Cold(now) && o.coldRate > 0 {
-		o.refillTokens(now)
-		rate, _ := o.coldRateAndBurst()
-		short := max(1-o.tokens, 0) / rate
-		next = earlier(next, now.Add(time.Duration(short*float64(time.Second))))
 		next = earlier(next, o.coldUntil)
 	}
 	if soonest := now.Add(minTick); next.Before(soonest) {
@@ -374,6 +378,7 @@
 	if o.Cold(now) {
 		r.Limit = o.coldLimit(r.Limit)
 	}
+	o.limitReport(now, &r)
 	if o.hasMeanTime {
 		r.ServiceTime = o.meanTime
 	}
--- a/policy/dispatch/pace.go
+++ b/policy/dispatch/pace.go
@@ -23,7 +23,7 @@
 	}
 	o.coldUntil = now.Add(left)
 	if !wasCold {
-		o.tokens, o.refilledAt = 0, now
+		o.coldTokens = emptyBucket(now)
 	}
 }
 
@@ -82,9 +82,10 @@
 	return !q.Elsewhere && now.Sub(q.offered) >= maxSlowWait && now.Add(q.expectedAtPace(pace)).Before(q.Deadline)
 }
 
-// WaitingForPace reports whether a queued call waits only for the pace to improve.
+// WaitingForPace reports whether a queued call waits only for the pace to improve, and
+// whether it is worth to read the pace: a limited target states it in its answers.
 func (o *Owner) WaitingForPace(now time.Time) bool {
-	return len(o.queue) > 0 && o.Pace(now) >= slowPace && len(o.running) < o.limit(now)
+	return len(o.queue) > 0 && !o.limited() && o.Pace(now) >= slowPace && len(o.running) < o.limit(now)
 }
 
 // coldRateAndBurst returns the rate of calls to a cold target, in calls per
@@ -94,13 +95,20 @@
 	return rate, max(coldSlackShare*o.options.ColdSlack, 1)
 }
 
-// refillTokens adds the tokens of the cold rate since the last refill.
-func (o *Owner) refillTokens(now time.Time) {
-	if now.After(o.refilledAt) {
-		rate, burst := o.coldRateAndBurst()
-		o.tokens = min(o.tokens+now.Sub(o.refilledAt).Seconds()*rate, burst)
-		o.refilledAt = now
+func (o *Owner) refillColdTokens(now time.Time) {
+	rate, burst := o.coldRateAndBurst()
+	o.coldTokens.refill(now, rate, burst)
+}
+
+// coldWait returns the time until a cold target lets one more call start after a
+// number of others.
+func (o *Owner) coldWait(now time.Time, others int) time.Duration {
+	if !o.Cold(now) {
+		return 0
 	}
+	o.refillColdTokens(now)
+	rate, _ := o.coldRateAndBurst()
+	return o.coldTokens.waitFor(float64(others+1), rate)
 }
 
 // coldLimit returns the number of calls that the cold rate keeps in flight, at
--- a/policy/dispatch/queue.go
+++ b/policy/dispatch/queue.go
@@ -37,6 +37,8 @@
 	switch {
 	case len(o.queue) >= maxQueued, !start.Add(q.minRemaining()).Before(q.Deadline):
 		return true
+	case q.Elsewhere && o.limitWait(now, 0) > 0:
+		return true
 	case q.Elsewhere:
 		return !start.Before(o.waitLimit(q))
 	case q.missesObjective(start, 1):
@@ -91,13 +93,7 @@
 	if len(o.running) >= limit {
 		wait = (o.meanRunningTime() + work) / time.Duration(limit)
 	}
-	if o.Cold(now) && o.coldRate > 0 {
-		o.refillTokens(now)
-		short := max(float64(ahead+1)-o.tokens, 0)
-		rate, _ := o.coldRateAndBurst()
-		wait = max(wait, time.Duration(short/rate*float64(time.Second)))
-	}
-	return wait
+	return max(wait, o.tokenWait(now, ahead))
 }
 
 // meanRunningTime returns the mean expected service time of the calls in
@@ -209,9 +205,8 @@
 	if p := q.deadlineProblem(now); p != nil {
 		return p
 	}
-	if now.Before(o.waitLimit(q)) || o.canStart(now) && (!q.Elsewhere || o.paceAllows(now, q)) {
+	if now.Before(o.waitLimit(q)) && !o.limitRefuses(now, q) || o.canStart(now) && (!q.Elsewhere || o.paceAllows(now, q)) {
 		return nil
 	}
-	wait := o.predictedWait(now, q)
-	return problem.New(problem.Overloaded, model.RunNo, "the target had no slot in time").After(o.retryAfter(wait))
+	return o.refuseOverload(now, q, o.predictedWait(now, q), "the target had no slot in time")
 }
--- a/policy/dispatch/statement.go
+++ b/policy/dispatch/statement.go
@@ -64,12 +64,6 @@
 	return s.limit != before
 }
 
-// RecordStatement applies a statement. It reports whether the limit in force
-// changed.
-func (o *Owner) RecordStatement(now time.Time, st Statement) (changed bool) {
-	return o.stated.record(now, st)
-}
-
 // StatedLimit returns the limit in force, in requests per second, or Unlimited.
 func (o *Owner) StatedLimit() float64 { return o.stated.limit }
 
--- a/policy/placement/choose.go
+++ b/policy/placement/choose.go
@@ -29,6 +29,9 @@
 	Exclude []model.NodeAddr
 	// OwnDomainOnly limits the choice to the entry's own failure domain.
 	OwnDomainOnly bool
+	// NoWait excludes the targets whose stated limit lets no further call start
+	// now: their owners would decline the call.
+	NoWait bool
 }
 
 // Choose returns the owner to send a call to. The problem is UnknownService
@@ -82,7 +85,7 @@
 
 // isCandidate reports whether the call may go to the target.
 func isCandidate(t *target, at time.Duration, q *Query) bool {
-	return t.accepts(at) && (t.ownDomain || !q.OwnDomainOnly) && !slices.Contains(q.Exclude, t.Node)
+	return t.accepts(at) && (t.ownDomain || !q.OwnDomainOnly) && (!q.NoWait || t.startsIn(at) == 0) && !slices.Contains(q.Exclude, t.Node)
 }
 
 // candidateSearch is the state of one choice among random candidates.
--- a/policy/placement/estimate.go
+++ b/policy/placement/estimate.go
@@ -240,7 +240,16 @@
 	if t.hasReport && float64(at-t.reportedAt) < t.serviceTime(at) {
 		inFlight = max(inFlight, heldCalls(&t.report))
 	}
-	return inFlight+1 <= t.limit(at)
+	return inFlight+1 <= t.limit(at) && t.startsIn(at) == 0
+}
+
+// startsIn returns the time until the limit that the target states lets a further
+// call start, as far as this entry knows.
+func (t *target) startsIn(at time.Duration) time.Duration {
+	if !t.hasReport || at-t.reportedAt >= maxStateAge {
+		return 0
+	}
+	return max(t.report.StartsIn-(at-t.reportedAt), 0)
 }
 
 // accepts reports whether the target may get new calls.
@@ -286,6 +295,7 @@
 	service *= loadSlowdown(load, usual, limit)
 	wait := positivePart(load+1-limit, loadVariance) * service / limit
 	failing := max(0, t.failureRate(at)-t.service.serviceMeans.failedShare)
+	wait = max(wait, float64(t.startsIn(at)))
 	return float64(t.roundTrip) + service + wait + failing*float64(failurePenalty)
 }
 
--- a/policy/placement/placement_test.go
+++ b/policy/placement/placement_test.go
@@ -377,3 +377,40 @@
 		}
 	})
 }
+
+// A third of the targets state a limit: calls go to the others before an owner has to
+// decline them, and to the soonest of the limited ones if there is no other.
+func TestTargetsWithoutRoomInTheirLimitAreNotAsked(t *testing.T) {
+	p := New(Options{Self: "e", Domain: "d", Region: "r"})
+	now := time.Unix(1_000, 0)
+	targets := []Target{
+		{Node: "a", Domain: "d", Region: "r", Slots: 8, State: model.TargetWarm},
+		{Node: "b", Domain: "d", Region: "r", Slots: 8, State: model.TargetWarm},
+		{Node: "c", Domain: "d", Region: "r", Slots: 8, State: model.TargetWarm},
+	}
+	p.SetTargets(now, "s", targets)
+	report := func(node model.NodeAddr, sequence uint64, startsIn time.Duration) {
+		p.RecordReport(now, node, model.Report{Sequence: sequence, State: model.TargetWarm, Slots: 8, Limit: 6, ServiceTime: 10 * time.Millisecond, StartsIn: startsIn})
+	}
+	report("a", 1, 200*time.Millisecond)
+	for range 100 {
+		node, problem := p.Choose(now, Query{Service: "s", NoWait: true})
+		qt.Assert(t, problem == nil, qt.IsTrue)
+		qt.Assert(t, node, qt.Not(qt.Equals), model.NodeAddr("a"))
+	}
+	report("b", 1, 2*time.Second)
+	report("c", 1, time.Second)
+	_, problem := p.Choose(now, Query{Service: "s", NoWait: true})
+	qt.Assert(t, problem != nil, qt.IsTrue)
+	counts := map[model.NodeAddr]int{}
+	for range 100 {
+		node, problem := p.Choose(now, Query{Service: "s"})
+		qt.Assert(t, problem == nil, qt.IsTrue)
+		counts[node]++
+	}
+	qt.Assert(t, counts["a"] > 60, qt.IsTrue, qt.Commentf("%v", counts))
+	now = now.Add(250 * time.Millisecond)
+	node, problem := p.Choose(now, Query{Service: "s", NoWait: true})
+	qt.Assert(t, problem == nil, qt.IsTrue)
+	qt.Assert(t, node, qt.Equals, model.NodeAddr("a"))
+}
