Close a target that says in an answer that it leaves

What callers see: a target that stops said so in its answers, but kept getting calls until its announcement arrived, and calls that reached it as it ended were lost.

Change: any answer of the present process with the field closes the target at once, for that process; announcements that were on their way do not open it, calls that wait go elsewhere as not run. A target that is announced to a node gets no call before its first answer, which may state a limit or that it leaves, so that a restarted node does not use it again (gate 'unheard').

Two faults beside it: a withdrawal without a start time of a target found by its health took the start of the process before (TestWithdrawalOfATargetFoundByItsHealthHolds), and an announcement in progress could undo a withdrawal that arrived meanwhile (TestAnnouncementInProgressDoesNotUndoAWithdrawal).

Evidence: the tests of a leaving target, of a restarted node and of the withdrawal failed before; that of the first answer fails without the gate.

--- a/node/sidecar/announce.go
+++ b/node/sidecar/announce.go
@@ -86,7 +86,7 @@
 		t.node.log.Info("target announced", "part", "target", "target", a.ID, "service", a.Service, "slots", a.Slots,
 			"draining", a.Draining, "cold_left_ms", a.ColdLeft.Milliseconds(), "born", a.Born, "sequence", a.Sequence, "known_before", foundBefore)
 	}
-	t.applyState(a.ColdLeft, a.Draining)
+	t.applyState(a.ColdLeft)
 	return nil
 }
 
@@ -97,7 +97,7 @@
 // isNew is true if the last announcement was of another process. The caller must
 // hold t.mu.
 func (t *target) isLeaving(a Announcement, isNew bool) bool {
-	if w, ok := t.withdrawals[a.ID]; ok && a.Born <= w.startedMs {
+	if t.withdrawn(a.ID, a.Born) {
 		return true
 	}
 	now := time.Now()
@@ -117,6 +117,13 @@
 	return false
 }
 
+// withdrawn reports whether the process of a target that started at a time, in Unix
+// milliseconds, has said that it leaves. The caller must hold t.mu.
+func (t *target) withdrawn(id string, startedMs int64) bool {
+	w, ok := t.withdrawals[id]
+	return ok && startedMs <= w.startedMs
+}
+
 // isStale reports whether an announcement was superseded by a later one or by a
 // later target at the same address. The caller must hold t.mu.
 func (t *target) isStale(a Announcement) bool {
@@ -164,9 +171,10 @@
 	isCurrent := id == t.id && (startedMs == 0 || t.startedMs == 0 || startedMs == t.startedMs)
 	if isCurrent {
 		t.leaving = true
+		t.node.owner.setGate(dispatch.GateDraining, true)
 	}
 	latestStartMs := startedMs
-	if latestStartMs == 0 && isCurrent {
+	if latestStartMs == 0 && isCurrent && !t.foundByHealth {
 		latestStartMs = t.startedMs
 	}
 	if latestStartMs == 0 {
@@ -179,7 +187,6 @@
 	t.mu.Unlock()
 	t.node.log.Info("target withdrew", "part", "target", "target", id, "born", startedMs, "current", isCurrent)
 	if isCurrent {
-		t.node.owner.setGate(dispatch.GateDraining, true)
 		t.publishState()
 	}
 }
--- a/node/sidecar/execute.go
+++ b/node/sidecar/execute.go
@@ -223,6 +223,9 @@
 		sentAt = time.Time{}
 	}
 	a.node.target.recordStatement(response.Header, sentAt)
+	if response.Status != http.StatusMisdirectedRequest && a.node.target.statesLeaving(response.Header) {
+		a.node.target.recordLeaving(a.targetID)
+	}
 }
 
 // classify converts the target's result to a reply. The second result reports
--- a/node/sidecar/fixture_test.go
+++ b/node/sidecar/fixture_test.go
@@ -25,7 +25,7 @@
 
 var testDialect = Dialect{
 	RequestID: "X-Id", Deadline: "X-Deadline", Mark: "X-Mark", ExpectTarget: "X-Expect", Load: "X-Load",
-	NotRun: "X-Not-Run", Origin: "X-Origin", TargetID: "X-Target", ColdLeft: "X-Cold", StatedLimit: "X-Limit",
+	NotRun: "X-Not-Run", Origin: "X-Origin", TargetID: "X-Target", ColdLeft: "X-Cold", StatedLimit: "X-Limit", Leaving: "X-Leaving",
 }
 
 // memoryStore is an in-memory Store without the latency of the platform's.
@@ -227,6 +227,11 @@
 	ran    []*http.Request
 	handle http.HandlerFunc
 	limit  string // the stated limit; none if empty
+	// leaving makes the target say in each answer that it leaves, and unhealthy
+	// that it answers health requests with 503.
+	leaving, unhealthy bool
+	// mute makes it not answer health requests.
+	mute bool
 }
 
 func newTestTarget(t testing.TB, id string) *testTarget {
@@ -247,14 +252,24 @@
 
 func (x *testTarget) serve(w http.ResponseWriter, r *http.Request) {
 	x.mu.Lock()
-	id, limit := x.id, x.limit
+	id, limit, leaving, unhealthy, mute := x.id, x.limit, x.leaving, x.unhealthy, x.mute
 	x.mu.Unlock()
+	if leaving {
+		w.Header().Set("X-Leaving", "1")
+	}
 	if limit != "" {
 		w.Header().Set("X-Limit", limit)
 	}
 	w.Header().Set("X-Target", id)
 	w.Header().Set("X-Load", fmt.Sprintf("0,0,%d", x.slots))
 	if r.URL.Path == "/health" {
+		if mute {
+			<-r.Context().Done()
+			return
+		}
+		if unhealthy {
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
 		return
 	}
 	if want := r.Header.Get("X-Expect"); want != id {
--- a/node/sidecar/probe.go
+++ b/node/sidecar/probe.go
@@ -189,6 +189,7 @@
 	}
 	load, hasLoad := parseLoad(r.Header.Get(t.node.dialect.Load))
 	cold, hasCold := milliseconds(r.Header.Get(t.node.dialect.ColdLeft))
+	leaving := t.statesLeaving(r.Header)
 	t.mu.Lock()
 	isNew := id != t.id
 	if r.Status != http.StatusOK {
@@ -196,19 +197,26 @@
 	}
 	adopt := isNew && r.Status == http.StatusOK && (hasLoad && load.Slots > 0)
 	if adopt {
-		t.id, t.slots, t.sequence, t.leaving, t.foundByHealth = id, load.Slots, 0, false, true
+		t.id, t.slots, t.sequence, t.leaving, t.foundByHealth = id, load.Slots, 0, leaving, true
 		t.replacePools()
 	}
 	t.mu.Unlock()
 	if isNew && !adopt {
+		if leaving {
+			t.recordLeaving(id)
+		}
 		return // the target's announcement states the rest
 	}
 	if adopt {
 		t.node.log.Info("target found by its health", "part", "target", "target", id, "slots", load.Slots, "cold_left_ms", cold.Milliseconds())
-		t.applyState(cold, false)
+		t.applyState(cold)
 	}
 	if adopt || t.isCurrent(pool) {
 		t.recordStatement(r.Header, sentAt)
+		if leaving {
+			t.recordLeaving(id)
+		}
+		t.openHeard()
 	}
 	t.recordAnswer()
 	t.node.owner.apply(func(d *dispatch.Owner, now time.Time) []dispatch.Decision {
--- a/node/sidecar/settings.go
+++ b/node/sidecar/settings.go
@@ -98,4 +98,6 @@
 	// StatedLimit is the number of requests per second, a decimal number, that
 	// the target takes from all nodes together.
 	StatedLimit string
+	// Leaving is "1" in each answer of a target that is about to stop.
+	Leaving string
 }
--- a/node/sidecar/statement.go
+++ b/node/sidecar/statement.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"strings"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -12,6 +13,9 @@
 
 var statementsUnreadable = metrics.NewCounter(`zinniafall_target_statements_unreadable_total`)
 
+// leavingValue is the value with which a target states that it leaves.
+const leavingValue = "1"
+
 // maxLoggedValue is the length in bytes up to which a header value is logged.
 const maxLoggedValue = 64
 
@@ -45,6 +49,33 @@
 	}
 }
 
+// statesLeaving reports whether an answer states that its target leaves.
+func (t *target) statesLeaving(header http.Header) bool {
+	return strings.TrimSpace(header.Get(t.node.dialect.Leaving)) == leavingValue
+}
+
+// recordLeaving records that an answer of a target stated that it leaves. Later
+// announcements of the same process do not open it again.
+func (t *target) recordLeaving(id string) {
+	t.mu.Lock()
+	_, known := t.withdrawals[id]
+	if id == t.id {
+		known = t.leaving && known
+	}
+	t.mu.Unlock()
+	if !known {
+		t.recordWithdrawal(id, 0)
+	}
+}
+
+// openHeard opens the gate of a process that has answered.
+func (t *target) openHeard() {
+	if t.node.owner.gateClosed(dispatch.GateUnheard) {
+		t.node.owner.setGate(dispatch.GateUnheard, false)
+		t.publishState()
+	}
+}
+
 // logLimit logs that the target starts, changes or ends the limit that it states.
 func (t *target) logLimit(before, limit float64) {
 	id, _, _ := t.identity()
--- a/node/sidecar/statement_test.go
+++ b/node/sidecar/statement_test.go
@@ -72,3 +72,104 @@
 	qt.Assert(t, len(ownerA.target.requests()) <= 1, qt.IsTrue, qt.Commentf("%d requests to a target that takes one in 100 s", len(ownerA.target.requests())))
 	qt.Assert(t, len(ownerA.target.requests())+len(ownerB.target.requests()), qt.Equals, 40)
 }
+
+// sayLeaving makes the target say in its answers that it leaves.
+func (x *testTarget) sayLeaving(unhealthy bool) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.leaving, x.unhealthy = true, unhealthy
+}
+
+func TestTargetThatSaysInAnAnswerThatItLeavesGetsNoCalls(t *testing.T) {
+	entry, ownerA, ownerB := startEntryAndOwners(t)
+	qt.Assert(t, ownerA.Announce(ownerA.announcement(100, 1)), qt.IsNil)
+	ownerA.target.onRequest(func(w http.ResponseWriter, _ *http.Request) {
+		ownerA.target.sayLeaving(false)
+		w.Header().Set("X-Leaving", "1")
+	})
+	eventually(t, "the first call has reached the target", func() bool {
+		entry.call(http.MethodPost, "back", "/unsafe/x")
+		return len(ownerA.target.requests()) == 1
+	})
+	// A heartbeat that was on its way does not reopen it.
+	qt.Assert(t, ownerA.Announce(ownerA.announcement(100, 2)), qt.IsNil)
+	for range 5 {
+		qt.Assert(t, entry.call(http.MethodPost, "back", "/unsafe/x").body, qt.Equals, "from t2")
+	}
+	qt.Assert(t, ownerA.target.requests(), qt.HasLen, 1)
+	qt.Assert(t, len(ownerB.target.requests()) >= 5, qt.IsTrue)
+	// A new process at the same address is free.
+	ownerA.target.mu.Lock()
+	ownerA.target.leaving = false
+	ownerA.target.mu.Unlock()
+	qt.Assert(t, ownerA.Announce(ownerA.announcement(200, 1)), qt.IsNil)
+	eventually(t, "the new process gets calls", func() bool { return entry.call(http.MethodPost, "back", "/unsafe/x").body == "" })
+}
+
+// A node that starts beside a target that leaves learns it from the first health
+// answer, before an announcement that was on its way can open the target.
+func TestRestartedNodeDoesNotUseATargetThatSaidItLeaves(t *testing.T) {
+	for _, unhealthy := range []bool{false, true} {
+		store := newMemoryStore()
+		store.configure(t, 1, "front", "back")
+		target := newTestTarget(t, "t1")
+		target.sayLeaving(unhealthy)
+		owner := startNode(t, store, "a", "back", target)
+		eventually(t, "the node has its configuration", func() bool { return owner.configuration.current() != nil })
+		for sequence := range int64(20) {
+			qt.Assert(t, owner.Announce(owner.announcement(100, sequence+1)), qt.IsNil)
+			a, err := owner.tryCall(t.Context(), http.MethodPost, "back", "/unsafe/x")
+			qt.Assert(t, err, qt.IsNil)
+			qt.Assert(t, a.status, qt.Equals, http.StatusServiceUnavailable)
+		}
+		qt.Assert(t, target.requests(), qt.HasLen, 0, qt.Commentf("unhealthy: %v", unhealthy))
+	}
+}
+
+// An announcement opens a target only once the present process has answered: the
+// answer may state that it leaves, or a limit.
+func TestAnnouncedTargetGetsNoCallBeforeItsFirstAnswer(t *testing.T) {
+	store := newMemoryStore()
+	store.configure(t, 1, "front", "back")
+	target := newTestTarget(t, "t1")
+	target.mu.Lock()
+	target.mute = true
+	target.mu.Unlock()
+	owner := startNode(t, store, "a", "back", target)
+	eventually(t, "the node has its configuration", func() bool { return owner.configuration.current() != nil })
+	qt.Assert(t, owner.Announce(owner.announcement(100, 1)), qt.IsNil)
+	qt.Assert(t, owner.call(http.MethodPost, "back", "/unsafe/x").status, qt.Equals, http.StatusServiceUnavailable)
+	qt.Assert(t, target.requests(), qt.HasLen, 0)
+	target.mu.Lock()
+	target.mute = false
+	target.mu.Unlock()
+	eventually(t, "the target gets calls", func() bool { return owner.call(http.MethodPost, "back", "/unsafe/x").status == http.StatusOK })
+}
+
+// A withdrawal without a start time, of a target known by its health answers only,
+// also holds for its first announcement.
+func TestWithdrawalOfATargetFoundByItsHealthHolds(t *testing.T) {
+	_, ownerA, _ := startEntryAndOwners(t)
+	qt.Assert(t, ownerA.Announce(ownerA.announcement(100, 1)), qt.IsNil)
+	ownerA.target.mu.Lock()
+	ownerA.target.id = "t9"
+	ownerA.target.mu.Unlock()
+	eventually(t, "the new target is found", func() bool {
+		id, _, _ := ownerA.Node.target.identity()
+		return id == "t9"
+	})
+	ownerA.Withdraw("t9", 0)
+	late := ownerA.announcement(200, 1)
+	late.ID = "t9"
+	qt.Assert(t, ownerA.Announce(late), qt.IsNil)
+	qt.Assert(t, ownerA.owner.gateClosed(dispatch.GateDraining), qt.IsTrue)
+}
+
+// An announcement that is applied while a withdrawal arrives does not undo it.
+func TestAnnouncementInProgressDoesNotUndoAWithdrawal(t *testing.T) {
+	_, ownerA, _ := startEntryAndOwners(t)
+	qt.Assert(t, ownerA.Announce(ownerA.announcement(100, 1)), qt.IsNil)
+	ownerA.Withdraw(ownerA.target.id, 100)
+	ownerA.Node.target.applyState(0)
+	qt.Assert(t, ownerA.owner.gateClosed(dispatch.GateDraining), qt.IsTrue)
+}
--- a/node/sidecar/target.go
+++ b/node/sidecar/target.go
@@ -63,8 +63,8 @@
 }
 
 // replacePools replaces the connection pools when the address changes or another
-// target process serves it, and drops what the former process has stated. The
-// caller holds the lock.
+// target process serves it, drops what the former process has stated, and closes
+// GateUnheard. The caller holds the lock.
 func (t *target) replacePools() {
 	if t.pool != nil {
 		t.pool.Close()
@@ -75,10 +75,11 @@
 	// watchHealth and refreshPace send one health request at a time each.
 	t.health = upstream.NewPool(t.addr, fields, 2, t.buffers)
 	t.unreadableLogged = false
-	t.node.owner.apply(func(d *dispatch.Owner, _ time.Time) []dispatch.Decision {
+	t.node.owner.apply(func(d *dispatch.Owner, now time.Time) []dispatch.Decision {
 		d.ForgetStatements()
-		return nil
+		return d.SetGate(now, dispatch.GateUnheard, true)
 	})
+	t.probeNow()
 }
 
 // maxConnections returns the limit of the connections for calls to a target of the
@@ -108,19 +109,19 @@
 }
 
 // applyState passes the state of the target to the owner and the fleet, and opens
-// GateAbsent. The caller must not hold t.mu.
-func (t *target) applyState(coldLeft time.Duration, draining bool) {
+// GateAbsent. The caller must not hold t.mu. The lock is held until the owner has the
+// state, so that a withdrawal that arrives meanwhile is applied after it.
+func (t *target) applyState(coldLeft time.Duration) {
 	t.mu.Lock()
-	slots, service := t.slots, t.service
-	t.mu.Unlock()
 	t.node.owner.apply(func(d *dispatch.Owner, now time.Time) []dispatch.Decision {
 		// An announcement may be delayed, so it never shortens the cold period.
-		d.SetColdRate(t.coldRate(service))
+		d.SetColdRate(t.coldRate(t.service))
 		d.SetCold(now, max(coldLeft, d.ColdLeft(now)))
-		releases := d.SetSlots(now, slots)
-		releases = append(releases, d.SetGate(now, dispatch.GateDraining, draining)...)
+		releases := d.SetSlots(now, t.slots)
+		releases = append(releases, d.SetGate(now, dispatch.GateDraining, t.leaving)...)
 		return append(releases, d.SetGate(now, dispatch.GateAbsent, false)...)
 	})
+	t.mu.Unlock()
 	t.publishState()
 }
 
--- a/policy/dispatch/dispatch.go
+++ b/policy/dispatch/dispatch.go
@@ -137,6 +137,9 @@
 	GateDown
 	// GateLag: this node's configuration is behind.
 	GateLag
+	// GateUnheard: the target's process has not answered yet. Its first answer
+	// may state a limit, or that it leaves.
+	GateUnheard
 )
 
 // runningCall is a call in flight.
@@ -344,6 +347,8 @@
 		return problem.New(problem.NoTarget, model.RunNo, "the node has no target")
 	case o.Closed(GateDown):
 		return problem.New(problem.NoTarget, model.RunNo, "the target takes no connections")
+	case o.Closed(GateUnheard):
+		return problem.New(problem.NoTarget, model.RunNo, "the target has not answered a health request yet")
 	case o.Closed(GateLag):
 		return problem.New(problem.ConfigurationLag, model.RunNo, "the node has no configuration yet")
 	}
@@ -357,7 +362,7 @@
 		return model.TargetAbsent
 	case o.Closed(GateDraining | GateDomainOut | GateStopping):
 		return model.TargetDraining
-	case o.Closed(GateDown | GateLag):
+	case o.Closed(GateDown | GateUnheard | GateLag):
 		return model.TargetFailing
 	case o.Cold(now):
 		return model.TargetCold
