Give up answers whose head does not end

Change: a response head is parsed once the connection's buffer of 16 KiB holds all of it, with at most 256 lines and 8 interim responses before the final one; otherwise the connection is closed and the call ends as one that may have run. One log line with target and request, one counter.

--- a/node/sidecar/probe.go
+++ b/node/sidecar/probe.go
@@ -146,6 +146,7 @@
 
 // recordNoAnswer records an unanswered health request.
 func (t *target) recordNoAnswer(result upstream.Result) {
+	t.reportOversized("health", result.Err)
 	t.mu.Lock()
 	t.unanswered++
 	down := result.Refused || t.unanswered >= maxUnanswered && time.Since(t.answeredAt) > maxUnanswered*probeTimeout
--- a/node/sidecar/statement.go
+++ b/node/sidecar/statement.go
@@ -1,6 +1,7 @@
 package sidecar
 
 import (
+	"errors"
 	"net/http"
 	"strings"
 	"time"
@@ -76,6 +77,15 @@
 	}
 }
 
+// reportOversized logs that the head of an answer was given up.
+func (t *target) reportOversized(request string, err error) {
+	if !errors.Is(err, upstream.ErrOversizedHead) {
+		return
+	}
+	id, _, _ := t.identity()
+	t.node.log.Warn("answer given up", "part", "target", "target", id, "request", request, "error", err.Error())
+}
+
 // logLimit logs that the target starts, changes or ends the limit that it states.
 func (t *target) logLimit(before, limit float64) {
 	id, _, _ := t.identity()
--- a/node/sidecar/statement_test.go
+++ b/node/sidecar/statement_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"strings"
 	"testing"
 
 	qt "github.com/frankban/quicktest"
@@ -173,3 +174,32 @@
 	ownerA.Node.target.applyState(0)
 	qt.Assert(t, ownerA.owner.gateClosed(dispatch.GateDraining), qt.IsTrue)
 }
+
+// A head without end ends the attempt, not the node: an idempotent call goes on to
+// another target, any other is told that it may have run.
+func TestAnswerHeadWithoutEnd(t *testing.T) {
+	entry, ownerA, _ := startEntryAndOwners(t)
+	ownerA.target.onRequest(func(w http.ResponseWriter, r *http.Request) {
+		conn, _, err := http.NewResponseController(w).Hijack()
+		if err != nil {
+			return
+		}
+		defer func() { _ = conn.Close() }()
+		block := []byte("HTTP/1.1 200 OK\r\nX-Long: " + strings.Repeat("x", 64<<10))
+		for range 1024 {
+			if _, err := conn.Write(block); err != nil {
+				return
+			}
+			block = block[len("HTTP/1.1 200 OK\r\nX-Long: "):]
+			block = append(block, "xxxxxxxxxxxxxxxxxxxxxxxxxxxx"...)[:64<<10]
+		}
+	})
+	qt.Assert(t, entry.call(http.MethodGet, "back", "/safe/x").body, qt.Equals, "from t2")
+	eventually(t, "the line is logged", func() bool { return ownerA.logged("answer given up") })
+	for len(ownerA.target.requests()) < 2 {
+		a := entry.call(http.MethodPost, "back", "/unsafe/x")
+		if len(ownerA.target.requests()) == 2 {
+			qt.Assert(t, a.status, qt.Equals, http.StatusBadGateway)
+		}
+	}
+}
--- a/node/upstream/conn.go
+++ b/node/upstream/conn.go
@@ -5,6 +5,7 @@
 	"bytes"
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -41,7 +42,7 @@
 }
 
 func newConn(p *Pool, nc net.Conn) *conn {
-	c := &conn{pool: p, net: nc, reader: bufio.NewReader(nc), keepAlive: maxIdle}
+	c := &conn{pool: p, net: nc, reader: bufio.NewReaderSize(nc, maxHeadBytes), keepAlive: maxIdle}
 	go c.readLoop()
 	return c
 }
@@ -250,14 +251,14 @@
 // readResponse reads one response and reports whether to keep reading from the
 // connection.
 func (c *conn) readResponse(x *exchange) bool {
-	response, err := http.ReadResponse(c.reader, &http.Request{Method: x.request.Method})
+	response, err := c.readHead(x)
 	if err != nil {
+		if errors.Is(err, ErrOversizedHead) {
+			oversizedHeads.Inc()
+		}
 		x.result <- Result{Err: err, Sent: true}
 		return false
 	}
-	if response.StatusCode < http.StatusOK && response.StatusCode >= 100 {
-		return true
-	}
 	if c.belongsToOtherRequest(x, response) {
 		lateResponses.Inc()
 		c.skippedResponses++
@@ -275,6 +276,20 @@
 	return c.deliver(x, response)
 }
 
+// readHead reads the head of the next final response.
+func (c *conn) readHead(x *exchange) (*http.Response, error) {
+	for range maxInterimResponses + 1 {
+		if err := c.awaitHead(); err != nil {
+			return nil, err
+		}
+		response, err := http.ReadResponse(c.reader, &http.Request{Method: x.request.Method})
+		if err != nil || response.StatusCode < 100 || response.StatusCode >= http.StatusOK {
+			return response, err
+		}
+	}
+	return nil, fmt.Errorf("%w: over %d interim responses", ErrOversizedHead, maxInterimResponses)
+}
+
 // belongsToOtherRequest reports whether the response names another request.
 func (c *conn) belongsToOtherRequest(x *exchange, response *http.Response) bool {
 	if x.request.ID == "" {
