Bound the headers of the store's answers and of control requests

What operators would see: a store that answers with a header of 10 MB, the default of net/http, or a target that sends one of 1 MB to its node, takes that memory on each connection. Found by looking for answers without end at every reader.

--- a/node/platform/client.go
+++ b/node/platform/client.go
@@ -46,11 +46,13 @@
 	maxConnections      = 8
 	// maxResponse bounds a response body: a value in base64 and the JSON around it.
 	maxResponse = 2 * MaxValue
+	// maxResponseHeader bounds a response header, in bytes.
+	maxResponseHeader = 16 << 10
 )
 
 func (o *Options) setDefaults() {
 	if o.Transport == nil {
-		o.Transport = &http.Transport{MaxConnsPerHost: maxConnections, MaxIdleConnsPerHost: maxConnections}
+		o.Transport = &http.Transport{MaxConnsPerHost: maxConnections, MaxIdleConnsPerHost: maxConnections, MaxResponseHeaderBytes: maxResponseHeader}
 	}
 	if o.Timeout == 0 {
 		o.Timeout = defaultTimeout
--- a/node/platform/client_test.go
+++ b/node/platform/client_test.go
@@ -3,6 +3,10 @@
 import (
 	"context"
 	"errors"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -181,3 +185,14 @@
 	_, err = c.CompareAndSwap(t.Context(), "k", []byte("3"), entry.Index)
 	qt.Assert(t, IsOutcomeUnknown(err), qt.IsTrue)
 }
+
+// The header of a store's response is bounded, as its body is.
+func TestStoreResponseHeaderIsBounded(t *testing.T) {
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("X-Long", strings.Repeat("x", 1<<20))
+		_, _ = io.WriteString(w, "[]")
+	}))
+	defer server.Close()
+	_, err := New(Options{URL: server.URL, Attempts: 1}).Get(t.Context(), "k")
+	qt.Assert(t, err, qt.ErrorMatches, ".*header.*")
+}
--- a/node/server/http.go
+++ b/node/server/http.go
@@ -33,8 +33,8 @@
 		Protocols:         cleartextProtocols(),
 		ConnContext:       numberConnections(),
 	}
-	s.targetAPI = &http.Server{Handler: s.targetHandler(), ReadHeaderTimeout: s.settings.HeaderTimeout()}
-	s.operators = &http.Server{Handler: s.operatorHandler(), ReadHeaderTimeout: s.settings.HeaderTimeout()}
+	s.targetAPI = &http.Server{Handler: s.targetHandler(), ReadHeaderTimeout: s.settings.HeaderTimeout(), MaxHeaderBytes: s.settings.Limits.HeaderBytes}
+	s.operators = &http.Server{Handler: s.operatorHandler(), ReadHeaderTimeout: s.settings.HeaderTimeout(), MaxHeaderBytes: s.settings.Limits.HeaderBytes}
 	limited := &limitedListener{Listener: s.listeners.callers, limit: int64(s.settings.Limits.CallerConnections)}
 	s.startServing("entry", s.callers, limited)
 	s.startServing("target", s.targetAPI, s.listeners.target)
--- a/node/sidecar/node.go
+++ b/node/sidecar/node.go
@@ -51,6 +51,8 @@
 	minCallerConnections = 256
 	// controlTimeout bounds a request of the platform or the target.
 	controlTimeout = 2 * time.Second
+	// maxControlHeaderBytes limits the header of such a request.
+	maxControlHeaderBytes = 16 << 10
 	// memoryFraction is the part of the VM's memory above which the garbage
 	// collector runs more often.
 	memoryFraction = 0.5
@@ -189,7 +191,7 @@
 }
 
 func (n *Node) httpServer(handler http.Handler) func(net.Listener) error {
-	server := &http.Server{Handler: handler, ReadTimeout: controlTimeout, WriteTimeout: controlTimeout, IdleTimeout: defaultIdleTime}
+	server := &http.Server{Handler: handler, ReadTimeout: controlTimeout, WriteTimeout: controlTimeout, IdleTimeout: defaultIdleTime, MaxHeaderBytes: maxControlHeaderBytes}
 	n.servers = append(n.servers, server)
 	return server.Serve
 }
--- a/node/sidecar/statement_test.go
+++ b/node/sidecar/statement_test.go
@@ -203,3 +203,17 @@
 		}
 	}
 }
+
+// A request to the announcements' listener cannot take more memory than its limits.
+func TestAnnouncementHeaderIsBounded(t *testing.T) {
+	_, ownerA, _ := startEntryAndOwners(t)
+	r, err := http.NewRequestWithContext(t.Context(), http.MethodGet, "http://"+ownerA.settings.Announcements, nil)
+	qt.Assert(t, err, qt.IsNil)
+	r.Header.Set("X-Long", strings.Repeat("x", 200<<10))
+	response, err := http.DefaultTransport.RoundTrip(r)
+	if err != nil {
+		return // the connection was reset while the header was being sent
+	}
+	defer func() { _ = response.Body.Close() }()
+	qt.Assert(t, response.StatusCode, qt.Equals, http.StatusRequestHeaderFieldsTooLarge)
+}
