Let a panic end the handling of one message, not the process

Change: a panic over a caller's request closes its connection without a response, since the request may have run; one over a message of another node closes that connection; one of the decoder rejects the configuration, the last one stays in force. A call that panics while it holds a slot releases it. Log line with the stack, counter. Background tasks still end the process, which the platform starts again.

--- a/node/front/front.go
+++ b/node/front/front.go
@@ -13,6 +13,7 @@
 	"io"
 	"net"
 	"net/http"
+	"runtime/debug"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -93,6 +94,9 @@
 	Reject func(status int, detail string) *Response
 	// Limits returns the current limits.
 	Limits func() Limits
+	// Panicked is told of a panic of Handle. The connection is closed without a
+	// response, since the request may have run; the others go on.
+	Panicked func(value any, stack []byte)
 	// MaxConnections limits the open connections.
 	MaxConnections int
 }
@@ -421,7 +425,7 @@
 	}
 	c.enqueue(p)
 	go func() {
-		p.ready <- c.server.opts.Handle(c.ctx, r)
+		p.ready <- c.handle(r)
 		if p.bodyDone != nil {
 			close(p.bodyDone)
 		}
@@ -432,6 +436,17 @@
 	return c.awaitStreamedBody(r, p)
 }
 
+// handle runs the handler. A panic ends the connection only.
+func (c *conn) handle(r *Request) (response *Response) {
+	defer func() {
+		if value := recover(); value != nil {
+			c.server.opts.Panicked(value, debug.Stack())
+			response = &Response{Abort: true}
+		}
+	}()
+	return c.server.opts.Handle(c.ctx, r)
+}
+
 // awaitStreamedBody waits until the handler is done with a streamed body. A
 // connection whose body was not read to its end cannot serve another request.
 // It reports whether the connection accepts further requests.
--- a/node/front/front_test.go
+++ b/node/front/front_test.go
@@ -347,3 +347,25 @@
 		time.Sleep(time.Millisecond)
 	}
 }
+
+// A panic over one request ends its connection only, without a response: the request
+// may have run.
+func TestPanicEndsOneConnection(t *testing.T) {
+	panicked := make(chan any, 1)
+	s, addr := startServer(t, testLimits, func(_ context.Context, r *Request) *Response {
+		if r.Path() == "/panic" {
+			panic("a fault")
+		}
+		return &Response{Status: http.StatusOK}
+	})
+	s.opts.Panicked = func(value any, _ []byte) { panicked <- value }
+	other := dial(t, addr)
+	c := dial(t, addr)
+	c.send("GET /panic HTTP/1.1\r\nHost: h\r\n\r\n")
+	qt.Assert(t, <-panicked, qt.Equals, any("a fault"))
+	_, err := c.r.ReadByte()
+	qt.Assert(t, err, qt.IsNotNil)
+	other.send("GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+	status, _, _ := other.receive()
+	qt.Assert(t, status, qt.Equals, http.StatusOK)
+}
--- a/node/sidecar/configuration.go
+++ b/node/sidecar/configuration.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"fmt"
 	"math/rand/v2"
+	"runtime/debug"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -152,7 +154,7 @@
 		inForce.Revision = storeera.Version(inForce.Revision)
 		table = &inForce
 	} else {
-		table, err = c.node.operatorKeys.Decode(document)
+		table, err = c.decode(document)
 	}
 	decodeTime := time.Since(began)
 	if err != nil {
@@ -201,6 +203,18 @@
 	c.node.configurationChanged(table)
 }
 
+// decode decodes a document. A panic is an error: the same document reaches all nodes,
+// and would end each process that starts.
+func (c *configuration) decode(document []byte) (table *routing.Table, err error) {
+	defer func() {
+		if value := recover(); value != nil {
+			c.node.logPanic(value, debug.Stack())
+			err = fmt.Errorf("decoding panicked: %v", value)
+		}
+	}()
+	return c.node.operatorKeys.Decode(document)
+}
+
 // logProblems logs the parts of a configuration that are not in force as written,
 // up to maxLoggedProblems of them, and their number.
 func (c *configuration) logProblems(table *routing.Table) {
--- a/node/sidecar/execute.go
+++ b/node/sidecar/execute.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net/http"
+	"runtime/debug"
 	"strconv"
 	"time"
 
@@ -99,7 +100,15 @@
 		return refusedReply(p), waited
 	}
 	a := &attempt{node: n, job: j, ticket: ticket, deadline: deadline}
-	return a.run(ctx), waited
+	ended := false
+	defer func() {
+		if !ended { // a panic: the slot must not stay taken
+			n.owner.finish(ticket, false)
+		}
+	}()
+	r := a.run(ctx)
+	ended = true
+	return r, waited
 }
 
 // agreeOnRevision ensures that this node and the entry decide by the same
@@ -302,8 +311,15 @@
 	return s.ReadCloser.Close()
 }
 
-// ServeRequest answers a request of another node.
+// ServeRequest answers a request of another node. A panic ends its connection only:
+// the same message would end each process that it is sent to.
 func (n *Node) ServeRequest(ctx context.Context, _ string, stream *hop.Stream) {
+	defer func() {
+		if value := recover(); value != nil {
+			n.logPanic(value, debug.Stack())
+			stream.Fail()
+		}
+	}()
 	request := &stream.Request
 	if request.From != "" {
 		n.fleet.recordAlive(request.From)
--- a/node/sidecar/fixture_test.go
+++ b/node/sidecar/fixture_test.go
@@ -186,7 +186,13 @@
 	return model.Domain(domain), ok
 }
 
+// panicDocument is a document whose decoding panics.
+const panicDocument = `"panic"`
+
 func (testOperators) Decode(raw []byte) (*routing.Table, error) {
+	if string(raw) == panicDocument {
+		panic("a fault of the decoder")
+	}
 	var d testDocument
 	if err := json.Unmarshal(raw, &d); err != nil {
 		return nil, err
--- a/node/sidecar/node.go
+++ b/node/sidecar/node.go
@@ -143,7 +143,7 @@
 	n.target = newTarget(n)
 	n.server = hop.NewServer(n)
 	n.front = front.New(front.Options{
-		Handle: n.serveCaller, Reject: n.rejectMalformed, Limits: n.callerLimits,
+		Handle: n.serveCaller, Reject: n.rejectMalformed, Limits: n.callerLimits, Panicked: n.logPanic,
 		MaxConnections: max(s.MaxDescriptors-reservedDescriptors, minCallerConnections),
 	})
 	n.registerGauges()
--- a/node/sidecar/report.go
+++ b/node/sidecar/report.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
 	"strconv"
 	"time"
@@ -17,6 +18,7 @@
 
 var (
 	configurationsRejected = metrics.NewCounter(`zinniafall_configuration_rejected_total`)
+	panics                 = metrics.NewCounter(`zinniafall_panics_total`)
 	retries                = metrics.NewCounter(`zinniafall_call_repeats_total`)
 	requestsRejected       = metrics.NewCounter(`zinniafall_request_rejected_total`)
 	admissionWait          = metrics.NewHistogram(`zinniafall_admission_wait_seconds`)
@@ -80,6 +82,12 @@
 	n.log.Info("call at owner", attrs...)
 }
 
+// logPanic logs a panic that ended the handling of one message only.
+func (n *Node) logPanic(value any, stack []byte) {
+	panics.Inc()
+	n.log.Error("message caused a panic", "part", "node", "panic", fmt.Sprint(value), "stack", string(stack))
+}
+
 // statedLimitText returns a stated limit for the log, in requests per second.
 func statedLimitText(limit float64) string {
 	if limit == dispatch.Unlimited {
