--- a/node/sidecar/probe.go
+++ b/node/sidecar/probe.go
@@ -9,6 +9,7 @@
 
 	"zinniafall/node/upstream"
 	"zinniafall/policy/dispatch"
+	"zinniafall/policy/statedlimit"
 )
 
 const (
@@ -81,7 +82,7 @@
 // at the latest, even without a new reading.
 func (t *target) refreshPace(ctx context.Context) {
 	age, known := t.node.owner.paceAge()
-	if !known || t.node.owner.statedLimit() != dispatch.Unlimited || age < maxPaceAge || t.node.owner.gateClosed(dispatch.GateAbsent|dispatch.GateDown) {
+	if !known || t.node.owner.statedLimit() != statedlimit.Unlimited || age < maxPaceAge || t.node.owner.gateClosed(dispatch.GateAbsent|dispatch.GateDown) {
 		return
 	}
 	t.mu.Lock()
--- a/node/sidecar/report.go
+++ b/node/sidecar/report.go
@@ -11,9 +11,9 @@
 
 	"zinniafall/node/front"
 	"zinniafall/node/peer"
-	"zinniafall/policy/dispatch"
 	"zinniafall/policy/model"
 	"zinniafall/policy/problem"
+	"zinniafall/policy/statedlimit"
 )
 
 var (
@@ -90,7 +90,7 @@
 
 // statedLimitText returns a stated limit for the log, in requests per second.
 func statedLimitText(limit float64) string {
-	if limit == dispatch.Unlimited {
+	if limit == statedlimit.Unlimited {
 		return "none"
 	}
 	return strconv.FormatFloat(limit, 'g', -1, 64)
--- a/node/sidecar/statement.go
+++ b/node/sidecar/statement.go
@@ -10,6 +10,7 @@
 
 	"zinniafall/node/upstream"
 	"zinniafall/policy/dispatch"
+	"zinniafall/policy/statedlimit"
 )
 
 var statementsUnreadable = metrics.NewCounter(`zinniafall_target_statements_unreadable_total`)
@@ -32,7 +33,7 @@
 // target. sentAt is when the request was sent.
 func (t *target) recordStatement(header http.Header, sentAt time.Time) {
 	values := header.Values(t.node.dialect.StatedLimit)
-	limit, ok := dispatch.ParseLimit(values)
+	limit, ok := statedlimit.Parse(values)
 	if !ok {
 		t.reportUnreadable(values)
 		return
@@ -42,7 +43,7 @@
 	t.node.owner.apply(func(d *dispatch.Owner, now time.Time) []dispatch.Decision {
 		before = d.StatedLimit()
 		var decisions []dispatch.Decision
-		changed, decisions = d.RecordStatement(now, dispatch.Statement{Limit: limit, SentAt: sentAt})
+		changed, decisions = d.RecordStatement(now, statedlimit.Statement{Limit: limit, SentAt: sentAt})
 		return decisions
 	})
 	if changed {
@@ -91,10 +92,10 @@
 	id, _, _ := t.identity()
 	report := t.node.owner.report()
 	attrs := []any{"part", "target", "target", id, "in_flight", report.InFlight, "queued", report.Queued}
-	if before != dispatch.Unlimited {
+	if before != statedlimit.Unlimited {
 		attrs = append(attrs, "before_per_s", before)
 	}
-	if limit == dispatch.Unlimited {
+	if limit == statedlimit.Unlimited {
 		t.node.log.Info("target states no limit any more", attrs...)
 		return
 	}
--- a/node/sidecar/statement_test.go
+++ b/node/sidecar/statement_test.go
@@ -8,6 +8,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"zinniafall/policy/dispatch"
+	"zinniafall/policy/statedlimit"
 )
 
 // stateLimit makes the target name a limit in each answer, or none if it is empty.
@@ -36,7 +37,7 @@
 	eventually(t, "the unreadable limit is logged", func() bool { return ownerA.logged("stated limit not readable") })
 	qt.Assert(t, ownerA.owner.statedLimit(), qt.Equals, 12.5)
 	ownerA.target.stateLimit("")
-	eventually(t, "the limit ends", func() bool { return ownerA.owner.statedLimit() == dispatch.Unlimited })
+	eventually(t, "the limit ends", func() bool { return ownerA.owner.statedLimit() == statedlimit.Unlimited })
 	eventually(t, "the end is logged", func() bool { return ownerA.logged("target states no limit any more") })
 }
 
@@ -47,7 +48,7 @@
 	eventually(t, "the limit is known", func() bool { return ownerA.owner.statedLimit() == 3 })
 	ownerA.target.stateLimit("")
 	qt.Assert(t, ownerA.Announce(ownerA.announcement(200, 1)), qt.IsNil)
-	eventually(t, "the new process has no limit", func() bool { return ownerA.owner.statedLimit() == dispatch.Unlimited })
+	eventually(t, "the new process has no limit", func() bool { return ownerA.owner.statedLimit() == statedlimit.Unlimited })
 }
 
 // A late answer of a process that has been replaced says nothing about its successor.
--- a/policy/dispatch/dispatch.go
+++ b/policy/dispatch/dispatch.go
@@ -25,6 +25,8 @@
 
 	"zinniafall/policy/model"
 	"zinniafall/policy/problem"
+	"zinniafall/policy/statedlimit"
+	"zinniafall/policy/tokens"
 )
 
 const (
@@ -166,7 +168,7 @@
 	options    Options
 	coldUntil  time.Time
 	coldRate   float64
-	coldTokens bucket
+	coldTokens tokens.Bucket
 
 	pace              float64
 	paceReadAt        time.Time
@@ -175,15 +177,12 @@
 	// started rather than refused.
 	lateStartShare float64
 	loadReadAt     time.Time
-	stated         statedLimit
-	limitTokens    bucket
-	// lastReturn is the last time at which a refused call was told to return.
-	lastReturn time.Time
+	limiter        statedlimit.Limiter
 }
 
 // New returns an owner without a target.
 func New(options Options) *Owner {
-	return &Owner{options: options, gates: GateAbsent, running: make(map[Ticket]runningCall), classTimes: make(map[string]time.Duration), meanTime: initialServiceTime, pace: 1, lateStartShare: 1, stated: statedLimit{limit: Unlimited}}
+	return &Owner{options: options, gates: GateAbsent, running: make(map[Ticket]runningCall), classTimes: make(map[string]time.Duration), meanTime: initialServiceTime, pace: 1, lateStartShare: 1}
 }
 
 // SetGate closes or opens a gate.
@@ -255,18 +254,15 @@
 // tokenWait returns the time until a cold or limited target lets one more call start
 // after a number of others.
 func (o *Owner) tokenWait(now time.Time, others int) time.Duration {
-	return max(o.coldWait(now, others), o.limitWait(now, others))
+	return max(o.coldWait(now, others), o.limiter.Wait(now, others))
 }
 
 func (o *Owner) start(now time.Time, c Call) {
 	if o.Cold(now) {
 		o.refillColdTokens(now)
-		o.coldTokens.tokens--
-	}
-	if o.limited() {
-		o.refillLimit(now)
-		o.limitTokens.tokens--
+		o.coldTokens.Take()
 	}
+	o.limiter.Take(now)
 	o.running[c.Ticket] = runningCall{class: c.Class, started: now, pace: max(o.Pace(now), 1)}
 }
 
--- a/policy/dispatch/limit_test.go
+++ b/policy/dispatch/limit_test.go
@@ -8,6 +8,7 @@
 
 	"zinniafall/policy/model"
 	"zinniafall/policy/problem"
+	"zinniafall/policy/statedlimit"
 )
 
 // limitWindow is the time over which the starts of a limited target are counted.
@@ -51,7 +52,7 @@
 	ticket := Ticket(0)
 	for now := start; now.Before(start.Add(12 * time.Second)); now = now.Add(time.Millisecond) {
 		if now.Sub(start) >= time.Second {
-			_, decisions := o.RecordStatement(now, Statement{Limit: limit, SentAt: now})
+			_, decisions := o.RecordStatement(now, statedlimit.Statement{Limit: limit, SentAt: now})
 			decide(now, decisions)
 		}
 		for finished, at := range ends {
@@ -75,7 +76,7 @@
 
 func limitedOwner(limit float64) *Owner {
 	o := warmOwner(12)
-	o.RecordStatement(start, Statement{Limit: limit, SentAt: start})
+	o.RecordStatement(start, statedlimit.Statement{Limit: limit, SentAt: start})
 	return o
 }
 
@@ -112,7 +113,7 @@
 		o.SetSlots(start, 100)
 		o.SetColdRate(c.cold)
 		o.SetCold(start, time.Minute)
-		o.RecordStatement(start, Statement{Limit: c.limit, SentAt: start})
+		o.RecordStatement(start, statedlimit.Statement{Limit: c.limit, SentAt: start})
 		started := 0
 		for ms := range 10_000 {
 			now := start.Add(time.Duration(ms) * time.Millisecond)
@@ -139,19 +140,19 @@
 		return o
 	}
 	later := start.Add(100 * time.Millisecond)
-	_, decisions := queued(2).RecordStatement(later, Statement{Limit: Unlimited, SentAt: later})
+	_, decisions := queued(2).RecordStatement(later, statedlimit.Statement{Limit: statedlimit.Unlimited, SentAt: later})
 	qt.Assert(t, decisions, qt.HasLen, 3)
 	for _, d := range decisions {
 		qt.Assert(t, d.Refusal == nil, qt.IsTrue)
 	}
-	_, decisions = queued(2).RecordStatement(later, Statement{Limit: 0.1, SentAt: later})
+	_, decisions = queued(2).RecordStatement(later, statedlimit.Statement{Limit: 0.1, SentAt: later})
 	qt.Assert(t, decisions, qt.HasLen, 3)
 	for _, d := range decisions {
 		qt.Assert(t, d.Refusal.Kind, qt.Equals, problem.Overloaded)
 		qt.Assert(t, d.Refusal.Run, qt.Equals, model.RunNo)
 	}
 	o := queued(2)
-	o.RecordStatement(later, Statement{Limit: 1000, SentAt: later})
+	o.RecordStatement(later, statedlimit.Statement{Limit: 1000, SentAt: later})
 	qt.Assert(t, o.Tick(later.Add(5*time.Millisecond)), qt.HasLen, 3)
 }
 
@@ -208,7 +209,7 @@
 
 func TestHealthRequestsToALimitedTargetAreRare(t *testing.T) {
 	for limit, want := range map[float64]time.Duration{
-		Unlimited: 20 * time.Millisecond, 1000: minLimitedHealthInterval, 16: time.Second, 1: maxLimitedHealthInterval, 0: maxLimitedHealthInterval,
+		statedlimit.Unlimited: 20 * time.Millisecond, 1000: statedlimit.MinHealthInterval, 16: time.Second, 1: statedlimit.MaxHealthInterval, 0: statedlimit.MaxHealthInterval,
 	} {
 		qt.Check(t, limitedOwner(limit).HealthInterval(20*time.Millisecond), qt.Equals, want, qt.Commentf("%g", limit))
 	}
--- a/policy/dispatch/pace.go
+++ b/policy/dispatch/pace.go
@@ -2,6 +2,8 @@
 
 import (
 	"time"
+
+	"zinniafall/policy/tokens"
 )
 
 // Options configures how far a cold target may exceed its stated rate.
@@ -23,7 +25,7 @@
 	}
 	o.coldUntil = now.Add(left)
 	if !wasCold {
-		o.coldTokens = emptyBucket(now)
+		o.coldTokens = tokens.Empty(now)
 	}
 }
 
@@ -85,7 +87,7 @@
 // WaitingForPace reports whether a queued call waits only for the pace to improve, and
 // whether it is worth to read the pace: a limited target states it in its answers.
 func (o *Owner) WaitingForPace(now time.Time) bool {
-	return len(o.queue) > 0 && !o.limited() && o.Pace(now) >= slowPace && len(o.running) < o.limit(now)
+	return len(o.queue) > 0 && !o.limiter.Limited() && o.Pace(now) >= slowPace && len(o.running) < o.limit(now)
 }
 
 // coldRateAndBurst returns the rate of calls to a cold target, in calls per
@@ -97,7 +99,7 @@
 
 func (o *Owner) refillColdTokens(now time.Time) {
 	rate, burst := o.coldRateAndBurst()
-	o.coldTokens.refill(now, rate, burst)
+	o.coldTokens.Refill(now, rate, burst)
 }
 
 // coldWait returns the time until a cold target lets one more call start after a
@@ -108,7 +110,7 @@
 	}
 	o.refillColdTokens(now)
 	rate, _ := o.coldRateAndBurst()
-	return o.coldTokens.waitFor(float64(others+1), rate)
+	return o.coldTokens.WaitFor(float64(others+1), rate)
 }
 
 // coldLimit returns the number of calls that the cold rate keeps in flight, at
--- a/policy/dispatch/queue.go
+++ b/policy/dispatch/queue.go
@@ -37,7 +37,7 @@
 	switch {
 	case len(o.queue) >= maxQueued, !start.Add(q.minRemaining()).Before(q.Deadline):
 		return true
-	case q.Elsewhere && o.limitWait(now, 0) > 0:
+	case q.Elsewhere && o.limiter.Wait(now, 0) > 0:
 		return true
 	case q.Elsewhere:
 		return !start.Before(o.waitLimit(q))
--- a/policy/dispatch/statement_test.go
+++ b/policy/statedlimit/statement_test.go
@@ -1,4 +1,4 @@
-package dispatch
+package statedlimit
 
 import (
 	"testing"
@@ -7,7 +7,9 @@
 	qt "github.com/frankban/quicktest"
 )
 
-func TestParseLimit(t *testing.T) {
+var start = time.Unix(1_000_000, 0)
+
+func TestParse(t *testing.T) {
 	for _, c := range []struct {
 		values []string
 		want   float64
@@ -30,7 +32,7 @@
 		{[]string{"many"}, 0, false},
 		{[]string{"5", "9"}, 0, false},
 	} {
-		limit, ok := ParseLimit(c.values)
+		limit, ok := Parse(c.values)
 		qt.Check(t, ok, qt.Equals, c.ok, qt.Commentf("%q", c.values))
 		if c.ok {
 			qt.Check(t, limit, qt.Equals, c.want, qt.Commentf("%q", c.values))
@@ -40,7 +42,7 @@
 
 func TestStatedLimitOutlivesAnswersThatItOvertook(t *testing.T) {
 	at := func(ms int) time.Time { return start.Add(time.Duration(ms) * time.Millisecond) }
-	o := warmOwner(8)
+	var l Limiter
 	for _, step := range []struct {
 		sent, arrived int
 		limit, want   float64
@@ -55,10 +57,9 @@
 		{145, 160, Unlimited, 8}, // the limit was confirmed at 150
 		{151, 170, Unlimited, Unlimited},
 	} {
-		o.RecordStatement(at(step.arrived), Statement{Limit: step.limit, SentAt: at(step.sent)})
-		qt.Assert(t, o.StatedLimit(), qt.Equals, step.want, qt.Commentf("%+v", step))
+		l.Record(at(step.arrived), Statement{Limit: step.limit, SentAt: at(step.sent)})
+		qt.Assert(t, l.Limit(), qt.Equals, step.want, qt.Commentf("%+v", step))
 	}
-	o.RecordStatement(at(200), Statement{Limit: 3, SentAt: at(190)})
-	o.ForgetStatements()
-	qt.Assert(t, o.StatedLimit(), qt.Equals, Unlimited)
+	l.Record(at(200), Statement{Limit: 3, SentAt: at(190)})
+	qt.Assert(t, l.Limit(), qt.Equals, 3.0)
 }
