Keep to what targets state in the product's own protocol, too

An instance that drained, withdrew or said that it leaves is not used again; another instance is. The stand-in target states a limit (--limit).

Open: a node that restarts beside a limited target starts calls in up to half of its slots before the first answer.

--- a/demo/standins.go
+++ b/demo/standins.go
@@ -41,6 +41,7 @@
 	targetCommand.Flag("service", "Service that the target belongs to.").Required().StringVar(&s.options.Service)
 	targetCommand.Flag("slots", "Calls that run at the same time.").Default("12").IntVar(&s.options.Slots)
 	targetCommand.Flag("service-time", "Mean time of a call.").Default("5ms").DurationVar(&s.options.ServiceTime)
+	targetCommand.Flag("limit", "Requests per second that the target states in its answers; 0 states none.").Default("0").Float64Var(&s.options.Limit)
 	targetCommand.Flag("cold", "Start cold.").BoolVar(&s.options.Cold)
 }
 
--- a/node/execute/execute.go
+++ b/node/execute/execute.go
@@ -12,8 +12,11 @@
 	"net/http"
 	"net/url"
 	"strconv"
+	"strings"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
+
 	"zinniafall/node/owner"
 	"zinniafall/node/peer"
 	"zinniafall/node/target"
@@ -22,6 +25,7 @@
 	"zinniafall/policy/model"
 	"zinniafall/policy/problem"
 	"zinniafall/policy/quarantine"
+	"zinniafall/policy/statedlimit"
 )
 
 // maxBufferedAnswer is the length in bytes up to which an answer is read
@@ -42,6 +46,17 @@
 	HeaderCall = "Zinniafall-Call"
 )
 
+// Header fields of the target's answers that state something about the target.
+const (
+	// HeaderTargetLimit is the number of requests per second that the target
+	// takes, a decimal number.
+	HeaderTargetLimit = "Zinniafall-Target-Limit"
+	// HeaderTargetLeaving is "1" if the target is about to stop.
+	HeaderTargetLeaving = "Zinniafall-Target-Leaving"
+)
+
+var statementsUnreadable = metrics.NewCounter(`zinniafall_target_statements_unreadable_total`)
+
 // Reply is an answer that is being returned to the caller.
 type Reply struct {
 	Answer *peer.Answer
@@ -333,6 +348,7 @@
 // to maxBufferedAnswer is read whole first; otherwise the body is still to be
 // read, and its end or Close finishes the call.
 func (a *attempt) handleResponse(response *http.Response) *Reply {
+	a.recordStatements(response.Header)
 	reply := &Reply{Answer: &peer.Answer{
 		Run: model.RunYes, Status: response.StatusCode,
 		Header: peer.FieldsOf(response.Header), Length: response.ContentLength,
@@ -351,6 +367,19 @@
 	return reply
 }
 
+// recordStatements passes on what the answer states about the target. A limit that
+// cannot be read leaves the one before in force.
+func (a *attempt) recordStatements(header http.Header) {
+	leaving := strings.TrimSpace(header.Get(HeaderTargetLeaving)) == "1"
+	limit, ok := statedlimit.Parse(header.Values(HeaderTargetLimit))
+	if !ok {
+		statementsUnreadable.Inc()
+	}
+	if ok || leaving {
+		a.slot.RecordAnswer(owner.Statement{Limit: limit, HasLimit: ok, SentAt: a.started, Leaving: leaving})
+	}
+}
+
 // handleCutOff ends a call whose answer was cut off. Once the call is finished,
 // it does nothing.
 func (a *attempt) handleCutOff() {
--- a/node/owner/owner.go
+++ b/node/owner/owner.go
@@ -11,11 +11,13 @@
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
+	"k8s.io/klog/v2"
 
 	"zinniafall/policy/admission"
 	"zinniafall/policy/model"
 	"zinniafall/policy/problem"
 	"zinniafall/policy/settings"
+	"zinniafall/policy/statedlimit"
 )
 
 // eventQueueLength is the capacity of the event queue.
@@ -119,6 +121,44 @@
 	s.owner.send(&finishEvent{ticket: s.ticket, outcome: outcome})
 }
 
+// Statement is what an answer states about the target.
+type Statement struct {
+	// Limit is the stated limit, in requests per second, or statedlimit.Unlimited.
+	Limit float64
+	// HasLimit is false if the limit could not be read.
+	HasLimit bool
+	// SentAt is when the request was sent.
+	SentAt time.Time
+	// Leaving is true if the target states that it leaves.
+	Leaving bool
+}
+
+// RecordAnswer records what the answer to the call states about the target.
+func (s *Slot) RecordAnswer(st Statement) {
+	s.owner.send(&changeEvent{change: func(a *admission.Owner, now time.Time) []admission.Release {
+		before := a.StatedLimit()
+		var releases []admission.Release
+		if st.HasLimit {
+			releases = a.RecordLimit(now, s.ticket, statedlimit.Statement{Limit: st.Limit, SentAt: st.SentAt})
+		}
+		if after := a.StatedLimit(); after != before {
+			logLimit(after)
+		}
+		if st.Leaving {
+			releases = append(releases, a.RecordLeaving(now, s.ticket)...)
+		}
+		return releases
+	}})
+}
+
+func logLimit(limit float64) {
+	if limit == statedlimit.Unlimited {
+		klog.Info("target: The target states no limit any more.")
+		return
+	}
+	klog.Infof("target: The target states a limit of %g requests per second.", limit)
+}
+
 // AdmitRequest describes a call that asks for a slot.
 type AdmitRequest struct {
 	Account  model.Account
@@ -185,7 +225,10 @@
 // Drain records that the target is leaving.
 func (o *Owner) Drain() { o.send(&changeEvent{change: (*admission.Owner).Drain}) }
 
-// Gone records that the target withdrew or died.
+// Withdraw records that the target leaves at once and does not come back.
+func (o *Owner) Withdraw() { o.send(&changeEvent{change: (*admission.Owner).Withdraw}) }
+
+// Gone records that the target died.
 func (o *Owner) Gone() { o.send(&changeEvent{change: (*admission.Owner).Gone}) }
 
 // SetStopping records that the node is stopping.
--- a/node/server/target.go
+++ b/node/server/target.go
@@ -201,7 +201,7 @@
 // serveWithdraw reports to the owner that the target is gone.
 func (s *Server) serveWithdraw(w http.ResponseWriter, _ *http.Request) {
 	klog.Info("target: The target withdrew.")
-	s.owner.Gone()
+	s.owner.Withdraw()
 	w.WriteHeader(http.StatusNoContent)
 }
 
--- a/policy/admission/lifecycle.go
+++ b/policy/admission/lifecycle.go
@@ -6,6 +6,7 @@
 	"zinniafall/policy/chart"
 	"zinniafall/policy/model"
 	"zinniafall/policy/problem"
+	"zinniafall/policy/statedlimit"
 )
 
 // The events and states of the target chart.
@@ -39,8 +40,14 @@
 // returns the target to the initial limit.
 func (o *Owner) Announce(now time.Time, a Announcement) []Release {
 	o.advance(now)
+	if a.Instance == o.left && a.Instance != "" {
+		return o.processQueue(now)
+	}
 	previous := o.instance
 	o.instance = a.Instance
+	if previous != a.Instance {
+		o.stated = statedlimit.Limiter{}
+	}
 	if previous != a.Instance || o.State() == model.TargetAbsent {
 		o.trial++
 	}
@@ -62,6 +69,7 @@
 // call starts until another instance announces itself.
 func (o *Owner) Drain(now time.Time) []Release {
 	o.advance(now)
+	o.left = o.instance
 	if o.chart.Can(eventDrain) {
 		o.sendEvent(eventDrain)
 		o.limit.close()
@@ -69,6 +77,12 @@
 	return o.processQueue(now)
 }
 
+// Withdraw records that the target leaves at once and does not come back.
+func (o *Owner) Withdraw(now time.Time) []Release {
+	o.left = o.instance
+	return o.Gone(now)
+}
+
 // Gone records that the target withdrew or died.
 func (o *Owner) Gone(now time.Time) []Release {
 	o.sendEvent(eventGone)
@@ -76,6 +90,39 @@
 	return o.processQueue(now)
 }
 
+// RecordLimit applies what the answer to a call in flight states about the limit of the
+// target. A call of an earlier instance says nothing about the present one.
+func (o *Owner) RecordLimit(now time.Time, t Ticket, st statedlimit.Statement) []Release {
+	o.advance(now)
+	if !o.isCurrent(t) || !o.stated.Record(now, st) {
+		return nil
+	}
+	return o.processQueue(now)
+}
+
+// RecordLeaving applies that the answer to a call in flight states that the target
+// leaves.
+func (o *Owner) RecordLeaving(now time.Time, t Ticket) []Release {
+	if !o.isCurrent(t) {
+		return nil
+	}
+	return o.Drain(now)
+}
+
+// isCurrent reports whether the call is in flight at the present instance.
+func (o *Owner) isCurrent(t Ticket) bool {
+	for i := range o.running {
+		if o.running[i].ticket == t {
+			return o.running[i].instance == o.instance
+		}
+	}
+	return false
+}
+
+// StatedLimit returns the limit that the target states, in requests per second, or
+// statedlimit.Unlimited.
+func (o *Owner) StatedLimit() float64 { return o.stated.Limit() }
+
 // SetDomainOut records whether the failure domain is out of service. A target
 // whose domain returns to service is cold.
 func (o *Owner) SetDomainOut(now time.Time, out bool) []Release {
--- a/policy/admission/owner.go
+++ b/policy/admission/owner.go
@@ -9,6 +9,7 @@
 	"zinniafall/policy/problem"
 	"zinniafall/policy/ratelimit"
 	"zinniafall/policy/settings"
+	"zinniafall/policy/statedlimit"
 )
 
 // Owner decides on the calls to one target. It is not safe for concurrent use.
@@ -40,6 +41,11 @@
 	leaseEnd time.Time
 	gates    gates
 
+	stated statedlimit.Limiter
+	// left is the instance that said that it leaves. It gets no calls any more,
+	// even if an announcement that was on its way arrives.
+	left string
+
 	probes    *ratelimit.ProbeLimiter
 	probeRate float64
 	sequence  uint64
@@ -61,6 +67,7 @@
 	occupancy int    // calls in flight when it started, itself included
 	epoch     uint64 // epoch of the limiter when it started
 	trial     uint64
+	instance  string
 	isolated  bool
 	// suspectAge is the age from which on the call is evidence that the target
 	// is cold; see detector.minSuspectAge.
@@ -119,6 +126,7 @@
 	if c.Isolated {
 		o.isolated++
 	}
+	o.stated.Take(now)
 	f.State.slotUsage.advance(now, f.InFlight())
 	o.running = append(o.running, running{
 		ticket:     c.Ticket,
@@ -128,6 +136,7 @@
 		occupancy:  len(o.running) + 1,
 		epoch:      o.limit.epoch,
 		trial:      o.trial,
+		instance:   o.instance,
 		isolated:   c.Isolated,
 		suspectAge: o.latency.minSuspectAge(&f.State.latency),
 	})
--- a/policy/admission/queue.go
+++ b/policy/admission/queue.go
@@ -15,6 +15,10 @@
 	// minBacklogWait is the lower bound of the wait that is allowed to an
 	// account with a standing queue.
 	minBacklogWait = 2 * time.Millisecond
+	// minReturnTime and maxReturnTime bound the time after which a call that a
+	// stated limit refuses may return.
+	minReturnTime = 50 * time.Millisecond
+	maxReturnTime = 2 * time.Second
 )
 
 // flow is the state of one account in the queue.
@@ -57,7 +61,7 @@
 // canStart reports whether the call may take a slot now.
 func (o *Owner) canStart(f *flow, q queuedCall) bool {
 	free := o.limit.limit - len(o.running)
-	if free <= 0 {
+	if free <= 0 || o.stated.Wait(o.now, 0) > 0 {
 		return false
 	}
 	if q.Isolated && o.isolated > 0 {
@@ -121,7 +125,7 @@
 	if slots <= 0 {
 		return o.options.MaxWait
 	}
-	return scale(f.EstimatedCost(), float64(f.Queued()+1)/slots)
+	return max(scale(f.EstimatedCost(), float64(f.Queued()+1)/slots), o.stated.Wait(o.now, o.queue.Len()))
 }
 
 // allowedWait returns the longest predicted wait at which a new call of the
@@ -139,6 +143,10 @@
 	if q.concurrency > 0 && f.InFlight() >= q.concurrency {
 		return problem.New(problem.AccountLimit, model.RunNo, "the account has as many calls in flight at the target as it may have").After(wait)
 	}
+	if o.stated.Limited() {
+		after := o.stated.ReturnAfter(o.now, wait, minReturnTime, maxReturnTime)
+		return problem.New(problem.Overloaded, model.RunNo, "the target's stated limit is used up").After(after)
+	}
 	return problem.New(problem.Overloaded, model.RunNo, "the target's queue would hold the call for too long").After(wait)
 }
 
--- a/policy/admission/report.go
+++ b/policy/admission/report.go
@@ -20,6 +20,7 @@
 		InFlight:    clampUint16(len(o.running)),
 		Queued:      clampUint16(o.queue.Len()),
 		ServiceTime: o.serviceTime,
+		StartsIn:    o.stated.Wait(now, o.queue.Len()),
 	}
 }
 
@@ -79,6 +80,10 @@
 // replace each other at one target send no more together than a single process
 // would.
 func (o *Owner) AllowProbe(now time.Time) bool {
-	o.probes.SetRate(now, o.probeRate)
+	rate := o.probeRate
+	if o.stated.Limited() {
+		rate = min(rate, 1/o.stated.HealthInterval(0).Seconds())
+	}
+	o.probes.SetRate(now, rate)
 	return o.probes.Allow(now)
 }
--- a/policy/admission/tick.go
+++ b/policy/admission/tick.go
@@ -52,6 +52,9 @@
 			next = earlier(next, o.breaker.openUntil)
 		}
 	}
+	if wait := o.stated.Wait(now, 0); wait > 0 && o.queue.Len() > 0 {
+		next = earlier(next, now.Add(wait))
+	}
 	next = earlier(next, o.nextLatencyCheck(now, next))
 	if soonest := now.Add(minTickInterval); next.Before(soonest) {
 		return soonest
--- a/standin/target/target.go
+++ b/standin/target/target.go
@@ -28,6 +28,12 @@
 // microseconds.
 const ElapsedHeader = "Demo-Elapsed-Us"
 
+// The header fields with which the target states its limit and that it leaves.
+const (
+	LimitHeader   = "Zinniafall-Target-Limit"
+	LeavingHeader = "Zinniafall-Target-Leaving"
+)
+
 // The paths of the probes, which are not counted as calls.
 const (
 	HealthPath = "/health"
@@ -64,6 +70,9 @@
 	ServiceTime time.Duration
 	// Cold makes the target start cold.
 	Cold bool
+	// Limit is the number of requests per second that the target states in its
+	// answers; it states none if Limit is 0.
+	Limit float64
 	// Seed seeds the random service times.
 	Seed uint64
 }
@@ -107,6 +116,8 @@
 	cold             bool
 	coldCompleted    int
 	slowdownFactor   float64
+	limit            string
+	leaving          bool
 	failing          bool
 	reportedInFlight int
 	reportedLoadAt   time.Time
@@ -121,6 +132,9 @@
 		random: rand.New(rand.NewPCG(opts.Seed, 1)),
 		runs:   make(map[string]int), cold: opts.Cold, slowdownFactor: 1,
 	}
+	if opts.Limit > 0 {
+		t.limit = strconv.FormatFloat(opts.Limit, 'f', -1, 64)
+	}
 	if err := t.listen(addr); err != nil {
 		return nil, err
 	}
@@ -207,6 +221,33 @@
 	t.failing = on
 }
 
+// StateLimit sets the limit that the target states, as it stands in its answers; none
+// if it is empty.
+func (t *Target) StateLimit(limit string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.limit = limit
+}
+
+// StateLeaving makes the target state that it leaves.
+func (t *Target) StateLeaving() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.leaving = true
+}
+
+// addStatements adds what the target states to an answer.
+func (t *Target) addStatements(header http.Header) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.limit != "" {
+		header.Set(LimitHeader, t.limit)
+	}
+	if t.leaving {
+		header.Set(LeavingHeader, "1")
+	}
+}
+
 // Counts returns the current counters.
 func (t *Target) Counts() Counts {
 	t.mu.Lock()
@@ -258,6 +299,7 @@
 // serveCall runs a call and echoes the request in the response.
 func (t *Target) serveCall(w http.ResponseWriter, r *http.Request) {
 	started := time.Now()
+	t.addStatements(w.Header())
 	body, err := io.ReadAll(r.Body)
 	if err != nil {
 		return
