Register the counter of unreadable statements once

What operators would see: zinniafalld ended at its start, in every process, since: both stacks registered the same counter, which panics.

Change: both get or create the counter. Result: go test ./cmd/... passes.

--- a/node/execute/execute.go
+++ b/node/execute/execute.go
@@ -55,7 +55,7 @@
 	HeaderTargetLeaving = "Zinniafall-Target-Leaving"
 )
 
-var statementsUnreadable = metrics.NewCounter(`zinniafall_target_statements_unreadable_total`)
+var statementsUnreadable = metrics.GetOrCreateCounter(`zinniafall_target_statements_unreadable_total`)
 
 // Reply is an answer that is being returned to the caller.
 type Reply struct {
--- a/node/sidecar/statement.go
+++ b/node/sidecar/statement.go
@@ -13,7 +13,8 @@
 	"zinniafall/policy/statedlimit"
 )
 
-var statementsUnreadable = metrics.NewCounter(`zinniafall_target_statements_unreadable_total`)
+// statementsUnreadable is shared by the product's and the sidecar's node, which are parts of one program.
+var statementsUnreadable = metrics.GetOrCreateCounter(`zinniafall_target_statements_unreadable_total`)
 
 // leavingValue is the value with which a target states that it leaves.
 const leavingValue = "1"
