Require that a stop waits for calls that outlast its first seconds, and list reported faults

Cause: TestStopWaitsForCallsInProgress passed with a stop that waits for nothing, because the call ended within the 2.3 s for which a stopping node serves in any case. docs/faults.md did not have the faults that other operators reported.

Change: the call now outlasts that time, at the stopping entry and at the stopping owner; the page has a row for each reported fault, generated as the rest of it.

--- a/node/server/matrix_test.go
+++ b/node/server/matrix_test.go
@@ -323,6 +323,53 @@
 		qt.Commentf("run `go test ./node/server -run FaultsPage -update`"))
 }
 
+// reportedFaults are faults that operators of similar systems reported.
+var reportedFaults = []struct{ fault, here, tests, mutation string }{
+	{
+		"a second copy of an answer arrives late on a connection that is in use again; the next caller gets it",
+		"sidecar: a response that names another request is skipped, and its connection not reused. Product: a connection with unread bytes is not reused (net/http), and answers between nodes are frames of their own request",
+		"node/upstream TestLateResponseIsSkipped; the step 'copy late' of the soak; 'out-of-order answers' above",
+		"responses of other requests are not recognized: TestLateResponseIsSkipped fails",
+	},
+	{
+		"a planned stop under load cuts off requests that were just accepted",
+		"sidecar and product: a stop waits for calls in progress and closes idle connections only then",
+		"node/sidecar TestStopWaitsForCallsInProgress, soak seed 17; node/server TestGracefulStopCompletesCallsInFlight",
+		"the stop does not wait: TestStopWaitsForCallsInProgress fails",
+	},
+	{
+		"after a restart a server that had left, or a key that had been withdrawn, is in use again",
+		"it could: a restarted node used a target that said in its answers that it leaves, a withdrawal without a start time did not hold for a target found by its health, and an instance that had left came back after its lease. Keys end with the process that issued them",
+		"node/sidecar TestRestartedNodeDoesNotUseATargetThatSaidItLeaves, TestWithdrawalOfATargetFoundByItsHealthHolds, TestAnnouncementInProgressDoesNotUndoAWithdrawal; policy/admission TestInstanceThatLeftIsNotUsedAgain; node/server TestKeyOfStoppedIssuerDoesNotRun",
+		"answers that state it are not read, withdrawals are forgotten, or the instance that left is not kept: the tests named fail",
+	},
+	{
+		"one malformed message or unexpected error takes a process down",
+		"it could: heads without an end took the memory, and a panic over one message of a caller, a node or the operators ended the sidecar's process",
+		"node/upstream TestHeadWithoutEndIsGivenUp, FuzzResponse; node/front TestPanicEndsOneConnection; node/sidecar TestPanicOverAMessageOfAnotherNodeEndsItsConnection, TestPanicOfTheDecoderRejectsTheDocument; the soak's check of memory",
+		"without the bounds, or without each recover: the tests named fail or end their process",
+	},
+	{
+		"around a hand-over between two processes both act, and orders go out twice",
+		"no: a target's owner is the node on its VM, whose ports only one process can have, and no decision depends on a lease in the store",
+		"node/platform TestExpiredLeaseOfPausedHolder; platform TestNoLeaseOfAnEarlierEraIsUsed; the soak's TWICE check over stops, kills and pauses",
+		"",
+	},
+	{
+		"after an answer is lost, work that ran is run again, or the caller is told that it did not run",
+		"sidecar and product: a call that may have been sent is unknown and, unless it is idempotent, not sent again",
+		"node/sidecar TestNonIdempotentCallIsNotRetriedAfterAConnectionReset; 'cut-off answer' above; the soak's TWICE and REFUSED checks",
+		"a lost answer counts as not run: TestNonIdempotentCallIsNotRetriedAfterAConnectionReset fails",
+	},
+}
+
+func writeReportedFaults(w io.Writer) {
+	_, _ = fmt.Fprint(w, "\n## What operators of similar systems reported\n\nEach row says whether it could happen here, what shows that it does not, and which change of\nthe code turns that test red.\n\n| fault | here | tests | mutation |\n| --- | --- | --- | --- |\n")
+	for _, f := range reportedFaults {
+		_, _ = fmt.Fprintf(w, "| %s | %s | %s | %s |\n", f.fault, f.here, f.tests, f.mutation)
+	}
+}
+
 func writeFaultsPage(w io.Writer) {
 	_, _ = fmt.Fprint(w, "# Faults\n\nGenerated from the fault matrix in `node/server`. Each row is a fault that the test\ninjects at each stage of a call, with the rule that upholds the guarantees. After each\ncase the test checks that the call ran at most once, that `not run` was true, that an\nanswer was complete and the caller's own, that no target had more calls than slots,\nthat no revision went back, and that the fleet goes on serving calls.\n\n")
 	_, _ = fmt.Fprintf(w, "| fault | how it is injected | rule that upholds the guarantees | stages |\n| --- | --- | --- | --- |\n")
@@ -339,6 +386,7 @@
 		}
 		_, _ = fmt.Fprintf(w, "| %s | %s | %s | %s |\n", f.name, f.how, f.rule, text)
 	}
+	writeReportedFaults(w)
 	_, _ = fmt.Fprint(w, "\n## Excluded combinations\n\n")
 	for _, f := range faults {
 		for _, at := range stages {
--- a/node/sidecar/call_test.go
+++ b/node/sidecar/call_test.go
@@ -10,6 +10,7 @@
 	"strconv"
 	"strings"
 	"testing"
+	"time"
 
 	qt "github.com/frankban/quicktest"
 
@@ -231,32 +232,46 @@
 	qt.Assert(t, len(ownerA.target.requests())+len(ownerB.target.requests()), qt.Equals, 1)
 }
 
+// The call outlasts readinessDrainTime, for which a stopping node serves in any case. Both
+// the node that a caller is connected to and the owner wait for it.
 func TestStopWaitsForCallsInProgress(t *testing.T) {
-	entry, ownerA, _ := startEntryAndOwners(t)
-	started, release := make(chan struct{}), make(chan struct{})
-	ownerA.target.onRequest(func(w http.ResponseWriter, _ *http.Request) {
-		close(started)
-		<-release
-		_, _ = w.Write([]byte("whole"))
-	})
-	result := make(chan answer, 1)
-	go func() {
-		a, err := entry.tryCall(t.Context(), http.MethodPost, "back", "/unsafe/x")
-		if err == nil {
-			result <- a
+	for _, stopsEntry := range []bool{true, false} {
+		entry, ownerA, _ := startEntryAndOwners(t)
+		started, release := make(chan struct{}), make(chan struct{})
+		ownerA.target.onRequest(func(w http.ResponseWriter, _ *http.Request) {
+			close(started)
+			<-release
+			_, _ = w.Write([]byte("whole"))
+		})
+		result := make(chan answer, 1)
+		go func() {
+			a, err := entry.tryCall(t.Context(), http.MethodPost, "back", "/unsafe/x")
+			if err == nil {
+				result <- a
+			}
+			close(result)
+		}()
+		<-started
+		stopping := ownerA
+		if stopsEntry {
+			stopping = entry
 		}
-		close(result)
-	}()
-	<-started
-	stopped := make(chan struct{})
-	go func() {
-		entry.Stop(t.Context())
-		close(stopped)
-	}()
-	eventually(t, "the node is no longer ready", func() bool { return entry.NotReadyReason() != "" })
-	close(release)
-	qt.Assert(t, (<-result).body, qt.Equals, "whole")
-	<-stopped
+		stopped := make(chan struct{})
+		go func() {
+			stopping.Stop(t.Context())
+			close(stopped)
+		}()
+		eventually(t, "the node is no longer ready", func() bool { return stopping.NotReadyReason() != "" })
+		time.Sleep(readinessDrainTime + 500*time.Millisecond)
+		select {
+		case <-stopped:
+			t.Error("the node stopped while a call was in progress")
+		default:
+		}
+		close(release)
+		qt.Assert(t, (<-result).body, qt.Equals, "whole")
+		<-stopped
+	}
 }
 
 func TestReloadChangesTheOriginService(t *testing.T) {
