--- a/node/upstream/buffer.go
+++ b/node/upstream/buffer.go
@@ -2,19 +2,23 @@
 
 import (
 	"io"
+	"slices"
 	"sync/atomic"
 )
 
 const (
-	// MaxSmallBody is the length in bytes up to which a response body is always
-	// read whole and returned as Response.Body.
+	// MaxSmallBody is the length in bytes up to which a response body that is read
+	// whole is returned as Response.Body.
 	MaxSmallBody = 128 << 10
+	// maxUnreservedBody is the length in bytes up to which a response body is read
+	// without taking memory from the Buffers.
+	maxUnreservedBody = 16 << 10
 	// maxBufferedBody is the length in bytes up to which a body is read whole if
 	// the memory for buffers allows it. Longer bodies are streamed.
 	maxBufferedBody = 1 << 20
 )
 
-// Buffers is the memory for response bodies longer than MaxSmallBody. A body that
+// Buffers is the memory for response bodies longer than maxUnreservedBody. A body that
 // is read whole frees the target at once, and a broken one is noticed while the
 // request can still be sent elsewhere; once the memory is used up, further bodies
 // are streamed at the pace of their readers. It may be shared by several pools.
@@ -38,11 +42,11 @@
 
 func (b *Buffers) release(n int64) { b.free.Add(n) }
 
-// readSmall reads a body of up to MaxSmallBody bytes. If the body is longer, whole
+// readSmall reads a body of up to maxUnreservedBody bytes. If the body is longer, whole
 // is false and head holds what was read of it. length is the stated length, or -1.
 func readSmall(body io.Reader, length int64) (head []byte, whole bool, err error) {
 	switch {
-	case length > MaxSmallBody:
+	case length > maxUnreservedBody:
 		return nil, false, nil
 	case length >= 0:
 		head = make([]byte, length)
@@ -52,8 +56,8 @@
 		}
 		return head, true, err
 	}
-	head, err = io.ReadAll(io.LimitReader(body, MaxSmallBody+1))
-	return head, len(head) <= MaxSmallBody, err
+	head, err = io.ReadAll(io.LimitReader(body, maxUnreservedBody+1))
+	return head, len(head) <= maxUnreservedBody, err
 }
 
 // readLarge reads on after head while the memory lasts and the body stays within
@@ -139,6 +143,22 @@
 	c.reserved = c.reserved[1:]
 }
 
+// size returns the number of unread bytes.
+func (c *chunks) size() int {
+	n := 0
+	for _, part := range c.parts {
+		n += len(part)
+	}
+	return n
+}
+
+// join returns the unread bytes in one slice, and frees all parts.
+func (c *chunks) join() []byte {
+	whole := slices.Concat(c.parts...)
+	c.close()
+	return whole
+}
+
 // close frees all parts.
 func (c *chunks) close() {
 	for len(c.parts) > 0 {
--- a/node/upstream/conn.go
+++ b/node/upstream/conn.go
@@ -325,9 +325,12 @@
 	if !whole {
 		return c.deliverStream(x, response, out, read)
 	}
-	if read == nil {
+	switch {
+	case read == nil:
 		out.Body = head
-	} else {
+	case read.size() <= MaxSmallBody:
+		out.Body = read.join()
+	default:
 		out.Stream, out.Complete = &bufferedBody{read}, true
 	}
 	reusable := c.markIdle(x, response)
