--- a/node/sidecar/fleet_test.go
+++ b/node/sidecar/fleet_test.go
@@ -234,3 +234,46 @@
 	store.put(nodePrefix+"x", nil, true) // ends the watches of both watchers
 	eventually(t, "the entry is rewritten", func() bool { return store.has(follows.fleet.entryKey()) })
 }
+
+// The entry of a node that has left is back in the store, as after a return from an older
+// copy. No call is lost to it: what it might run is sent only when it admits the call.
+func TestEntryOfADepartedNodeThatComesBackLosesNoCall(t *testing.T) {
+	store := newMemoryStore()
+	store.configure(t, 1, "front", "back")
+	entry := startNode(t, store, "a", "front", newTestTarget(t, "t0"))
+	departed := startNode(t, store, "a", "back", newTestTarget(t, "t1"))
+	stays := startNode(t, store, "b", "back", newTestTarget(t, "t2"))
+	departed.waitForOwnTarget()
+	stays.waitForOwnTarget()
+	entry.waitForTargets("back", 2)
+	var key string
+	var value []byte
+	eventually(t, "its entry is in the store", func() bool {
+		key, value = store.entryOf(string(departed.self))
+		return strings.Contains(string(value), "back")
+	})
+	departed.Withdraw("t1", 0)
+	departed.Kill()
+	closeTarget(departed.target.server)
+	store.put(key, nil, true)
+	eventually(t, "the node is gone", func() bool { return entry.fleet.targetCount("back") == 1 })
+	store.put(key, value, false)
+	eventually(t, "its entry is back", func() bool { return entry.fleet.targetCount("back") == 2 })
+	for range 20 {
+		qt.Assert(t, entry.call(http.MethodPost, "back", "/unsafe/x").body, qt.Equals, "from t2")
+		qt.Assert(t, entry.call(http.MethodGet, "back", "/safe/x").body, qt.Equals, "from t2")
+	}
+	qt.Assert(t, departed.target.requests(), qt.HasLen, 0)
+}
+
+// entryOf returns the key and the value of the entry whose key contains the text.
+func (s *memoryStore) entryOf(text string) (key string, value []byte) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for key, item := range s.keys {
+		if strings.Contains(key, text) {
+			return key, item.Value
+		}
+	}
+	return "", nil
+}
