Open a target whose health answers have no ID, or do not come

Cause: found by reading again: a process that was announced got no call before a health answer with its ID. A target that is well but answers health requests without an ID, or not at all, would have got none after a restart of its node; an answer of a former process could have opened the gate of its successor.

Change: a health answer without an ID counts for the process whose connection it came on; after two unanswered health requests the process is tried with one call at a time; only answers of the present process open the gate.

--- a/node/execute/execute.go
+++ b/node/execute/execute.go
@@ -55,6 +55,8 @@
 	HeaderTargetLeaving = "Zinniafall-Target-Leaving"
 )
 
+// statementsUnreadable is shared with package sidecar, which is part of the same
+// program.
 var statementsUnreadable = metrics.GetOrCreateCounter(`zinniafall_target_statements_unreadable_total`)
 
 // Reply is an answer that is being returned to the caller.
--- a/node/front/front.go
+++ b/node/front/front.go
@@ -94,7 +94,7 @@
 	Reject func(status int, detail string) *Response
 	// Limits returns the current limits.
 	Limits func() Limits
-	// Panicked is told of a panic of Handle. The connection is closed without a
+	// Panicked is told of a panic of Handle; it must not be nil. The connection is closed without a
 	// response, since the request may have run; the others go on.
 	Panicked func(value any, stack []byte)
 	// MaxConnections limits the open connections.
--- a/node/sidecar/execute.go
+++ b/node/sidecar/execute.go
@@ -196,7 +196,7 @@
 	switch {
 	case service != a.job.request.Service:
 		return problem.New(problem.NoTarget, model.RunNo, "the target was replaced by one of another service")
-	case a.node.owner.gateClosed(dispatch.GateDraining | dispatch.GateDomainOut | dispatch.GateAbsent | dispatch.GateDown):
+	case a.node.owner.gateClosed(dispatch.GateDraining | dispatch.GateDomainOut | dispatch.GateAbsent | dispatch.GateDown | dispatch.GateUnheard):
 		return problem.New(problem.Draining, model.RunNo, "the target stopped taking calls")
 	case !time.Now().Before(a.deadline):
 		return problem.New(problem.DeadlineExceeded, model.RunNo, "the deadline passed before the call started")
@@ -232,9 +232,13 @@
 		sentAt = time.Time{}
 	}
 	a.node.target.recordStatement(response.Header, sentAt)
-	if response.Status != http.StatusMisdirectedRequest && a.node.target.statesLeaving(response.Header) {
+	if response.Status == http.StatusMisdirectedRequest {
+		return
+	}
+	if a.node.target.statesLeaving(response.Header) {
 		a.node.target.recordLeaving(a.targetID)
 	}
+	a.node.target.openHeard(true)
 }
 
 // classify converts the target's result to a reply. The second result reports
--- a/node/sidecar/probe.go
+++ b/node/sidecar/probe.go
@@ -65,6 +65,7 @@
 	return t.node.owner.healthInterval(t.unlimitedProbeInterval())
 }
 
+// unlimitedProbeInterval is probeInterval for a target that states no limit.
 func (t *target) unlimitedProbeInterval() time.Duration {
 	switch {
 	case t.node.owner.gateClosed(dispatch.GateAbsent | dispatch.GateDown):
@@ -136,7 +137,7 @@
 		Method: http.MethodGet, URI: t.healthPath(), Host: addr, Header: http.Header{}, Retryable: true,
 	})
 	if result.Response == nil {
-		t.recordNoAnswer(result)
+		t.recordNoAnswer(result, pool)
 		return
 	}
 	if result.Response.Stream != nil {
@@ -146,15 +147,19 @@
 }
 
 // recordNoAnswer records an unanswered health request.
-func (t *target) recordNoAnswer(result upstream.Result) {
+func (t *target) recordNoAnswer(result upstream.Result, pool *upstream.Pool) {
 	t.reportOversized("health", result.Err)
 	t.mu.Lock()
 	t.unanswered++
+	tried := t.unanswered >= unansweredBeforeTrial && t.id != "" && pool == t.health
 	down := result.Refused || t.unanswered >= maxUnanswered && time.Since(t.answeredAt) > maxUnanswered*probeTimeout
 	id := t.id
 	t.mu.Unlock()
-	if down {
+	switch {
+	case down:
 		t.markDown(id, result.Err)
+	case tried:
+		t.openHeard(false)
 	}
 }
 
@@ -182,11 +187,26 @@
 	}
 }
 
-// recordHealth applies the answer to a health request. An answer without a target
-// ID is ignored. A new target is adopted only if it is ready and states slots.
+// recordAnonymousHealth applies what a health answer without a target ID states: it is
+// that of the process that the pool is connected to.
+func (t *target) recordAnonymousHealth(r *upstream.Response, sentAt time.Time, pool *upstream.Pool) {
+	id, _, _ := t.identity()
+	if id == "" || !t.isCurrent(pool) {
+		return
+	}
+	t.recordStatement(r.Header, sentAt)
+	if t.statesLeaving(r.Header) {
+		t.recordLeaving(id)
+	}
+	t.openHeard(true)
+}
+
+// recordHealth applies the answer to a health request. Of an answer without a target
+// ID only the statements count. A new target is adopted only if it is ready and states slots.
 func (t *target) recordHealth(r *upstream.Response, sentAt time.Time, pool *upstream.Pool) {
 	id := r.Header.Get(t.node.dialect.TargetID)
 	if id == "" {
+		t.recordAnonymousHealth(r, sentAt, pool)
 		return
 	}
 	load, hasLoad := parseLoad(r.Header.Get(t.node.dialect.Load))
@@ -218,7 +238,7 @@
 		if leaving {
 			t.recordLeaving(id)
 		}
-		t.openHeard()
+		t.openHeard(true)
 	}
 	t.recordAnswer()
 	t.node.owner.apply(func(d *dispatch.Owner, now time.Time) []dispatch.Decision {
--- a/node/sidecar/statement.go
+++ b/node/sidecar/statement.go
@@ -13,12 +13,17 @@
 	"zinniafall/policy/statedlimit"
 )
 
-// statementsUnreadable is shared by the product's and the sidecar's node, which are parts of one program.
+// statementsUnreadable is shared with package execute, which is part of the same
+// program.
 var statementsUnreadable = metrics.GetOrCreateCounter(`zinniafall_target_statements_unreadable_total`)
 
 // leavingValue is the value with which a target states that it leaves.
 const leavingValue = "1"
 
+// unansweredBeforeTrial is the number of health requests that a process leaves
+// unanswered before it is tried with a call.
+const unansweredBeforeTrial = 2
+
 // maxLoggedValue is the length in bytes up to which a header value is logged.
 const maxLoggedValue = 64
 
@@ -71,10 +76,18 @@
 	}
 }
 
-// openHeard opens the gate of a process that has answered.
-func (t *target) openHeard() {
-	if t.node.owner.gateClosed(dispatch.GateUnheard) {
-		t.node.owner.setGate(dispatch.GateUnheard, false)
+// openHeard opens the gate of a process that has answered. A process that does not
+// answer health requests may answer calls: it is tried with one call at a time.
+func (t *target) openHeard(answered bool) {
+	wasClosed := false
+	t.node.owner.apply(func(d *dispatch.Owner, now time.Time) []dispatch.Decision {
+		wasClosed = d.Closed(dispatch.GateUnheard)
+		if !wasClosed && !(answered && d.Unproven()) {
+			return nil
+		}
+		return append(d.SetUnproven(now, !answered), d.SetGate(now, dispatch.GateUnheard, false)...)
+	})
+	if wasClosed {
 		t.publishState()
 	}
 }
--- a/node/sidecar/target.go
+++ b/node/sidecar/target.go
@@ -74,10 +74,10 @@
 	t.pool = upstream.NewPool(t.addr, fields, t.maxConnections(t.service), t.buffers)
 	// watchHealth and refreshPace send one health request at a time each.
 	t.health = upstream.NewPool(t.addr, fields, 2, t.buffers)
-	t.unreadableLogged = false
+	t.unreadableLogged, t.unanswered = false, 0
 	t.node.owner.apply(func(d *dispatch.Owner, now time.Time) []dispatch.Decision {
 		d.ForgetStatements()
-		return d.SetGate(now, dispatch.GateUnheard, true)
+		return append(d.SetUnproven(now, false), d.SetGate(now, dispatch.GateUnheard, true)...)
 	})
 	t.probeNow()
 }
--- a/policy/dispatch/dispatch.go
+++ b/policy/dispatch/dispatch.go
@@ -178,6 +178,7 @@
 	lateStartShare float64
 	loadReadAt     time.Time
 	limiter        statedlimit.Limiter
+	unproven       bool
 }
 
 // New returns an owner without a target.
@@ -204,8 +205,21 @@
 	return o.processQueue(now)
 }
 
+// SetUnproven sets whether the target may get calls although its present process has
+// answered nothing yet. It then gets one at a time.
+func (o *Owner) SetUnproven(now time.Time, unproven bool) []Decision {
+	o.unproven = unproven
+	return o.processQueue(now)
+}
+
+// Unproven reports what SetUnproven has set.
+func (o *Owner) Unproven() bool { return o.unproven }
+
 // limit returns the number of calls that may be in flight.
 func (o *Owner) limit(now time.Time) int {
+	if o.unproven {
+		return 1
+	}
 	limit := max(1, (o.slots*usableSlotsPercent+percent/4)/percent)
 	if now.Sub(o.loadReadAt) < maxLoadAge {
 		limit -= o.otherSendersCalls
--- a/policy/dispatch/limit_test.go
+++ b/policy/dispatch/limit_test.go
@@ -214,3 +214,17 @@
 		qt.Check(t, limitedOwner(limit).HealthInterval(20*time.Millisecond), qt.Equals, want, qt.Commentf("%g", limit))
 	}
 }
+
+func TestUnprovenTargetGetsOneCallAtATime(t *testing.T) {
+	o := warmOwner(12)
+	o.SetUnproven(start, true)
+	offer := func(ticket Ticket) bool {
+		ok, _ := o.Offer(start, Call{Ticket: ticket, Elsewhere: true, Deadline: start.Add(time.Second), Objective: start.Add(time.Second)})
+		return ok
+	}
+	qt.Assert(t, offer(1), qt.IsTrue)
+	qt.Assert(t, offer(2), qt.IsFalse)
+	qt.Assert(t, o.Report(start).Limit, qt.Equals, uint16(1))
+	o.SetUnproven(start, false)
+	qt.Assert(t, offer(3), qt.IsTrue)
+}
--- a/policy/dispatch/pace.go
+++ b/policy/dispatch/pace.go
@@ -84,8 +84,8 @@
 	return !q.Elsewhere && now.Sub(q.offered) >= maxSlowWait && now.Add(q.expectedAtPace(pace)).Before(q.Deadline)
 }
 
-// WaitingForPace reports whether a queued call waits only for the pace to improve, and
-// whether it is worth to read the pace: a limited target states it in its answers.
+// WaitingForPace reports whether a queued call waits only for the pace to improve, so that
+// it is worth a health request. To a limited target it never is.
 func (o *Owner) WaitingForPace(now time.Time) bool {
 	return len(o.queue) > 0 && !o.limiter.Limited() && o.Pace(now) >= slowPace && len(o.running) < o.limit(now)
 }
