--- a/policy/tokens/tokens.go
+++ b/policy/tokens/tokens.go
@@ -1,5 +1,6 @@
 // Package tokens provides a token bucket whose rate may change between its uses and
-// whose caller passes the time.
+// whose caller passes the time. Unlike that of golang.org/x/time/rate, it tells when the
+// n-th token will be there without reserving it, as the prediction of a queue needs.
 package tokens
 
 import "time"
