Close a successor under the same ID that says that it leaves

Cause: a process was replaced by one under the same ID, whose first announcement contradicted its health answer, so that it counted as leaving for a second. In that second its health answer said that it leaves, too, which was taken for known: the withdrawal of its predecessor was on record under the ID. The next announcement then opened it.

Change: what the present process has said is kept for itself, and forgotten with it.

--- a/node/sidecar/announce.go
+++ b/node/sidecar/announce.go
@@ -117,6 +117,15 @@
 	return false
 }
 
+// keepWithdrawal keeps the withdrawal of the processes of a target that started up to a
+// time, in Unix milliseconds. The caller must hold t.mu.
+func (t *target) keepWithdrawal(id string, latestStartMs int64) {
+	if len(t.withdrawals) >= maxWithdrawals {
+		clear(t.withdrawals)
+	}
+	t.withdrawals[id] = withdrawal{startedMs: latestStartMs}
+}
+
 // withdrawn reports whether the process of a target that started at a time, in Unix
 // milliseconds, has said that it leaves. The caller must hold t.mu.
 func (t *target) withdrawn(id string, startedMs int64) bool {
@@ -180,10 +189,7 @@
 	if latestStartMs == 0 {
 		latestStartMs = time.Now().UnixMilli()
 	}
-	if len(t.withdrawals) >= maxWithdrawals {
-		clear(t.withdrawals)
-	}
-	t.withdrawals[id] = withdrawal{startedMs: latestStartMs}
+	t.keepWithdrawal(id, latestStartMs)
 	t.mu.Unlock()
 	t.node.log.Info("target withdrew", "part", "target", "target", id, "born", startedMs, "current", isCurrent)
 	if isCurrent {
--- a/node/sidecar/statement.go
+++ b/node/sidecar/statement.go
@@ -66,9 +66,14 @@
 // announcements of the same process do not open it again.
 func (t *target) recordLeaving(id string) {
 	t.mu.Lock()
-	_, known := t.withdrawals[id]
+	known := t.saidLeaving
 	if id == t.id {
-		known = t.leaving && known
+		t.saidLeaving = true
+	} else {
+		// A process that was not announced yet: the one that answers now and any
+		// that started before.
+		_, known = t.withdrawals[id]
+		t.keepWithdrawal(id, time.Now().UnixMilli())
 	}
 	t.mu.Unlock()
 	if !known {
--- a/node/sidecar/statement_test.go
+++ b/node/sidecar/statement_test.go
@@ -4,6 +4,7 @@
 	"net/http"
 	"strings"
 	"testing"
+	"time"
 
 	qt "github.com/frankban/quicktest"
 
@@ -170,6 +171,28 @@
 	eventually(t, "the target is closed", func() bool { return owner.owner.gateClosed(dispatch.GateDraining) })
 }
 
+// The withdrawal of a former process under the same ID does not hide that its successor,
+// whose first announcement contradicts its health answer, says that it leaves. Guards
+// against soak seed 30200.
+func TestSuccessorUnderTheSameIDThatLeavesIsNotOpened(t *testing.T) {
+	_, ownerA, _ := startEntryAndOwners(t)
+	qt.Assert(t, ownerA.Announce(ownerA.announcement(100, 1)), qt.IsNil)
+	ownerA.Withdraw(ownerA.target.id, 100)
+	ownerA.target.sayLeaving(true)
+	eventually(t, "the health answer is known", func() bool {
+		ownerA.Node.target.mu.Lock()
+		defer ownerA.Node.target.mu.Unlock()
+		return ownerA.Node.target.lastUnhealthy.id != ""
+	})
+	qt.Assert(t, ownerA.Announce(ownerA.announcement(200, 1)), qt.IsNil)
+	eventually(t, "the successor has answered", func() bool { return !ownerA.owner.gateClosed(dispatch.GateUnheard) })
+	ownerA.Node.target.mu.Lock()
+	ownerA.Node.target.suspectSince = time.Now().Add(-2 * suspectPeriod)
+	ownerA.Node.target.mu.Unlock()
+	qt.Assert(t, ownerA.Announce(ownerA.announcement(200, 2)), qt.IsNil)
+	qt.Assert(t, ownerA.owner.gateClosed(dispatch.GateDraining), qt.IsTrue)
+}
+
 // A withdrawal without a start time, of a target known by its health answers only,
 // also holds for its first announcement.
 func TestWithdrawalOfATargetFoundByItsHealthHolds(t *testing.T) {
--- a/node/sidecar/target.go
+++ b/node/sidecar/target.go
@@ -32,6 +32,9 @@
 	// only. Its process then started later than startedMs.
 	foundByHealth bool
 	leaving       bool // the target announced that it leaves
+	// saidLeaving is true once an answer of the present process stated that it
+	// leaves.
+	saidLeaving bool
 	// withdrawals holds the last withdrawal of each target ID, also of targets
 	// that were not known: an announcement sent before a withdrawal may arrive
 	// after it.
@@ -74,7 +77,7 @@
 	t.pool = upstream.NewPool(t.addr, fields, t.maxConnections(t.service), t.buffers)
 	// watchHealth and refreshPace send one health request at a time each.
 	t.health = upstream.NewPool(t.addr, fields, 2, t.buffers)
-	t.unreadableLogged, t.unanswered = false, 0
+	t.unreadableLogged, t.saidLeaving, t.unanswered = false, false, 0
 	t.node.owner.apply(func(d *dispatch.Owner, now time.Time) []dispatch.Decision {
 		d.ForgetStatements()
 		return append(d.SetUnproven(now, false), d.SetGate(now, dispatch.GateUnheard, true)...)
