--- a/policy/dispatch/dispatch.go
+++ b/policy/dispatch/dispatch.go
@@ -7,7 +7,8 @@
 // of the slots beyond which targets slow down. A cold target gets calls at its
 // stated rate plus a part of its stated overshoot. A token bucket with a small
 // burst limits these calls, so that no second holds more than the rate and the
-// burst together.
+// burst together. A target that states a limit gets them at that rate, one by one;
+// package statedlimit decides when.
 //
 // Calls that find no slot are queued by priority. Among equal priorities, calls
 // that can still meet their objective go first. After a burst, a queue in order
