State the release of a node, and why an update is not usable

Change: the line 'node started' and the metric zinniafall_build_info state the commit; the error of an update states what it leads to: another content, or how many bytes and the limit. What is accepted is unchanged.

--- a/cmd/zinniafalld/main.go
+++ b/cmd/zinniafalld/main.go
@@ -8,6 +8,7 @@
 	"os"
 	"os/signal"
 	"path/filepath"
+	"runtime/debug"
 	"strconv"
 	"syscall"
 
@@ -19,6 +20,25 @@
 	"zinniafall/platform"
 )
 
+// revision is the commit that was built, which the linker sets where the Go tool does not
+// record it.
+var revision string
+
+// release identifies the build.
+func release() string {
+	if revision != "" {
+		return revision
+	}
+	if info, ok := debug.ReadBuildInfo(); ok {
+		for _, setting := range info.Settings {
+			if setting.Key == "vcs.revision" {
+				return setting.Value
+			}
+		}
+	}
+	return "unknown"
+}
+
 // Exit codes.
 const (
 	exitFailed   = 1
--- a/cmd/zinniafalld/sidecar.go
+++ b/cmd/zinniafalld/sidecar.go
@@ -74,7 +74,7 @@
 	if code != 0 {
 		return code
 	}
-	node, err := platform.Start(settings, advertised)
+	node, err := platform.Start(settings, advertised, release())
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return exitFailed
--- a/node/sidecar/node.go
+++ b/node/sidecar/node.go
@@ -75,6 +75,8 @@
 	Dialect        Dialect
 	Store          Store
 	OperatorKeys   OperatorKeys
+	// Release identifies the build in the log and the metrics.
+	Release string
 	// ControlHandlers returns the handlers of the target's announcements and of
 	// the platform's readiness checks, in the platform's formats.
 	ControlHandlers func(*Node) (announcements, readiness http.Handler)
@@ -161,13 +163,13 @@
 		Handle: n.serveCaller, Reject: n.rejectMalformed, Limits: n.callerLimits, Panicked: n.logPanic,
 		MaxConnections: max(s.MaxDescriptors-reservedDescriptors, minCallerConnections),
 	})
-	n.registerGauges()
+	n.registerGauges(opts.Release)
 	if err := n.listen(opts); err != nil {
 		n.Kill()
 		return nil, err
 	}
 	n.startBackground()
-	n.log.Info("node started", "part", "node", "process", n.process.String(), "peers", n.self, "domain", s.Domain, "service", s.Service)
+	n.log.Info("node started", "part", "node", "release", opts.Release, "process", n.process.String(), "peers", n.self, "domain", s.Domain, "service", s.Service)
 	return n, nil
 }
 
--- a/node/sidecar/report.go
+++ b/node/sidecar/report.go
@@ -128,7 +128,8 @@
 }
 
 // registerGauges registers the gauges that are read when metrics are fetched.
-func (n *Node) registerGauges() {
+func (n *Node) registerGauges(release string) {
+	n.metrics.NewGauge(fmt.Sprintf(`zinniafall_build_info{release=%q}`, release), func() float64 { return 1 })
 	n.healthRequests = n.metrics.NewCounter(`zinniafall_target_health_requests_total`)
 	n.metrics.NewGauge(`zinniafall_target_stated_limit`, func() float64 { return n.owner.statedLimit() })
 	n.metrics.NewGauge(`zinniafall_configuration_revision`, func() float64 { return float64(n.configuration.revision()) })
--- a/policy/distribution/archive.go
+++ b/policy/distribution/archive.go
@@ -105,8 +105,11 @@
 		if err != nil {
 			return nil, 0, errors.Join(ErrUpdateInvalid, err)
 		}
-		if len(next) > MaxDocumentBytes || SumOf(next) != update.Sum {
-			return nil, 0, fmt.Errorf("%w: its content is damaged", ErrUpdateInvalid)
+		if SumOf(next) != update.Sum {
+			return nil, 0, fmt.Errorf("%w: it leads to %d bytes with another content", ErrUpdateInvalid, len(next))
+		}
+		if len(next) > MaxDocumentBytes {
+			return nil, 0, fmt.Errorf("%w: it leads to %d bytes, the limit is %d", ErrUpdateInvalid, len(next), MaxDocumentBytes)
 		}
 		document, revision = next, update.Revision
 	}
