--- a/policy/distribution/archive_test.go
+++ b/policy/distribution/archive_test.go
@@ -145,3 +145,20 @@
 	_, _, err := Apply(nil, updates)
 	qt.Assert(t, err, qt.ErrorIs, ErrUpdateInvalid, qt.Commentf("%d documents of 1 MB from %d bytes", len(updates), size(updates)))
 }
+
+// TestUpdateToALargeDocumentIsUsable guards against limits that hold for updates but not for
+// what the store holds.
+func TestUpdateToALargeDocumentIsUsable(t *testing.T) {
+	small, large, next := document(3142, 90), document(4672, 90), document(4672, 80)
+	var sender Archive
+	for i, doc := range [][]byte{small, large, next} {
+		qt.Assert(t, sender.Put(model.Revision(i+1), doc, nil), qt.IsNil)
+	}
+	for name, base := range map[string][]byte{"none": nil, "small": small, "large": large} {
+		updates, err := sender.UpdatesFrom(SumOf(base))
+		qt.Assert(t, err, qt.IsNil)
+		got, revision, err := Apply(base, updates)
+		qt.Check(t, err, qt.IsNil, qt.Commentf("from %s", name))
+		qt.Check(t, revision == 3 && bytes.Equal(got, next), qt.IsTrue, qt.Commentf("from %s", name))
+	}
+}
--- a/policy/distribution/fleet_test.go
+++ b/policy/distribution/fleet_test.go
@@ -74,6 +74,8 @@
 	transfers map[*transfer]bool
 	// bytes counts what nodes sent to each other.
 	bytes float64
+	// unusable caches the errors of Apply by base and target.
+	unusable map[[2]Sum]error
 }
 
 type simNode struct {
@@ -121,7 +123,7 @@
 // newFleet returns a fleet with the given number of nodes in each failure domain. The
 // first two nodes of each have a wide link if wide is set.
 func newFleet(seed uint64, wide bool, domains ...int) *fleet {
-	f := &fleet{rng: rand.New(rand.NewPCG(seed, 0)), byAddr: make(map[model.NodeAddr]*simNode), transfers: make(map[*transfer]bool)}
+	f := &fleet{rng: rand.New(rand.NewPCG(seed, 0)), byAddr: make(map[model.NodeAddr]*simNode), transfers: make(map[*transfer]bool), unusable: make(map[[2]Sum]error)}
 	var records []roster.Record
 	for d, size := range domains {
 		for i := range size {
@@ -303,6 +305,7 @@
 		n.puller.Finished(f.clock(), from.addr, outcome, alternatives, n.change.revision)
 		n.pull()
 	}
+	base := n.archive.Document()
 	updates, err := from.archive.UpdatesFrom(n.archive.Sum())
 	if err != nil {
 		panic(err)
@@ -314,6 +317,10 @@
 	}
 	t := f.start(&transfer{from: from, to: n, remaining: float64(bytes), done: func() {
 		from.sender.Finished(bytes, sent.revision, n.addr, true)
+		if f.check(base, updates) != nil {
+			finish(Failed, nil)
+			return
+		}
 		n.apply(sent, updates, func() { finish(Received, nil) })
 	}})
 	f.after(MaxTransferTime, func() {
@@ -324,6 +331,20 @@
 	})
 }
 
+// check returns the error with which a node that has base rejects updates.
+func (f *fleet) check(base []byte, updates []Update) error {
+	if len(updates) == 0 {
+		return nil
+	}
+	key := [2]Sum{SumOf(base), updates[len(updates)-1].Sum}
+	err, known := f.unusable[key]
+	if !known {
+		_, _, err = Apply(base, updates)
+		f.unusable[key] = err
+	}
+	return err
+}
+
 // slowest returns how long after its change each revision was in force at the last
 // node, or the time that has passed if it is not in force everywhere.
 func (f *fleet) slowest(c change) (last time.Duration, missing int) {
@@ -380,6 +401,26 @@
 	}
 }
 
+// TestConfigurationOverOneMebibyteIsInForceInTime guards against a size that only the nodes
+// that read the store accept: the others kept an older configuration for good.
+func TestConfigurationOverOneMebibyteIsInForceInTime(t *testing.T) {
+	f := newFleet(7, true, 28, 27, 24)
+	changes := []change{
+		{at: 0, revision: 1, document: document(3142, 90)},
+		{at: 5 * time.Second, revision: 2, document: document(4672, 90)},
+		{at: 10 * time.Second, revision: 3, document: document(4672, 80)},
+	}
+	for _, c := range changes {
+		f.after(c.at, func() { f.write(c) })
+	}
+	f.run(15 * time.Second)
+	for _, c := range changes {
+		last, missing := f.slowest(c)
+		t.Logf("revision %d, %d bytes: in force after %.2f s, missing at %d nodes", c.revision, len(c.document), last.Seconds(), missing)
+		qt.Check(t, missing == 0 && last <= applyBound, qt.IsTrue)
+	}
+}
+
 // TestSlowHolderDoesNotDelayAConfiguration requires that the nodes that fetch from one whose
 // link has become slow get the configuration in time from the others, which have it, too.
 func TestSlowHolderDoesNotDelayAConfiguration(t *testing.T) {
