List the keys again if a watch of the store has too large an answer

Cause: the answer of a watch holds each configuration that was written since the position. Above 4 MiB it was cut off and not readable, and the watch was repeated from the same position: three configurations of 1.1 MB while a watcher is cut off from the store would have kept it behind until the store forgot its history. Change: such an answer counts as lost history, so that the keys are listed, of which there is one configuration.

--- a/node/sidecar/store.go
+++ b/node/sidecar/store.go
@@ -34,7 +34,8 @@
 
 var (
 	// ErrHistoryLost reports that the store no longer has the changes since a
-	// position, or has begun a new era; the keys must be listed again.
+	// position, that they are too many for one answer, or that it has begun a new era;
+	// the keys must be listed again.
 	ErrHistoryLost = errors.New("the store no longer has this history; list the keys again")
 	// ErrEarlierEra reports an answer from before the store returned from a copy.
 	ErrEarlierEra = errors.New("the answer is older than the store's return from a copy; ask again")
