Read the store if other nodes send nothing usable

Cause: a transfer that leads to nothing counted as one that broke off, so that the next node was asked, for good; there was no other way. Change: policy/distribution decides on a read of the store: after two unusable transfers in a row (the update, the whole configuration), or a second after the first report if no transfer is under way, spread by the size of the failure domain and with growing pauses. Other nodes are not asked meanwhile. What the store itself shows and is not valid here is not fetched again, and the same document is not decoded twice. The limit on documents holds for the store as well.

--- a/node/sidecar/call.go
+++ b/node/sidecar/call.go
@@ -386,7 +386,7 @@
 func (c *call) reroute(ctx context.Context, node model.NodeAddr, rep reply, r *front.Request) *problem.Error {
 	if report := rep.answer.Report; report != nil && report.Revision > c.request.Revision {
 		c.node.configuration.recordReported(report.Revision, node)
-		if !c.node.configuration.waitForRevision(ctx, report.Revision) {
+		if !c.node.configuration.awaitRevision(ctx, report.Revision, distribution.MaxCallWait) {
 			c.failed = append(c.failed, node)
 			return nil
 		}
--- a/node/sidecar/configuration.go
+++ b/node/sidecar/configuration.go
@@ -54,6 +54,14 @@
 	// unreadable is set while the store shows a configuration that cannot be decoded.
 	unreadable bool
 	puller     *distribution.Puller
+	// storeReads is held during reads of the store besides those of the follower of the
+	// operators' keys, so that they do not transfer the configuration twice at a time.
+	storeReads sync.Mutex
+	// rejected is the last document that was not valid. The same one is not decoded again.
+	rejected struct {
+		sum distribution.Sum
+		err error
+	}
 	// needsWhole is set if the last updates were not usable.
 	needsWhole atomic.Bool
 	// reports signals pull that another node reported a newer configuration.
@@ -119,9 +127,9 @@
 // applyIfNewer decodes a document of another node and puts it in force if it is valid and
 // newer. updates are those by which the node sent it, if any, and revision is the one that
 // the document has there, or 0 if that is its version. It wakes the callers of
-// waitForRevision.
-func (c *configuration) applyIfNewer(document []byte, updates []distribution.Update, revision model.Revision, source string) {
-	c.apply(document, updates, source, func(version model.Revision) (model.Revision, bool) {
+// awaitRevision. It returns the reason if the document is not valid.
+func (c *configuration) applyIfNewer(document []byte, updates []distribution.Update, revision model.Revision, source string) error {
+	return c.apply(document, updates, source, func(version model.Revision) (model.Revision, bool) {
 		if storeera.Version(revision) != version {
 			revision = version
 		}
@@ -132,7 +140,7 @@
 // applyStored puts the configuration that the store showed in force if
 // storeera.Configuration decides so, and otherwise keeps it for applyPending.
 func (c *configuration) applyStored(asked time.Time, at Position, item Item) {
-	c.apply(item.Value, nil, sourceStore, func(version model.Revision) (model.Revision, bool) {
+	_ = c.apply(item.Value, nil, sourceStore, func(version model.Revision) (model.Revision, bool) {
 		revision, apply := c.order.Shown(asked, at, item.Revision, storeera.Content{Version: version, Sum: uint64(distribution.SumOf(item.Value))})
 		c.shown, c.unreadable = nil, false
 		if c.order.Pending() {
@@ -150,13 +158,14 @@
 	document := c.shown
 	c.mu.Unlock()
 	if apply && document != nil {
-		c.applyIfNewer(document, nil, revision, sourceStore)
+		_ = c.applyIfNewer(document, nil, revision, sourceStore)
 	}
 }
 
 // apply decodes a document and puts it in force if decide, which is called with its
-// version while c.mu is held, returns the revision that it has and true.
-func (c *configuration) apply(document []byte, updates []distribution.Update, source string, decide func(version model.Revision) (model.Revision, bool)) {
+// version while c.mu is held, returns the revision that it has and true. It returns the reason
+// if the document is not valid, which has been logged.
+func (c *configuration) apply(document []byte, updates []distribution.Update, source string, decide func(version model.Revision) (model.Revision, bool)) error {
 	c.applying.Lock()
 	defer c.applying.Unlock()
 	c.sending.Lock()
@@ -164,23 +173,20 @@
 	c.sending.Unlock()
 	began := time.Now()
 	var table *routing.Table
-	var err error
-	if same { // the store and other nodes may both send it
+	err := c.checkDocument(document)
+	switch {
+	case err != nil:
+	case same: // the store and other nodes may both send it
 		inForce := *c.current()
 		inForce.Revision = storeera.Version(inForce.Revision)
 		table = &inForce
-	} else {
+	default:
 		table, err = c.decode(document)
 	}
 	decodeTime := time.Since(began)
 	if err != nil {
-		c.node.log.Warn("configuration rejected", "part", "configuration", "source", source,
-			"error", err.Error(), "revision_in_force", c.revision())
-		configurationsRejected.Inc()
-		c.mu.Lock()
-		c.unreadable = c.unreadable || source == sourceStore
-		c.mu.Unlock()
-		return
+		c.reject(document, source, err)
+		return err
 	}
 	version := table.Revision
 	c.mu.Lock()
@@ -192,7 +198,7 @@
 			c.node.log.Info("older configuration ignored", "part", "configuration", "source", source,
 				"revision", version, "revision_in_force", inForce)
 		}
-		return
+		return nil
 	}
 	table.Revision = revision
 	c.sending.Lock()
@@ -226,6 +232,33 @@
 	c.node.log.Info("configuration applied", attrs...)
 	c.logProblems(table)
 	c.node.configurationChanged(table)
+	return nil
+}
+
+// checkDocument returns the reason why a document is not decoded, if there is one.
+func (c *configuration) checkDocument(document []byte) error {
+	if err := distribution.CheckSize(document); err != nil {
+		return err
+	}
+	if c.rejected.err != nil && c.rejected.sum == distribution.SumOf(document) {
+		return c.rejected.err
+	}
+	return nil
+}
+
+// reject logs and counts a document that is not valid, and remembers it.
+func (c *configuration) reject(document []byte, source string, err error) {
+	configurationsRejected.Inc()
+	c.mu.Lock()
+	c.unreadable = c.unreadable || source == sourceStore
+	c.mu.Unlock()
+	sum := distribution.SumOf(document)
+	if c.rejected.err != nil && c.rejected.sum == sum {
+		return
+	}
+	c.rejected.sum, c.rejected.err = sum, err
+	c.node.log.Warn("configuration rejected", "part", "configuration", "source", source, "bytes", len(document),
+		"error", err.Error(), "revision_in_force", c.revision())
 }
 
 // decode decodes a document. A panic is an error: the same document reaches all nodes,
@@ -387,12 +420,8 @@
 	return c.changed
 }
 
-// waitForRevision waits until the revision or a later one is in force. It
-// reports false when the wait times out.
-func (c *configuration) waitForRevision(ctx context.Context, revision model.Revision) bool {
-	return c.awaitRevision(ctx, revision, distribution.MaxCallWait)
-}
-
+// awaitRevision waits until the revision or a later one is in force. It reports false when
+// the wait times out.
 func (c *configuration) awaitRevision(ctx context.Context, revision model.Revision, timeout time.Duration) bool {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
--- a/node/sidecar/execute.go
+++ b/node/sidecar/execute.go
@@ -14,6 +14,7 @@
 	"zinniafall/node/peer"
 	"zinniafall/node/upstream"
 	"zinniafall/policy/dispatch"
+	"zinniafall/policy/distribution"
 	"zinniafall/policy/model"
 	"zinniafall/policy/problem"
 	"zinniafall/policy/proof"
@@ -167,7 +168,7 @@
 	ownRevision := n.configuration.revision()
 	if r.Revision > ownRevision {
 		n.configuration.recordReported(r.Revision, r.From)
-		if !n.configuration.waitForRevision(ctx, r.Revision) {
+		if !n.configuration.awaitRevision(ctx, r.Revision, distribution.MaxCallWait) {
 			return problem.New(problem.ConfigurationLag, model.RunNo, "the owner lacks the entry's configuration")
 		}
 	}
--- a/node/sidecar/fleet.go
+++ b/node/sidecar/fleet.go
@@ -295,6 +295,14 @@
 	return ok && domain == f.self.Domain
 }
 
+// domainSize returns the number of nodes in this node's failure domain, and whether this node
+// watches the store for them.
+func (f *fleet) domainSize() (nodes int, watches bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.watchers.DomainSize(), f.watchers.ShouldWatch(time.Now())
+}
+
 // recordAlive records direct contact with a node.
 func (f *fleet) recordAlive(node model.NodeAddr) {
 	f.mu.Lock()
--- a/node/sidecar/proof.go
+++ b/node/sidecar/proof.go
@@ -296,29 +296,43 @@
 func (p *proofs) askStore(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, storeProofTimeout)
 	defer cancel()
+	reads := &p.node.configuration.storeReads
+	if !reads.TryLock() {
+		return // what is being read is a proof too
+	}
+	defer reads.Unlock()
 	p.mu.Lock()
 	position := p.position
 	p.mu.Unlock()
-	prefix := p.node.operatorKeys.Prefix()
-	askedAt, asked := time.Now(), p.now()
-	if position != (Position{}) {
-		items, at, err := p.node.store.Watch(ctx, prefix, position, storeProofWait)
-		if err == nil {
-			p.node.configuration.applyWritten(askedAt, items, at)
-			p.storeAnswered(asked, at)
-			return
-		}
-		p.mu.Lock()
-		if errors.Is(err, ErrHistoryLost) && p.position == position {
-			p.position = Position{}
-		}
-		p.mu.Unlock()
+	if position == (Position{}) {
+		p.listStore(ctx)
 		return
 	}
-	if items, at, err := p.node.store.List(ctx, prefix); err == nil {
-		p.node.configuration.listed(askedAt, items, at)
+	askedAt, asked := time.Now(), p.now()
+	items, at, err := p.node.store.Watch(ctx, p.node.operatorKeys.Prefix(), position, storeProofWait)
+	if err == nil {
+		p.node.configuration.applyWritten(askedAt, items, at)
 		p.storeAnswered(asked, at)
+		return
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if errors.Is(err, ErrHistoryLost) && p.position == position {
+		p.position = Position{}
+	}
+}
+
+// listStore reads and applies the operators' configuration and evacuations. It returns
+// whether the store answered.
+func (p *proofs) listStore(ctx context.Context) bool {
+	askedAt, asked := time.Now(), p.now()
+	items, at, err := p.node.store.List(ctx, p.node.operatorKeys.Prefix())
+	if err != nil {
+		return false
 	}
+	p.node.configuration.listed(askedAt, items, at)
+	p.storeAnswered(asked, at)
+	return true
 }
 
 // serve answers another node that asks for this node's proof.
--- a/node/sidecar/report.go
+++ b/node/sidecar/report.go
@@ -35,9 +35,12 @@
 	configurationTransfersComplete = metrics.NewCounter(`zinniafall_configuration_transfers_total{result="complete"}`)
 	configurationTransfersFailed   = metrics.NewCounter(`zinniafall_configuration_transfers_total{result="failed"}`)
 	configurationTransfersBusy     = metrics.NewCounter(`zinniafall_configuration_transfers_total{result="busy"}`)
-	configurationBytesReceived     = metrics.NewCounter(`zinniafall_configuration_received_bytes_total`)
-	configurationBytesDiscarded    = metrics.NewCounter(`zinniafall_configuration_discarded_bytes_total`)
-	configurationBytesSent         = metrics.NewCounter(`zinniafall_configuration_sent_bytes_total`)
+	// configurationStoreReads counts the reads of the store by nodes that leave it to
+	// others otherwise.
+	configurationStoreReads     = metrics.NewCounter(`zinniafall_configuration_store_reads_total`)
+	configurationBytesReceived  = metrics.NewCounter(`zinniafall_configuration_received_bytes_total`)
+	configurationBytesDiscarded = metrics.NewCounter(`zinniafall_configuration_discarded_bytes_total`)
+	configurationBytesSent      = metrics.NewCounter(`zinniafall_configuration_sent_bytes_total`)
 )
 
 // logCall logs the outcome of a caller's request.
@@ -134,6 +137,7 @@
 	n.metrics.NewGauge(`zinniafall_target_stated_limit`, func() float64 { return n.owner.statedLimit() })
 	n.metrics.NewGauge(`zinniafall_configuration_revision`, func() float64 { return float64(n.configuration.revision()) })
 	n.metrics.NewGauge(`zinniafall_configuration_revision_reported`, func() float64 { return float64(n.configuration.newestReported()) })
+	n.metrics.NewGauge(`zinniafall_configuration_bytes`, func() float64 { return float64(n.configuration.documentBytes()) })
 	n.metrics.NewGauge(`zinniafall_configuration_parts_not_understood`, func() float64 {
 		if table := n.configuration.current(); table != nil {
 			return float64(len(table.Problems))
--- a/node/sidecar/transfer.go
+++ b/node/sidecar/transfer.go
@@ -28,11 +28,26 @@
 // distribution.Puller decides when and from which node.
 func (c *configuration) pull(ctx context.Context) {
 	for ctx.Err() == nil {
-		have := c.revision()
+		have, now := c.revision(), time.Now()
+		neighbors, watches := c.node.fleet.domainSize()
 		c.mu.Lock()
-		from, wait := c.puller.Next(time.Now(), have)
+		from, wait := c.puller.Next(now, have)
+		readStore, storeWait := c.puller.TakeStore(now, have, neighbors, watches)
 		c.mu.Unlock()
+		if readStore {
+			c.node.goBackground(func() {
+				c.readStore(ctx)
+				have := c.revision()
+				c.mu.Lock()
+				c.puller.FinishedStore(time.Now(), have)
+				c.mu.Unlock()
+				notify(c.reports)
+			})
+		}
 		if from == "" {
+			if storeWait > 0 && (wait == 0 || storeWait < wait) {
+				wait = storeWait
+			}
 			c.awaitReport(ctx, wait)
 			continue
 		}
@@ -90,8 +105,18 @@
 		configurationTransfersBusy.Inc()
 		return distribution.Busy, c.alternativesLike(from, t.alternatives)
 	}
+	failed := func(outcome distribution.Outcome, err error) (distribution.Outcome, []model.NodeAddr) {
+		configurationTransfersFailed.Inc()
+		configurationBytesDiscarded.Add(len(t.body))
+		c.node.log.Info("configuration not fetched", "part", "configuration", "from", from, "error", err.Error(),
+			"revision_reported", c.newestReported(), "bytes", len(t.body), "ms", time.Since(began).Milliseconds())
+		return outcome, nil
+	}
+	if err != nil {
+		return failed(distribution.Failed, err)
+	}
 	document, updates := t.body, []distribution.Update(nil)
-	if err == nil && t.updates {
+	if t.updates {
 		err = updatesDecoder.Unmarshal(t.body, &updates)
 	}
 	// Another source may have been faster.
@@ -101,23 +126,43 @@
 		c.needsWhole.Store(err != nil)
 	}
 	if err != nil {
-		configurationTransfersFailed.Inc()
-		configurationBytesDiscarded.Add(len(t.body))
-		c.node.log.Info("configuration not fetched", "part", "configuration", "from", from, "error", err.Error(),
-			"revision_reported", c.newestReported(), "bytes", len(t.body), "ms", time.Since(began).Milliseconds())
-		return distribution.Failed, nil
+		return failed(distribution.Unusable, err)
 	}
 	configurationTransfersComplete.Inc()
 	if outdated {
 		if len(updates) == 0 && t.revision > c.revision() {
-			c.applyIfNewer(base, nil, t.revision, string(from))
+			err = c.applyIfNewer(base, nil, t.revision, string(from))
 		}
-		return distribution.Received, nil
+	} else {
+		err = c.applyIfNewer(document, updates, revisionOf(updates), string(from))
+	}
+	if err != nil {
+		return distribution.Unusable, nil
 	}
-	c.applyIfNewer(document, updates, revisionOf(updates), string(from))
 	return distribution.Received, nil
 }
 
+// readStore reads the operators' keys from the store, because other nodes do not send a newer
+// configuration that they have.
+func (c *configuration) readStore(ctx context.Context) {
+	c.storeReads.Lock()
+	defer c.storeReads.Unlock()
+	reported := c.newestReported()
+	if c.revision() >= reported {
+		return
+	}
+	configurationStoreReads.Inc()
+	c.node.log.Info("configuration read from the store", "part", "configuration", "revision_reported", reported, "revision_in_force", c.revision())
+	if !c.node.proofs.listStore(ctx) {
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.unreadable {
+		c.puller.Reject(reported)
+	}
+}
+
 // revisionOf returns the revision to which updates lead, or 0 without any.
 func revisionOf(updates []distribution.Update) model.Revision {
 	if len(updates) == 0 {
@@ -171,7 +216,7 @@
 	body := progressReader{exchange, func() { stalled.Reset(distribution.StallTimeout) }}
 	raw, err := io.ReadAll(io.LimitReader(body, maxTransferBytes+1))
 	if err == nil && len(raw) > maxTransferBytes {
-		err = errors.New("the configuration is larger than the store allows")
+		err = fmt.Errorf("%w: the transfer has over %d bytes", distribution.ErrDocumentTooLarge, maxTransferBytes)
 	}
 	if err != nil {
 		err = errors.Join(err, context.Cause(ctx))
@@ -252,6 +297,13 @@
 	return body, c.archive.Revision(), err
 }
 
+// documentBytes returns the size of the configuration in force.
+func (c *configuration) documentBytes() int {
+	c.sending.Lock()
+	defer c.sending.Unlock()
+	return len(c.archive.Document())
+}
+
 func (c *configuration) beginSending(bytes int) bool {
 	c.sending.Lock()
 	defer c.sending.Unlock()
--- a/policy/distribution/fleet_test.go
+++ b/policy/distribution/fleet_test.go
@@ -18,8 +18,11 @@
 const (
 	thinLink    = 10e6 / 8  // bytes a second
 	wideLink    = 200e6 / 8 // bytes a second
+	stuckRate   = 500       // bytes a second
 	roundTrip   = 2 * time.Millisecond
 	greetPeriod = time.Second
+	// changeGreetingDelay is when a watcher greets its failure domain after a change.
+	changeGreetingDelay = 300 * time.Millisecond
 	// callPeriod is the mean time between two calls that reach a node from another
 	// one, each of which carries the sender's revision.
 	callPeriod = 100 * time.Millisecond
@@ -74,6 +77,13 @@
 	transfers map[*transfer]bool
 	// bytes counts what nodes sent to each other.
 	bytes float64
+	// stored is what the store holds, and storeReads counts the reads of nodes that do not
+	// watch it.
+	stored     change
+	storeReads int
+	// transferred counts the transfers between nodes, and damaged is set if none is usable.
+	transferred int
+	damaged     bool
 	// unusable caches the errors of Apply by base and target.
 	unusable map[[2]Sum]error
 }
@@ -91,6 +101,8 @@
 	// inForce is when each revision, or a later one, came into force.
 	inForce map[model.Revision]time.Duration
 	loads   int // transfers at its link
+	// stuck is set if what the node sends hardly proceeds.
+	stuck bool
 }
 
 // transfer moves bytes from one node to another, or from the store if from is nil.
@@ -155,6 +167,9 @@
 	rate := t.to.link / float64(t.to.loads)
 	if t.from != nil {
 		rate = min(rate, t.from.link/float64(t.from.loads))
+		if t.from.stuck {
+			rate = min(rate, stuckRate)
+		}
 	}
 	return rate
 }
@@ -214,15 +229,21 @@
 
 // write gives the store a configuration. Watchers receive it in base64.
 func (f *fleet) write(c change) {
+	f.stored = c
 	for _, n := range f.nodes {
 		if n.watcher.IsWatcher() {
 			f.after(roundTrip, func() {
-				f.start(&transfer{to: n, remaining: float64(len(c.document)) * 4 / 3, done: func() { n.apply(c, nil, func() {}) }})
+				f.read(n, c, func() {})
 			})
 		}
 	}
 }
 
+// read transfers a configuration from the store to a node.
+func (f *fleet) read(n *simNode, c change, done func()) {
+	f.start(&transfer{to: n, remaining: float64(len(c.document)) * 4 / 3, done: func() { n.apply(c, nil, done) }})
+}
+
 // apply decodes a configuration, puts it in force if it is newer, and calls done.
 func (n *simNode) apply(c change, updates []Update, done func()) {
 	if c.revision <= n.change.revision {
@@ -244,6 +265,9 @@
 		for _, child := range n.watcher.Children() {
 			n.tell(n.fleet.byAddr[child])
 		}
+		if n.watcher.IsWatcher() {
+			n.fleet.after(changeGreetingDelay, n.greetOwnDomain)
+		}
 	})
 }
 
@@ -262,12 +286,11 @@
 	if !n.watcher.IsWatcher() {
 		return
 	}
+	n.greetOwnDomain()
 	var others []*simNode
 	for _, other := range n.fleet.nodes {
 		if other.domain != n.domain {
 			others = append(others, other)
-		} else if other != n {
-			n.tell(other)
 		}
 	}
 	if len(others) > 0 {
@@ -275,6 +298,15 @@
 	}
 }
 
+// greetOwnDomain sends greetings to the nodes of the failure domain.
+func (n *simNode) greetOwnDomain() {
+	for _, other := range n.fleet.nodes {
+		if other.domain == n.domain && other != n {
+			n.tell(other)
+		}
+	}
+}
+
 // receiveCall receives a call of a random node.
 func (n *simNode) receiveCall() {
 	n.fleet.after(time.Duration(n.fleet.rng.ExpFloat64()*float64(callPeriod)), n.receiveCall)
@@ -290,11 +322,26 @@
 
 // pull makes the fetch that is due, if any.
 func (n *simNode) pull() {
-	from, wait := n.puller.Next(n.fleet.clock(), n.change.revision)
+	f := n.fleet
+	from, wait := n.puller.Next(f.clock(), n.change.revision)
+	readStore, storeWait := n.puller.TakeStore(f.clock(), n.change.revision, n.watcher.DomainSize(), n.watcher.IsWatcher())
+	if readStore {
+		f.storeReads++
+		f.after(roundTrip, func() {
+			f.read(n, f.stored, func() {
+				n.puller.FinishedStore(f.clock(), n.change.revision)
+				n.pull()
+			})
+		})
+	}
 	if from != "" {
-		n.fleet.after(roundTrip, func() { n.fetch(n.fleet.byAddr[from]) })
-	} else if wait > 0 {
-		n.fleet.after(wait, n.pull)
+		f.after(roundTrip, func() { n.fetch(f.byAddr[from]) })
+		return
+	}
+	for _, d := range []time.Duration{wait, storeWait} {
+		if d > 0 {
+			f.after(d, n.pull)
+		}
 	}
 }
 
@@ -317,8 +364,9 @@
 	}
 	t := f.start(&transfer{from: from, to: n, remaining: float64(bytes), done: func() {
 		from.sender.Finished(bytes, sent.revision, n.addr, true)
+		f.transferred++
 		if f.check(base, updates) != nil {
-			finish(Failed, nil)
+			finish(Unusable, nil)
 			return
 		}
 		n.apply(sent, updates, func() { finish(Received, nil) })
@@ -333,6 +381,9 @@
 
 // check returns the error with which a node that has base rejects updates.
 func (f *fleet) check(base []byte, updates []Update) error {
+	if f.damaged {
+		return ErrUpdateInvalid
+	}
 	if len(updates) == 0 {
 		return nil
 	}
@@ -421,6 +472,22 @@
 	}
 }
 
+// TestStoreIsReadIfNodesSendNothingUsable replays the incident of ridgeback-mesh-grown for
+// whatever reason transfers between nodes are unusable: 76 nodes asked six others 5,909 times
+// and none read the store.
+func TestStoreIsReadIfNodesSendNothingUsable(t *testing.T) {
+	f := newFleet(7, true, 28, 27, 24)
+	f.after(0, func() { f.write(change{revision: 1, document: document(21, 90)}) })
+	c := change{at: 5 * time.Second, revision: 2, document: document(4672, 90)}
+	f.after(c.at, func() { f.damaged, f.transferred = true, 0; f.write(c) })
+	f.run(c.at + 15*time.Second)
+	last, missing := f.slowest(c)
+	t.Logf("in force after %.2f s, missing at %d nodes, %d transfers between nodes, %d reads of the store", last.Seconds(), missing, f.transferred, f.storeReads)
+	qt.Check(t, missing, qt.Equals, 0)
+	qt.Check(t, f.transferred <= maxUnusable*len(f.nodes), qt.IsTrue)
+	qt.Check(t, f.storeReads <= len(f.nodes), qt.IsTrue)
+}
+
 // TestSlowHolderDoesNotDelayAConfiguration requires that the nodes that fetch from one whose
 // link has become slow get the configuration in time from the others, which have it, too.
 func TestSlowHolderDoesNotDelayAConfiguration(t *testing.T) {
--- a/policy/distribution/puller.go
+++ b/policy/distribution/puller.go
@@ -49,6 +49,14 @@
 	maxBusyDelay    = 400 * time.Millisecond
 	minFailureDelay = 200 * time.Millisecond
 	maxFailureDelay = 2 * time.Second
+	// maxUnusable is the number of configurations in a row that were not usable after which
+	// no other node is asked for that revision for a while: the update and the whole
+	// configuration. minUnusableDelay and maxUnusableDelay bound that time.
+	maxUnusable      = 2
+	minUnusableDelay = 5 * time.Second
+	maxUnusableDelay = 30 * time.Second
+	// maxReported bounds the revisions whose first report is remembered.
+	maxReported = 16
 	// otherDomainDelay is how long a node leaves the transfer to the nodes of its own
 	// failure domain that are known to have the configuration: bytes between failure
 	// domains are expensive.
@@ -66,6 +74,8 @@
 	Busy
 	// Failed: the node could not be reached, or the transfer broke off.
 	Failed
+	// Unusable: the node sent something that does not lead to a valid configuration.
+	Unusable
 )
 
 // holder is a node that reported a newer configuration.
@@ -94,6 +104,22 @@
 	// latest is the revision of the last report above the one in force then.
 	latest   model.Revision
 	latestAt time.Time
+	// reported holds the first reports of revisions above the one in force, oldest first.
+	reported []firstReport
+	// unusable counts the transfers in a row that were not usable, and unusableUntil is
+	// until when no node is asked because of that.
+	unusable      int
+	unusableUntil time.Time
+	// rejected is the newest revision that the store itself showed and that is not valid
+	// here. It is not fetched.
+	rejected model.Revision
+	store    storeReads
+}
+
+// firstReport is when a revision was reported first.
+type firstReport struct {
+	revision model.Revision
+	at       time.Time
 }
 
 // NewPuller returns a Puller that knows of no configuration.
@@ -114,6 +140,7 @@
 		p.lastReport = now
 	}
 	p.latest, p.latestAt = revision, now
+	p.recordFirst(now, revision, have)
 	p.holders = slices.DeleteFunc(p.holders, func(h *holder) bool {
 		return h.revision <= have || now.Sub(h.lastReport) >= reportTTL
 	})
@@ -162,6 +189,9 @@
 	if len(p.active) >= maxFetches {
 		return "", 0
 	}
+	if p.unusableUntil.After(earliest) {
+		earliest = p.unusableUntil
+	}
 	usable := p.usable(now, have)
 	anyNear := slices.ContainsFunc(usable, func(h *holder) bool { return h.near })
 	var best []*holder
@@ -200,7 +230,7 @@
 	var usable []*holder
 	for _, h := range p.holders {
 		_, fetching := p.active[h.node]
-		if !fetching && h.revision > have && now.Sub(h.lastReport) < reportTTL {
+		if !fetching && h.revision > max(have, p.rejected) && now.Sub(h.lastReport) < reportTTL {
 			usable = append(usable, h)
 		}
 	}
@@ -221,6 +251,15 @@
 // that a busy node names because they have received its configuration.
 func (p *Puller) Finished(now time.Time, from model.NodeAddr, outcome Outcome, alternatives []model.NodeAddr, have model.Revision) {
 	delete(p.active, from)
+	switch {
+	case outcome == Unusable:
+		p.unusable = min(p.unusable+1, maxHolders)
+		if excess := p.unusable - maxUnusable; excess >= 0 {
+			p.unusableUntil = now.Add(p.jitter(min(minUnusableDelay<<excess, maxUnusableDelay)))
+		}
+	case outcome == Received:
+		p.unusable, p.unusableUntil = 0, time.Time{}
+	}
 	i := slices.IndexFunc(p.holders, func(h *holder) bool { return h.node == from })
 	if i < 0 {
 		return
@@ -256,6 +295,36 @@
 	return p.newest > have && now.Sub(p.lastReport) < reportTTL || p.latest > have && now.Sub(p.latestAt) < reportTTL
 }
 
+// recordFirst records the first report of a revision.
+func (p *Puller) recordFirst(now time.Time, revision, have model.Revision) {
+	p.reported = slices.DeleteFunc(p.reported, func(r firstReport) bool { return r.revision <= have })
+	known := slices.ContainsFunc(p.reported, func(r firstReport) bool { return r.revision >= revision })
+	if !known && len(p.reported) < maxReported {
+		p.reported = append(p.reported, firstReport{revision, now})
+	}
+}
+
+// behindSince returns when a configuration that is newer than the one in force, and that this
+// node has not rejected, was reported first. ok is false if there is none, or if no node has
+// reported one lately.
+func (p *Puller) behindSince(now time.Time, have model.Revision) (since time.Time, ok bool) {
+	have = max(have, p.rejected)
+	if !p.Behind(now, have) {
+		return time.Time{}, false
+	}
+	for _, r := range p.reported {
+		if r.revision > have {
+			return r.at, true
+		}
+	}
+	return p.lastReport, true
+}
+
+// Reject records that the store itself shows a configuration that is not valid here, of the
+// given revision or an earlier one. The last valid one stays in force, and the other one
+// is not fetched again.
+func (p *Puller) Reject(revision model.Revision) { p.rejected = max(p.rejected, revision) }
+
 // RetryAfter returns when a caller should come back whose call needs the newest
 // configuration. What delays it is likely to last as long again as it has lasted, and a
 // caller that comes back too early uses up one of its attempts.
--- a/policy/distribution/puller_test.go
+++ b/policy/distribution/puller_test.go
@@ -122,3 +122,25 @@
 		qt.Assert(t, p.Behind(now, 1), qt.IsTrue, qt.Commentf("%v after the start", now.Sub(start)))
 	}
 }
+
+// TestStoreIsLeftToItsWatchers requires that a node reads the store neither before others had
+// the time to send the configuration, nor beside a transfer, nor often.
+func TestStoreIsLeftToItsWatchers(t *testing.T) {
+	p := NewPuller(1)
+	p.Report(start, "a", true, 2, 1)
+	take := func(at time.Duration, watches bool) bool {
+		p.Report(start.Add(at), "a", true, 2, 1)
+		taken, _ := p.TakeStore(start.Add(at), 1, 1, watches)
+		return taken
+	}
+	qt.Check(t, take(storeDelay-1, false), qt.IsFalse)
+	qt.Check(t, take(storeDelay+storeGap, true), qt.IsFalse)
+	from, _ := p.Next(start.Add(storeDelay), 1)
+	qt.Check(t, take(storeDelay+storeGap, false), qt.IsFalse)
+	p.Finished(start.Add(storeDelay+storeGap), from, Failed, nil, 1)
+	qt.Check(t, take(storeDelay+storeGap, false), qt.IsTrue)
+	qt.Check(t, take(storeDelay+2*storeGap, false), qt.IsFalse) // it is being read
+	p.FinishedStore(start.Add(2*time.Second), 1)
+	qt.Check(t, take(2*time.Second+minStorePause*3/4-1, false), qt.IsFalse)
+	qt.Check(t, take(2*time.Second+minStorePause*5/4, false), qt.IsTrue)
+}
--- a/policy/roster/watchers.go
+++ b/policy/roster/watchers.go
@@ -217,6 +217,9 @@
 	return watchers
 }
 
+// DomainSize returns the number of nodes in the failure domain.
+func (w *WatchPolicy) DomainSize() int { return w.domainSize }
+
 // Children returns the nodes of the failure domain to which this node forwards
 // changes at once. They form a tree with a watcher at its root, which limits how
 // often any link carries a large configuration to a few times.
