Let the answer to the question for a proof take its time

Cause: the question ended after 1 s. Its answer holds the configuration that the node lacks: 1.4 MB in base64 take 1.14 s of a link of 10 Mbit/s that nothing else uses. The same answer was requested and dropped each second. Change: the store's client limits the time without progress, as for all requests; the question runs beside those to other nodes, and not beside another read of the operators' keys.

--- a/node/sidecar/proof.go
+++ b/node/sidecar/proof.go
@@ -31,9 +31,8 @@
 	// minProofPause is the shortest time between two rounds.
 	minProofPause = 100 * time.Millisecond
 	// storeProofWait is how long the store may hold back its answer to a node that asks
-	// it for a proof, and storeProofTimeout bounds the whole question.
-	storeProofWait    = time.Millisecond
-	storeProofTimeout = time.Second
+	// it for a proof.
+	storeProofWait = time.Millisecond
 	// proofRetryAfter is the Retry-After of a call without a proof: a round takes less.
 	proofRetryAfter = 400 * time.Millisecond
 )
@@ -240,7 +239,8 @@
 		return
 	}
 	if ctx.Err() == nil && p.asker.TakeStore(p.now()) {
-		p.askStore(ctx)
+		// Another node may have a proof before a large answer has arrived.
+		p.node.goBackground(func() { p.askStore(ctx) })
 	}
 }
 
@@ -292,10 +292,9 @@
 
 // askStore asks the store itself: whether the configuration has changed since the last
 // position that is known or, without one, for all of the operators' keys. Changes of other
-// keys since that position are not all that this node lacks, so they are left out.
+// keys since that position are not all that this node lacks, so they are left out. The answer
+// may hold a configuration, so that only its progress is limited, by the store's client.
 func (p *proofs) askStore(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, storeProofTimeout)
-	defer cancel()
 	reads := &p.node.configuration.storeReads
 	if !reads.TryLock() {
 		return // what is being read is a proof too
