Refuse calls once the configuration is overdue

Cause: the operators' bound on the age of a configuration was made likely, by spreading it fast, and kept by nothing. Change: a node remembers since when it has known of a revision that it lacks. It refuses calls as not run, as entry and as owner, a second before the bound has passed since then: a second is what it takes until others are told of a change, for which a watcher now greets its failure domain 300 ms after a change. While no node has a newer configuration, for instance because the store is silent, nothing is refused. A configuration above the size that the store promises is put in force and logged.

--- a/node/sidecar/call.go
+++ b/node/sidecar/call.go
@@ -57,12 +57,16 @@
 	bodyRest         io.Reader
 	bodyRestConsumed bool
 
-	stage             stage
-	failed            []model.NodeAddr // owners that cannot serve the call
-	declined          []model.NodeAddr // owners that had no slot
-	closed            []model.NodeAddr // owners that took no new calls, of which some are in failed
-	rolloutWaits      int
-	otherDomainOffers int
+	stage        stage
+	failed       []model.NodeAddr // owners that cannot serve the call
+	declined     []model.NodeAddr // owners that had no slot
+	closed       []model.NodeAddr // owners that took no new calls, of which some are in failed
+	rolloutWaits int
+	// configurationWaits is how long the call has waited for configurations here, and
+	// overdue is set if this node may no longer use the one that it has.
+	configurationWaits time.Duration
+	overdue            bool
+	otherDomainOffers  int
 	// fallback is a target's error response, returned if no retry succeeds.
 	fallback       *front.Response
 	offers         int
@@ -116,15 +120,23 @@
 	return response, nil
 }
 
+// configurationWait returns how long the call may still wait for a configuration: all its
+// waits at this node together are bounded by distribution.CallWait.
+func (c *call) configurationWait() time.Duration {
+	return max(distribution.CallWait(time.Until(c.deadline))-c.configurationWaits, 0)
+}
+
 // awaitRoute resolves the route. While it is unknown and other nodes have a newer
-// configuration, it waits for the next one, as long as distribution.CallWait allows.
+// configuration, it waits for the next one, as long as configurationWait allows.
 func (c *call) awaitRoute(ctx context.Context, r *front.Request) *problem.Error {
-	ctx, cancel := context.WithTimeout(ctx, distribution.CallWait(time.Until(c.deadline)))
+	ctx, cancel := context.WithTimeout(ctx, c.configurationWait())
 	defer cancel()
+	began := time.Now()
+	defer func() { c.configurationWaits += time.Since(began) }()
 	for {
 		changed := c.node.configuration.nextChange()
 		p := c.resolve(r)
-		if p == nil || p.Kind != problem.ConfigurationLag {
+		if p == nil || p.Kind != problem.ConfigurationLag || c.overdue {
 			return p
 		}
 		if _, behind := c.node.configuration.behind(time.Now()); !behind {
@@ -149,6 +161,10 @@
 	if table == nil {
 		return problem.New(problem.ConfigurationLag, model.RunNo, "the node has no configuration yet").After(n.configuration.retryAfter(c.received))
 	}
+	if p := n.configuration.checkOverdue(time.Now()); p != nil {
+		c.overdue = true
+		return p
+	}
 	c.table = table
 	route := table.Match(r.Host, r.Path())
 	if route == nil {
@@ -386,7 +402,10 @@
 func (c *call) reroute(ctx context.Context, node model.NodeAddr, rep reply, r *front.Request) *problem.Error {
 	if report := rep.answer.Report; report != nil && report.Revision > c.request.Revision {
 		c.node.configuration.recordReported(report.Revision, node)
-		if !c.node.configuration.awaitRevision(ctx, report.Revision, distribution.MaxCallWait) {
+		began := time.Now()
+		inForce := c.node.configuration.awaitRevision(ctx, report.Revision, c.configurationWait())
+		c.configurationWaits += time.Since(began)
+		if !inForce {
 			c.failed = append(c.failed, node)
 			return nil
 		}
--- a/node/sidecar/configuration.go
+++ b/node/sidecar/configuration.go
@@ -12,6 +12,7 @@
 
 	"zinniafall/policy/distribution"
 	"zinniafall/policy/model"
+	"zinniafall/policy/problem"
 	"zinniafall/policy/routing"
 	"zinniafall/policy/storeera"
 )
@@ -230,6 +231,9 @@
 		attrs = append(attrs, "accounts", table.Accounts())
 	}
 	c.node.log.Info("configuration applied", attrs...)
+	if limit := c.node.live.Load().StoreValueBytes; limit > 0 && len(document) > limit {
+		c.node.log.Warn("configuration larger than the store promises to hold", "part", "configuration", "revision", table.Revision, "bytes", len(document), "store_value_bytes", limit)
+	}
 	c.logProblems(table)
 	c.node.configurationChanged(table)
 	return nil
@@ -413,6 +417,20 @@
 	return c.puller.RetryAfter(now), c.puller.Behind(now, have)
 }
 
+// checkOverdue refuses a call if other nodes have had a newer configuration for so long that
+// the one in force may no longer be used; see distribution.Puller. The newer one is likely to
+// be missing for longer than a call would be held.
+func (c *configuration) checkOverdue(now time.Time) *problem.Error {
+	have, applyTime := c.revision(), c.node.live.Load().ApplyTime
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.puller.Overdue(now, have, applyTime) {
+		return nil
+	}
+	callsOverdue.Inc()
+	return problem.New(problem.ConfigurationLag, model.RunNo, "other nodes have had a newer configuration for too long").After(c.puller.RetryAfter(now))
+}
+
 // nextChange returns a channel that is closed when the next configuration is in force.
 func (c *configuration) nextChange() <-chan struct{} {
 	c.mu.Lock()
--- a/node/sidecar/exchange.go
+++ b/node/sidecar/exchange.go
@@ -55,13 +55,37 @@
 // failure domain and one in another.
 func (f *fleet) exchangeLoop(ctx context.Context) {
 	for ctx.Err() == nil {
-		sleep(ctx, jitter(exchangeInterval))
+		f.awaitNextExchange(ctx)
 		f.greetPartners()
 		f.dropExpired()
 		f.updatePlacement()
 	}
 }
 
+// awaitNextExchange waits until the next exchange is due.
+func (f *fleet) awaitNextExchange(ctx context.Context) {
+	timer := time.NewTimer(jitter(exchangeInterval))
+	defer timer.Stop()
+	select {
+	case <-f.changed:
+		sleep(ctx, changeGreetingDelay)
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
+// greetAfterChange brings the next exchange forward if this node is a watcher. A change passes
+// from node to node along with the configuration; where its transfers fail, the nodes behind
+// would not hear of it.
+func (f *fleet) greetAfterChange() {
+	f.mu.Lock()
+	watches := f.watchers.IsWatcher()
+	f.mu.Unlock()
+	if watches {
+		notify(f.changed)
+	}
+}
+
 // greetPartners sends a greeting to the nodes that exchangePartners returns. If this node
 // follows the store, it tells them whether their entries are missing there.
 func (f *fleet) greetPartners() {
--- a/node/sidecar/execute.go
+++ b/node/sidecar/execute.go
@@ -162,17 +162,20 @@
 	return n.owner.admitArrived(ctx, ticket)
 }
 
-// agreeOnRevision ensures that this node and the entry decide by the same
-// configuration. If the entry's is newer, it waits up to distribution.MaxCallWait for it.
+// agreeOnRevision ensures that this node and the entry decide by the same configuration, and
+// that it may still be used. If the entry's is newer, it waits for it as long as
+// distribution.CallWait allows.
 func (n *Node) agreeOnRevision(ctx context.Context, r *peer.Request) *problem.Error {
-	ownRevision := n.configuration.revision()
-	if r.Revision > ownRevision {
+	if r.Revision > n.configuration.revision() {
 		n.configuration.recordReported(r.Revision, r.From)
-		if !n.configuration.awaitRevision(ctx, r.Revision, distribution.MaxCallWait) {
-			return problem.New(problem.ConfigurationLag, model.RunNo, "the owner lacks the entry's configuration")
-		}
 	}
-	if r.Revision < ownRevision {
+	if p := n.configuration.checkOverdue(time.Now()); p != nil {
+		return p
+	}
+	if r.Revision > n.configuration.revision() && !n.configuration.awaitRevision(ctx, r.Revision, distribution.CallWait(r.Timeout)) {
+		return problem.New(problem.ConfigurationLag, model.RunNo, "the owner lacks the entry's configuration")
+	}
+	if r.Revision < n.configuration.revision() {
 		return problem.New(problem.ConfigurationLag, model.RunNo, "the entry lacks the owner's configuration")
 	}
 	return nil
--- a/node/sidecar/fleet.go
+++ b/node/sidecar/fleet.go
@@ -30,6 +30,9 @@
 	minRenewBackoff = 500 * time.Millisecond
 	// exchangeInterval is the time between exchanges with other nodes.
 	exchangeInterval = time.Second
+	// changeGreetingDelay is the time from a change of the configuration to the next
+	// exchange of a watcher. Most nodes have the configuration by then.
+	changeGreetingDelay = 300 * time.Millisecond
 	// exchangeTimeout bounds one exchange. The list of 2,200 nodes takes 155 KB, an
 	// eighth of a second of a link of 10 Mbit/s that calls share. A node that cannot be
 	// reached is noticed sooner, when no connection can be opened.
@@ -74,10 +77,12 @@
 	// pulling is true while records are requested from another node.
 	pulling  bool
 	pulledAt time.Time
+	// changed signals exchangeLoop that a configuration was put in force.
+	changed chan struct{}
 }
 
 func newFleet(n *Node) *fleet {
-	f := &fleet{node: n, roster: roster.New(n.self), entryNotice: make(chan struct{}, 1), watchers: roster.NewWatchPolicy(n.self, n.settings.Domain, int(n.settings.LinkMbps))}
+	f := &fleet{node: n, roster: roster.New(n.self), entryNotice: make(chan struct{}, 1), changed: make(chan struct{}, 1), watchers: roster.NewWatchPolicy(n.self, n.settings.Domain, int(n.settings.LinkMbps))}
 	f.self = roster.Record{Node: n.self, Process: n.process, Domain: n.settings.Domain, Region: n.settings.Region, Service: n.settings.Service, Sequence: 1, LinkMbps: int(n.settings.LinkMbps)}
 	f.follower = &follower{
 		store: n.store, log: n.log, name: "fleet", prefix: nodePrefix, watchDelay: fleetWatchDelay, watchTimeout: fleetWatchTimeout,
--- a/node/sidecar/lag_test.go
+++ b/node/sidecar/lag_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"net/http"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -144,3 +145,39 @@
 	n.proofs.askStore(t.Context())
 	qt.Assert(t, n.configuration.revision(), qt.Equals, model.Revision(2))
 }
+
+// TestOverdueConfigurationServesNoCalls guards against calls that run by a configuration that
+// was replaced longer ago than the operators' bound, because entry and owner are behind
+// together. The refusal of either of them suffices.
+func TestOverdueConfigurationServesNoCalls(t *testing.T) {
+	for _, part := range []string{"entry", "owner"} {
+		t.Run(part, func(t *testing.T) {
+			store := newMemoryStore()
+			store.configure(t, 1, "front")
+			target := newTestTarget(t, "t1")
+			start := func(name string, service model.Service, target *testTarget) *testNode {
+				return startNodeWith(t, store, "a", service, target, freeAddr(), func(o *Options) {
+					if name == part {
+						o.Settings.ApplyTime = 200 * time.Millisecond
+					}
+				})
+			}
+			entry, owner := start("entry", "none", newTestTarget(t, "t0")), start("owner", "front", target)
+			owner.waitForOwnTarget()
+			entry.waitForTargets("front", 1)
+			behind := map[string]*testNode{"entry": entry, "owner": owner}[part]
+			qt.Assert(t, entry.call(http.MethodGet, "front", "/safe/x").status, qt.Equals, 200)
+
+			store.setDown(true)
+			eventually(t, "the configuration is overdue", func() bool {
+				behind.configuration.recordReported(2, "127.0.0.1:1") // cannot be reached
+				return behind.configuration.checkOverdue(time.Now()) != nil
+			})
+			ran := len(target.requests())
+			refused := entry.call(http.MethodGet, "front", "/safe/x")
+			qt.Check(t, refused.status, qt.Equals, http.StatusServiceUnavailable)
+			qt.Check(t, refused.header.Get("Retry-After") != "", qt.IsTrue)
+			qt.Check(t, target.requests(), qt.HasLen, ran)
+		})
+	}
+}
--- a/node/sidecar/node.go
+++ b/node/sidecar/node.go
@@ -309,6 +309,7 @@
 	n.target.configurationChanged()
 	n.fleet.updatePlacement()
 	n.fleet.pushToChildren()
+	n.fleet.greetAfterChange()
 }
 
 // evacuationChanged applies a new set of failure domains out of service.
--- a/node/sidecar/report.go
+++ b/node/sidecar/report.go
@@ -26,6 +26,9 @@
 	targetTime             = metrics.NewHistogram(`zinniafall_target_seconds`)
 	callTime               = metrics.NewHistogram(`zinniafall_call_seconds`)
 
+	// callsOverdue counts the refusals of calls by nodes that are behind for too long.
+	callsOverdue = metrics.NewCounter(`zinniafall_calls_overdue_total`)
+
 	// What was restored in the store after it returned from a copy.
 	entriesRestored     = metrics.NewCounter(`zinniafall_store_restored_total{kind="entry"}`)
 	evacuationsRestored = metrics.NewCounter(`zinniafall_store_restored_total{kind="evacuation"}`)
--- a/node/sidecar/settings.go
+++ b/node/sidecar/settings.go
@@ -28,6 +28,12 @@
 	Service model.Service
 	// Store is the address of the platform's key-value store.
 	Store string
+	// ApplyTime is the time after its acknowledgement in which a configuration must be in
+	// force on all nodes; 0 means no such bound.
+	ApplyTime time.Duration
+	// StoreValueBytes is the size of the largest value that the store promises to hold, or
+	// 0 if it is not known.
+	StoreValueBytes int
 	// MaxDescriptors is the number of descriptors that the process may have
 	// open.
 	MaxDescriptors int
@@ -88,6 +94,9 @@
 	if s.LinkMbps < 0 || s.GracePeriod < 0 || s.RetryRatio < 0 || s.RetrySlack < 0 || s.ColdOvershoot < 0 || s.ColdSlack < 0 || s.RetryWindow < 0 {
 		problems = append(problems, errors.New("the link's capacity, the grace period, the retry limits and the cold limits must not be below zero"))
 	}
+	if s.ApplyTime < 0 || s.StoreValueBytes < 0 {
+		problems = append(problems, errors.New("the time in which configurations come into force and the size of the store's values must not be below zero"))
+	}
 	if s.ExposureRatio < 0 || s.ExposureSlack < 0 || s.RollbackTime < 0 {
 		problems = append(problems, errors.New("the limits of rollouts must not be below zero"))
 	}
--- a/node/sidecar/waiting_test.go
+++ b/node/sidecar/waiting_test.go
@@ -20,6 +20,7 @@
 func TestWaitForAConfigurationEndsWithTheCallersTime(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		n := &Node{dialect: testDialect}
+		n.live.Store(&n.settings)
 		n.configuration = newConfiguration(n)
 		table, err := routing.NewTable(1, nil, nil, routing.Limits{})
 		qt.Assert(t, err, qt.IsNil)
--- a/policy/distribution/fleet_test.go
+++ b/policy/distribution/fleet_test.go
@@ -488,6 +488,58 @@
 	qt.Check(t, f.storeReads <= len(f.nodes), qt.IsTrue)
 }
 
+// TestNoCallIsServedByAnOverdueConfiguration plays changes in quick succession to fleets in
+// which all nodes that have the first one get stuck, with calls at all nodes: a call that is
+// served by a configuration that was replaced longer ago than the bound may use a route that
+// operators have withdrawn.
+func TestNoCallIsServedByAnOverdueConfiguration(t *testing.T) {
+	served, refused, storeReads := 0, 0, 0
+	for seed := range uint64(20) {
+		rng := rand.New(rand.NewPCG(seed, 1))
+		f := newFleet(seed, true, 8+rng.IntN(20), 8+rng.IntN(20), 8+rng.IntN(20))
+		f.after(0, func() { f.write(change{revision: 1, document: document(100+rng.IntN(1400), 90)}) })
+		var changes []change
+		at := 5 * time.Second
+		for revision := range model.Revision(1 + rng.IntN(3)) {
+			c := change{at: at, revision: revision + 2, document: document(500+rng.IntN(2500), int(revision))}
+			changes = append(changes, c)
+			f.after(at, func() { f.write(c) })
+			at += time.Duration(rng.Int64N(int64(1500 * time.Millisecond)))
+		}
+		var stick func()
+		stick = func() {
+			f.after(time.Millisecond, stick)
+			for _, n := range f.nodes {
+				n.stuck = n.stuck || n.inForce[2] != 0 && rng.IntN(4) > 0
+			}
+		}
+		f.after(5*time.Second, stick)
+		var arrive func(n *simNode)
+		arrive = func(n *simNode) {
+			f.after(time.Duration(f.rng.ExpFloat64()*float64(50*time.Millisecond)), func() { arrive(n) })
+			if n.puller.Overdue(f.clock(), n.change.revision, applyBound) {
+				refused++
+				return
+			}
+			served++
+			for _, c := range changes {
+				if n.change.revision < c.revision && f.now > c.at+applyBound {
+					t.Fatalf("seed %d: a call is served by revision %d, %v after revision %d", seed, n.change.revision, f.now-c.at, c.revision)
+				}
+			}
+		}
+		for _, n := range f.nodes {
+			f.after(5*time.Second, func() { arrive(n) })
+		}
+		f.run(at + 20*time.Second)
+		_, missing := f.slowest(changes[len(changes)-1])
+		qt.Check(t, missing, qt.Equals, 0, qt.Commentf("seed %d", seed))
+		storeReads += f.storeReads
+	}
+	t.Logf("%d calls served, %d refused, %d reads of the store", served, refused, storeReads)
+	qt.Check(t, refused > 0 && storeReads > 0, qt.IsTrue)
+}
+
 // TestSlowHolderDoesNotDelayAConfiguration requires that the nodes that fetch from one whose
 // link has become slow get the configuration in time from the others, which have it, too.
 func TestSlowHolderDoesNotDelayAConfiguration(t *testing.T) {
--- a/policy/distribution/puller.go
+++ b/policy/distribution/puller.go
@@ -55,6 +55,9 @@
 	maxUnusable      = 2
 	minUnusableDelay = 5 * time.Second
 	maxUnusableDelay = 30 * time.Second
+	// maxReportDelay is the time after the acknowledgement of a configuration in which
+	// other nodes are told of it: those that watch the store read and decode it first.
+	maxReportDelay = time.Second
 	// maxReported bounds the revisions whose first report is remembered.
 	maxReported = 16
 	// otherDomainDelay is how long a node leaves the transfer to the nodes of its own
@@ -320,9 +323,23 @@
 	return p.lastReport, true
 }
 
+// Overdue reports whether other nodes have had a newer configuration for so long that the one
+// in force may no longer be used, if a configuration must be in force everywhere within
+// applyTime of its acknowledgement; 0 means that there is no such bound. A call by an older
+// configuration is then refused as not run: another node has the newer one, and what the call
+// would run by may have been withdrawn. While no other node has a newer configuration, for
+// instance because the store is silent, nothing is overdue.
+func (p *Puller) Overdue(now time.Time, have model.Revision, applyTime time.Duration) bool {
+	if applyTime <= 0 {
+		return false
+	}
+	since, behind := p.behindSince(now, have)
+	return behind && now.Sub(since) >= max(applyTime-maxReportDelay, applyTime/2)
+}
+
 // Reject records that the store itself shows a configuration that is not valid here, of the
-// given revision or an earlier one. The last valid one stays in force, and the other one
-// is not fetched again.
+// given revision or an earlier one. The last valid one stays in force and is not overdue, and
+// the other one is not fetched again.
 func (p *Puller) Reject(revision model.Revision) { p.rejected = max(p.rejected, revision) }
 
 // RetryAfter returns when a caller should come back whose call needs the newest
--- a/policy/distribution/puller_test.go
+++ b/policy/distribution/puller_test.go
@@ -123,6 +123,31 @@
 	}
 }
 
+// TestOverdueConfiguration requires that the time counts from the first report of the earliest
+// revision that is missing, and only while other nodes have it and it is valid here.
+func TestOverdueConfiguration(t *testing.T) {
+	const applyTime = 2500 * time.Millisecond
+	at := func(ms int) time.Time { return start.Add(time.Duration(ms) * time.Millisecond) }
+	p := NewPuller(1)
+	p.Report(start, "a", true, 2, 1)
+	p.Report(at(1000), "a", true, 3, 1)
+	for _, c := range []struct {
+		ms   int
+		have model.Revision
+		want bool
+	}{{1499, 1, false}, {1500, 1, true}, {1500, 2, false}, {2500, 2, true}, {2500, 3, false}, {6000, 1, false}} {
+		qt.Check(t, p.Overdue(at(c.ms), c.have, applyTime), qt.Equals, c.want, qt.Commentf("%+v", c))
+	}
+	qt.Check(t, p.Overdue(at(2500), 1, 0), qt.IsFalse)
+	p.Reject(2)
+	qt.Check(t, p.Overdue(at(1500), 1, applyTime), qt.IsFalse)
+	qt.Check(t, p.Overdue(at(2500), 1, applyTime), qt.IsTrue)
+	p.Reject(3)
+	qt.Check(t, p.Overdue(at(2500), 1, applyTime), qt.IsFalse)
+	from, _ := p.Next(at(2500), 1)
+	qt.Check(t, from, qt.Equals, model.NodeAddr(""))
+}
+
 // TestStoreIsLeftToItsWatchers requires that a node reads the store neither before others had
 // the time to send the configuration, nor beside a transfer, nor often.
 func TestStoreIsLeftToItsWatchers(t *testing.T) {
