Keep an owner closed until its node has read the orders of rollouts

Cause: a node may have its configuration from other nodes before its own list of the operators' keys has arrived. Without an order and without a state nothing closed the target, so that it got requests until the order was read; and if that list failed, a node that hears from a watcher did not ask again. Change: where rollouts are enabled, an owner stays closed until its node has read the orders or knows a state of the service, 2 s at most, as for a target without a version; the node reads the operators' keys until it has them.

--- a/node/sidecar/node.go
+++ b/node/sidecar/node.go
@@ -252,10 +252,10 @@
 }
 
 // followsOperators reports whether this node reads the operators' keys itself.
-// A node without a configuration cannot serve, so it does not wait for the
-// watchers.
+// A node without a configuration, or without the orders of rollouts, cannot serve, so it does
+// not wait for the watchers.
 func (n *Node) followsOperators() bool {
-	return n.configuration.current() == nil || n.fleet.followsStore()
+	return n.configuration.current() == nil || n.rollouts.enabled && !n.rollouts.haveOrders() || n.fleet.followsStore()
 }
 
 // goBackground runs a goroutine that Kill waits for. It does nothing once Kill has
--- a/node/sidecar/rollout.go
+++ b/node/sidecar/rollout.go
@@ -5,6 +5,7 @@
 	"context"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -44,6 +45,8 @@
 	enabled bool
 	// operators follows the operators' keys.
 	operators *follower
+	// ordersKnown is set once this node has read the orders.
+	ordersKnown atomic.Bool
 
 	mu       sync.Mutex
 	services map[model.Service]*serviceRollout
@@ -116,8 +119,15 @@
 	for _, name := range removed {
 		r.removeOrder(name)
 	}
+	if !r.ordersKnown.Swap(true) {
+		r.node.owner.applyRollout(func(g *rolloutGate, _ time.Time) { g.ordersKnown = true })
+		r.node.target.publishState()
+	}
 }
 
+// haveOrders reports whether this node has read the orders since its start.
+func (r *rollouts) haveOrders() bool { return r.ordersKnown.Load() }
+
 // changed applies changes of the operators' keys.
 func (r *rollouts) changed(_ time.Time, items []Item, at Position) {
 	if !r.enabled {
@@ -238,7 +248,8 @@
 	}
 }
 
-// recheckVersion opens the gate of an owner whose target states no version.
+// recheckVersion opens the gate of an owner whose target states no version, or whose node
+// cannot read the orders.
 func (r *rollouts) recheckVersion() {
 	if r.node.ctx.Err() != nil {
 		return
--- a/node/sidecar/rollout_test.go
+++ b/node/sidecar/rollout_test.go
@@ -115,6 +115,50 @@
 	}
 }
 
+// heldList is a store whose lists of the operators' keys are held back.
+type heldList struct {
+	nodeStore
+	released chan struct{}
+}
+
+func (s heldList) List(ctx context.Context, prefix string) ([]Item, Position, error) {
+	if prefix == (testOperators{}).Prefix() {
+		select {
+		case <-s.released:
+		case <-ctx.Done():
+		}
+	}
+	return s.nodeStore.List(ctx, prefix)
+}
+
+// An owner that has its configuration from other nodes must not open its target before it has
+// read the orders: TestControllerDies found targets of a new version with requests that nobody
+// had granted.
+func TestOwnerThatHasNotReadTheOrdersIsClosed(t *testing.T) {
+	f := newRolloutFleet(t, 3)
+	peers, target, released := freeAddr(), newTestTarget(t, "v2-0"), make(chan struct{})
+	f.store.fault = func(context.Context, string, rollout.State) writeFault {
+		select {
+		case <-released:
+			return writeWorks
+		default:
+			return writeLost // no node hears of the rollout by its state
+		}
+	}
+	f.startLoad(90)
+	f.store.order("v2", 2*rolloutTime)
+	n := startNodeWith(t, heldList{nodeStore{f.store, peers}, released}, "d0", "shop", target, peers, func(o *Options) {
+		o.Settings.Rollouts, o.Settings.ExposureRatio, o.Settings.ExposureSlack, o.Settings.RollbackTime = true, 0.1, 50, 5*time.Second
+	})
+	f.new = append(f.new, n)
+	f.announce(n, "v2")
+	time.Sleep(unknownVersionTime / 4)
+	close(released)
+	eventually(t, "the target gets what was granted", func() bool { return len(target.requests()) > 0 })
+	f.endLoad()
+	f.checkGrants()
+}
+
 // Several controllers die together, as when the instances of another version end: the first
 // one that is left must take over in time for a good version to complete.
 func TestControllersDieTogether(t *testing.T) {
--- a/node/sidecar/rolloutgate.go
+++ b/node/sidecar/rolloutgate.go
@@ -12,8 +12,8 @@
 
 const (
 	// unknownVersionTime is how long an owner stays closed whose target has not stated
-	// its version while an order for the service is known. Targets announce themselves
-	// every 1.5 s.
+	// its version while an order for the service is known, or that has not read the
+	// orders. Targets announce themselves every 1.5 s.
 	unknownVersionTime = 2 * time.Second
 	// abandonedTime is how long the target's own count of running calls is taken into
 	// account after a call was given up that the target may still run.
@@ -31,9 +31,12 @@
 	targetID string
 	service  model.Service
 	version  string
-	// unknownSince is when the present target became known without a version.
-	unknownSince time.Time
-	gate         *rollout.Gate
+	// knownSince is when the present target became known, and unknownSince when it did so
+	// without a version.
+	knownSince, unknownSince time.Time
+	// ordersKnown is set once this node has read the orders.
+	ordersKnown bool
+	gate        *rollout.Gate
 	// order is the newest order for the service that this node saw.
 	order *rollout.Order
 	// pending are the calls that hold a slot and were not sent to the target yet. Each
@@ -63,6 +66,9 @@
 	if service != g.service {
 		g.order, state = nil, rollout.State{}
 	}
+	if id != g.targetID {
+		g.knownSince = now
+	}
 	if id != g.targetID || version != "" {
 		g.unknownSince = time.Time{}
 	}
@@ -94,6 +100,13 @@
 	return g.enabled && g.version == "" && (g.order != nil || g.gate.State().Phase != "") && now.Sub(g.unknownSince) < unknownVersionTime
 }
 
+// awaitsOrders reports whether the owner is closed until this node has read the orders: its
+// target may be of a version that may get no calls yet. The configuration may arrive earlier,
+// from other nodes. They know of a rollout once it has a state.
+func (g *rolloutGate) awaitsOrders(now time.Time) bool {
+	return g.enabled && !g.ordersKnown && g.gate.State().Phase == "" && now.Sub(g.knownSince) < unknownVersionTime
+}
+
 // closedByOrder reports whether an order that no state answers yet closes the owner. The
 // state of an earlier order decides about the versions that it names.
 func (g *rolloutGate) closedByOrder() bool {
@@ -109,6 +122,8 @@
 	switch {
 	case g.awaitsVersion(now):
 		return problem.New(problem.Draining, model.RunNo, "the target has not stated its version yet")
+	case g.awaitsOrders(now):
+		return problem.New(problem.Draining, model.RunNo, "the node has not read the orders of rollouts yet")
 	case g.closedByOrder():
 		return problem.New(problem.Draining, model.RunNo, "the rollout of the target's version has not begun yet")
 	}
@@ -228,14 +243,13 @@
 }
 
 // publishedState returns the target's state for the nodes' records. A target that waits for
-// its version is published as draining, so that entries send it nothing until they know
-// its version.
+// its version or for the orders is published as draining, so that entries send it nothing.
 func (o *owner) publishedState() model.TargetState {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	now := time.Now()
 	state := o.dispatch.State(now)
-	if o.rollout.awaitsVersion(now) && (state == model.TargetCold || state == model.TargetWarm) {
+	if (o.rollout.awaitsVersion(now) || o.rollout.awaitsOrders(now)) && (state == model.TargetCold || state == model.TargetWarm) {
 		return model.TargetDraining
 	}
 	return state
--- a/node/sidecar/target.go
+++ b/node/sidecar/target.go
@@ -126,10 +126,10 @@
 		t.node.owner.rollout.setTarget(now, t.id, t.service, t.version)
 		return append(releases, d.SetGate(now, dispatch.GateAbsent, false)...)
 	})
-	awaitsVersion := t.node.rollouts.enabled && t.version == ""
+	recheck := t.node.rollouts.enabled && (t.version == "" || !t.node.rollouts.haveOrders())
 	t.mu.Unlock()
 	t.publishState()
-	if awaitsVersion {
+	if recheck {
 		time.AfterFunc(unknownVersionTime, t.node.rollouts.recheckVersion)
 	}
 }
