Reject a change that leads to a configuration above the size of a bundle

Change: the commit checks the sum of the parts. Evidence: TestChangeAboveTheSizeOfABundleIsRejected failed before (no error).

--- a/policy/config/follow_test.go
+++ b/policy/config/follow_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"testing"
 
 	qt "github.com/frankban/quicktest"
@@ -212,3 +213,15 @@
 		_, _, _ = follower.Inspect(raw)
 	})
 }
+
+// TestChangeAboveTheSizeOfABundleIsRejected guards against a configuration that changes, each
+// of an allowed size, lead to and that only the nodes that read the store would accept.
+func TestChangeAboveTheSizeOfABundleIsRejected(t *testing.T) {
+	const nameBytes = 64 << 10
+	doc := &Document{Domains: map[model.Domain]Domain{}}
+	for size := 0; size <= MaxDocumentBytes; size += nameBytes {
+		doc.Domains[model.Domain(fmt.Sprintf("%0*d", nameBytes, size))] = Domain{}
+	}
+	_, _, err := splitDocument(doc, Buckets{})
+	qt.Assert(t, err, qt.ErrorMatches, ".* the limit is 33554432; .*")
+}
--- a/policy/config/parts.go
+++ b/policy/config/parts.go
@@ -54,6 +54,7 @@
 	previous Buckets
 	contents []partContent
 	buckets  Buckets
+	bytes    int // of the contents
 	err      error
 }
 
@@ -66,6 +67,11 @@
 	splitSection(s, SectionAccounts, doc.Accounts, func(m map[model.Account]Account) Document { return Document{Accounts: m} })
 	splitSection(s, SectionDomains, doc.Domains, func(m map[model.Domain]Domain) Document { return Document{Domains: m} })
 	splitSection(s, SectionServices, doc.Services, func(m map[model.Service]Service) Document { return Document{Services: m} })
+	// The store takes any number of parts, but nodes that fetch the configuration from others
+	// would reject a larger bundle.
+	if s.err == nil && s.bytes > MaxDocumentBytes {
+		s.err = fmt.Errorf("the configuration has %d bytes with this change, the limit is %d; remove what is not used", s.bytes, MaxDocumentBytes)
+	}
 	return s.contents, s.buckets, s.err
 }
 
@@ -106,6 +112,7 @@
 		return
 	}
 	s.contents = append(s.contents, partContent{section: section, bucket: bucket, data: data})
+	s.bytes += len(data)
 }
 
 // bucketCount returns the number of buckets for a section of the given size in
