Close open instances at any sign of a fault in the expansion

Cause: while a sign of a fault delayed the expansion of a rollout, the instances that were open already went on to get calls without limit, unless the evidence was strong. In services of 2 to 8 instances it seldom gets strong. Change: at a sign they are closed but for the starts that they have used; a few starts at others confirm or refute it, as before.

--- a/policy/rollout/expansion.go
+++ b/policy/rollout/expansion.go
@@ -75,9 +75,7 @@
 	wait := min(expandTime, max((d.part(1)-2*drainTime-d.elapsed)/3, 0))
 	d.next.Grants = slices.Clone(d.next.Grants)
 	if d.suspect() {
-		if d.verdict.Strong {
-			d.limitOpen(fresh)
-		}
+		d.limitOpen(fresh)
 		d.confirm(fresh)
 		return
 	}
