Wait for the configuration before the call of a test of credentials

Traced with the body of the answer: 'the node has no configuration yet'. Change: it also waits until calls can be placed, as the other tests do; what it checks is unchanged.

--- a/node/sidecar/account_test.go
+++ b/node/sidecar/account_test.go
@@ -118,6 +118,7 @@
 	target := newTestTarget(t, "t")
 	n := startNode(t, s, "d", "s", target)
 	n.waitForOwnTarget()
+	n.waitForTargets("s", 1)
 	qt.Assert(t, n.callWithKey("/unsafe/1", "Basic abc").status, qt.Equals, http.StatusOK)
 	got := target.requests()[0]
 	qt.Assert(t, got.Header.Get("Authorization"), qt.Equals, "Basic abc")
