Add review case 1: a leaving target is used again after its node restarts

Cause: a withdrawal that a node has acknowledged is kept in its memory only. After a restart, two late announcements from before the withdrawal open the target again, although its health answers say that it is not ready.

--- /dev/null
+++ b/review/standins/world/client.go
@@ -0,0 +1,91 @@
+package world
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// Sent is one request of a client with what came back.
+type Sent struct {
+	ID, Machine, Method, Path string
+	At, AnsweredAt            time.Time
+	Status                    int
+	Signature                 string
+	Err                       error
+}
+
+// Clients sends requests on one machine at a steady rate.
+type Clients struct {
+	Node     *Node
+	Method   string
+	Host     string
+	Path     string
+	Body     string
+	Deadline time.Duration
+	Every    time.Duration
+
+	client http.Client
+	wait   sync.WaitGroup
+	mu     sync.Mutex
+	sent   []Sent
+}
+
+var lastRequest atomic.Int64
+
+// Run sends requests until the context ends, and waits for their answers.
+func (c *Clients) Run(ctx context.Context) {
+	c.client.Transport = &http.Transport{MaxIdleConnsPerHost: 16, IdleConnTimeout: 5 * time.Second, DisableCompression: true}
+	ticker := time.NewTicker(c.Every)
+	defer ticker.Stop()
+	defer c.wait.Wait()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		c.wait.Go(c.send)
+	}
+}
+
+func (c *Clients) send() {
+	s := Sent{ID: fmt.Sprintf("%016x", lastRequest.Add(1)+0x1c41d07b00000000), Machine: c.Node.Name, Method: c.Method, Path: c.Path, At: time.Now()}
+	ctx, cancel := context.WithTimeout(context.Background(), c.Deadline)
+	defer cancel()
+	r, err := http.NewRequestWithContext(ctx, c.Method, "http://"+c.Node.Outbound()+c.Path, strings.NewReader(c.Body))
+	if err != nil {
+		s.Err = err
+		c.add(s)
+		return
+	}
+	r.Host = c.Host
+	r.Header.Set("X-Zinniafall-Request-Id", s.ID)
+	r.Header.Set("X-Zinniafall-Deadline-Ms", fmt.Sprint(c.Deadline.Milliseconds()))
+	response, err := c.client.Do(r)
+	if err == nil {
+		s.Status, s.Signature = response.StatusCode, response.Header.Get("X-Zinniafall-Upstream-Signature")
+		_, err = io.Copy(io.Discard, response.Body)
+		_ = response.Body.Close()
+	}
+	s.Err, s.AnsweredAt = err, time.Now()
+	c.add(s)
+}
+
+func (c *Clients) add(s Sent) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.sent = append(c.sent, s)
+}
+
+// Sent returns the requests that are over.
+func (c *Clients) Sent() []Sent {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return append([]Sent(nil), c.sent...)
+}
--- /dev/null
+++ b/review/standins/world/instance.go
@@ -0,0 +1,226 @@
+package world
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+)
+
+const (
+	// HeartbeatInterval is heartbeat_ms of the settings.
+	HeartbeatInterval = 1500 * time.Millisecond
+	slots             = 12
+)
+
+// Arrival is a request that reached an instance.
+type Arrival struct {
+	ID, Instance, Method, URI, Body string
+	At                              time.Time
+	Misdirected                     bool // answered with 421
+	Ran                             bool
+}
+
+// Instance is a stand-in of one start of an application instance.
+type Instance struct {
+	Node *Node
+	ID   string
+	Born time.Time
+	Work time.Duration
+	// Late returns how late the heartbeat with a sequence number arrives; nil means that
+	// all arrive at once.
+	Late func(seq int64) time.Duration
+	// OnRequest is called when a request begins to run. It may be nil.
+	OnRequest func(r *http.Request)
+
+	server *http.Server
+	ctx    context.Context
+	cancel context.CancelFunc
+	free   chan struct{}
+
+	mu       sync.Mutex
+	seq      int64
+	beating  bool
+	draining bool
+	gone     bool // it has deregistered: its health is not good any more
+	arrivals []Arrival
+}
+
+// StartInstance starts an instance beside a node.
+func StartInstance(n *Node, id string, work time.Duration, late func(seq int64) time.Duration) (*Instance, error) {
+	l, err := net.Listen("tcp", n.App())
+	if err != nil {
+		return nil, err
+	}
+	i := &Instance{Node: n, ID: id, Born: time.Now(), Work: work, Late: late, free: make(chan struct{}, slots), beating: true}
+	i.ctx, i.cancel = context.WithCancel(context.Background())
+	i.server = &http.Server{Handler: i, IdleTimeout: 10 * time.Second}
+	go func() { _ = i.server.Serve(l) }()
+	go i.beat()
+	n.World.Log("instance %s started beside %s, born %d", id, n.Name, i.Born.UnixMilli())
+	return i, nil
+}
+
+// Stop ends the instance.
+func (i *Instance) Stop() {
+	i.cancel()
+	_ = i.server.Close()
+	i.Node.World.Log("instance %s has ended", i.ID)
+}
+
+// Arrivals returns the requests that have reached the instance.
+func (i *Instance) Arrivals() []Arrival {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	return append([]Arrival(nil), i.arrivals...)
+}
+
+// beat sends heartbeats until the instance leaves or ends.
+func (i *Instance) beat() {
+	ticker := time.NewTicker(HeartbeatInterval)
+	defer ticker.Stop()
+	for {
+		i.mu.Lock()
+		if !i.beating {
+			i.mu.Unlock()
+			return
+		}
+		i.seq++
+		seq := i.seq
+		body := i.heartbeat(seq)
+		i.mu.Unlock()
+		late := time.Duration(0)
+		if i.Late != nil {
+			late = i.Late(seq)
+		}
+		go i.deliver(seq, body, late)
+		select {
+		case <-ticker.C:
+		case <-i.ctx.Done():
+			return
+		}
+	}
+}
+
+func (i *Instance) heartbeat(seq int64) []byte {
+	lifecycle := "ready"
+	if i.draining {
+		lifecycle = "draining"
+	}
+	raw, _ := json.Marshal(map[string]any{
+		"address": i.Node.App(), "born": i.Born.UnixMilli(),
+		"info":   map[string]any{"service": i.Node.Service, "version": "v1", "zone": i.Node.Zone, "capacity": slots},
+		"status": map[string]any{"lifecycle": lifecycle, "seq": seq, "warmup_left_ms": 0},
+	})
+	return raw
+}
+
+// deliver brings a heartbeat to the node's control address, late if the network holds it up.
+func (i *Instance) deliver(seq int64, body []byte, late time.Duration) {
+	if late > 0 {
+		i.Node.World.Log("instance %s sends heartbeat %d, which the network delays by %s", i.ID, seq, late)
+		time.Sleep(late)
+	}
+	status, err := i.post("/v1/Instances.Heartbeat/"+i.ID, body, time.Second)
+	if late > 0 || err != nil {
+		i.Node.World.Log("heartbeat %d of %s reached %s: status %d, error %v", seq, i.ID, i.Node.Name, status, err)
+	}
+}
+
+func (i *Instance) post(path string, body []byte, limit time.Duration) (int, error) {
+	client := http.Client{Timeout: limit, Transport: &http.Transport{DisableKeepAlives: true}}
+	response, err := client.Post("http://"+i.Node.Control()+path, "application/json", bytes.NewReader(body))
+	if err != nil {
+		return 0, err
+	}
+	defer func() { _ = response.Body.Close() }()
+	_, err = io.Copy(io.Discard, response.Body)
+	return response.StatusCode, err
+}
+
+// Deregister says that the instance leaves, as instances do that never report "draining". It
+// returns when that was acknowledged.
+func (i *Instance) Deregister() (acknowledged time.Time, err error) {
+	i.mu.Lock()
+	i.beating, i.gone = false, true
+	i.mu.Unlock()
+	raw, _ := json.Marshal(map[string]any{"born": i.Born.UnixMilli()})
+	status, err := i.post("/v1/Instances.Deregister/"+i.ID, raw, time.Second)
+	if err != nil || status/100 != 2 {
+		return time.Time{}, fmt.Errorf("the deregistration was not acknowledged: status %d, %v", status, err)
+	}
+	now := time.Now()
+	i.Node.World.Log("instance %s deregistered; %s acknowledged it with %d", i.ID, i.Node.Name, status)
+	return now, nil
+}
+
+func (i *Instance) leaving() bool {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	return i.gone || i.draining
+}
+
+// ServeHTTP answers health questions and runs requests.
+func (i *Instance) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	h := w.Header()
+	h.Set("X-Zinniafall-Instance-Load", fmt.Sprintf("%d,0,%d,100", len(i.free), slots))
+	if r.URL.Path == "/health" {
+		h.Set("X-Zinniafall-Served-By", i.ID)
+		if i.leaving() {
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
+		return
+	}
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		return
+	}
+	a := Arrival{ID: r.Header.Get("X-Zinniafall-Request-Id"), Instance: i.ID, Method: r.Method, URI: r.URL.RequestURI(), Body: string(body), At: time.Now()}
+	h.Set("X-Zinniafall-Request-Id", a.ID)
+	if target := r.Header.Get("X-Zinniafall-Target-Instance"); target != "" && target != i.ID {
+		a.Misdirected = true
+		i.add(a)
+		h.Set("X-Zinniafall-Served-By", i.ID)
+		w.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
+	select {
+	case i.free <- struct{}{}:
+	default:
+		i.add(a)
+		h.Set("X-Zinniafall-Not-Executed", "1")
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	defer func() { <-i.free }()
+	a.Ran = true
+	n := i.add(a)
+	if i.OnRequest != nil {
+		i.OnRequest(r)
+	}
+	select {
+	case <-time.After(i.Work):
+	case <-r.Context().Done():
+		return
+	}
+	text := fmt.Sprintf("%s %s %d", i.ID, a.ID, n)
+	h.Set("X-Zinniafall-Upstream-Signature", fmt.Sprintf("%s.%d", i.ID, n))
+	h.Set("Content-Length", strconv.Itoa(len(text)))
+	if i.leaving() {
+		h.Set("Connection", "close")
+	}
+	_, _ = io.WriteString(w, text)
+}
+
+func (i *Instance) add(a Arrival) int {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	i.arrivals = append(i.arrivals, a)
+	return len(i.arrivals)
+}
