--- a/review/standins/world/instance.go
+++ b/review/standins/world/instance.go
@@ -17,6 +17,8 @@
 	// HeartbeatInterval is heartbeat_ms of the settings.
 	HeartbeatInterval = 1500 * time.Millisecond
 	slots             = 12
+	// coldFactor is how many times as long work takes at a cold instance (cold_x of the site).
+	coldFactor = 2
 )
 
 // Arrival is a request that reached an instance.
@@ -32,12 +34,15 @@
 	Node *Node
 	ID   string
 	Born time.Time
-	Work time.Duration
+	Work time.Duration // of each request, if WorkOf does not say otherwise
+	// WorkOf returns the work of a request of a method. It may be nil.
+	WorkOf func(method string) time.Duration
 	// Late returns how late the heartbeat with a sequence number arrives; nil means that
 	// all arrive at once.
 	Late func(seq int64) time.Duration
-	// OnRequest is called when a request begins to run. It may be nil.
-	OnRequest func(r *http.Request)
+	// ColdRequests is the number of requests in a second above which the instance crashes while
+	// it is cold; 0 means that it bears any number.
+	ColdRequests int
 
 	server *http.Server
 	ctx    context.Context
@@ -49,7 +54,12 @@
 	beating  bool
 	draining bool
 	gone     bool // it has deregistered: its health is not good any more
-	arrivals []Arrival
+	// coldUntil is the end of the present or last time for which it is cold, coldTime how long
+	// that lasts in all.
+	coldUntil time.Time
+	coldTime  time.Duration
+	crashed   bool
+	arrivals  []Arrival
 }
 
 // StartInstance starts an instance beside a node.
@@ -116,7 +126,7 @@
 	raw, _ := json.Marshal(map[string]any{
 		"address": i.Node.App(), "born": i.Born.UnixMilli(),
 		"info":   map[string]any{"service": i.Node.Service, "version": "v1", "zone": i.Node.Zone, "capacity": slots},
-		"status": map[string]any{"lifecycle": lifecycle, "seq": seq, "warmup_left_ms": 0},
+		"status": map[string]any{"lifecycle": lifecycle, "seq": seq, "warmup_left_ms": max(time.Until(i.coldUntil).Milliseconds(), 0)},
 	})
 	return raw
 }
@@ -172,6 +182,7 @@
 	h.Set("X-Zinniafall-Instance-Load", fmt.Sprintf("%d,0,%d,100", len(i.free), slots))
 	if r.URL.Path == "/health" {
 		h.Set("X-Zinniafall-Served-By", i.ID)
+		h.Set("X-Zinniafall-Warmup-Ms", strconv.FormatInt(i.warmUpLeft().Milliseconds(), 10))
 		if i.leaving() {
 			w.WriteHeader(http.StatusServiceUnavailable)
 		}
@@ -201,13 +212,22 @@
 	defer func() { <-i.free }()
 	a.Ran = true
 	n := i.add(a)
-	if i.OnRequest != nil {
-		i.OnRequest(r)
+	if i.overrun() {
+		return
+	}
+	work := i.Work
+	if i.WorkOf != nil {
+		work = i.WorkOf(r.Method)
+	}
+	if i.warmUpLeft() > 0 {
+		work *= coldFactor
 	}
 	select {
-	case <-time.After(i.Work):
+	case <-time.After(work):
 	case <-r.Context().Done():
 		return
+	case <-i.ctx.Done():
+		panic(http.ErrAbortHandler)
 	}
 	text := fmt.Sprintf("%s %s %d", i.ID, a.ID, n)
 	h.Set("X-Zinniafall-Upstream-Signature", fmt.Sprintf("%s.%d", i.ID, n))
@@ -218,6 +238,48 @@
 	_, _ = io.WriteString(w, text)
 }
 
+// TurnCold makes the instance cold for a while.
+func (i *Instance) TurnCold(d time.Duration) {
+	i.mu.Lock()
+	i.coldUntil, i.coldTime = time.Now().Add(d), d
+	i.mu.Unlock()
+	i.Node.World.Log("instance %s has become cold for %s", i.ID, d)
+}
+
+func (i *Instance) warmUpLeft() time.Duration {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	return max(time.Until(i.coldUntil), 0)
+}
+
+// Crashed reports whether the instance has crashed.
+func (i *Instance) Crashed() bool {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	return i.crashed
+}
+
+// overrun crashes the instance if it is cold and has got too many requests within a second.
+// It reports whether the instance has crashed.
+func (i *Instance) overrun() bool {
+	i.mu.Lock()
+	now, recent := time.Now(), 0
+	for k := len(i.arrivals) - 1; k >= 0 && now.Sub(i.arrivals[k].At) < time.Second; k-- {
+		if i.arrivals[k].At.After(i.coldUntil.Add(-i.coldTime)) {
+			recent++
+		}
+	}
+	over := !i.crashed && i.ColdRequests > 0 && now.Before(i.coldUntil) && recent > i.ColdRequests
+	i.crashed = i.crashed || over
+	crashed := i.crashed
+	i.mu.Unlock()
+	if over {
+		i.Node.World.Log("instance %s crashes: %d requests in a second while it is cold", i.ID, recent)
+		i.Stop()
+	}
+	return crashed
+}
+
 func (i *Instance) add(a Arrival) int {
 	i.mu.Lock()
 	defer i.mu.Unlock()
