--- a/review/standins/world/instance.go
+++ b/review/standins/world/instance.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -27,6 +28,10 @@
 	At                              time.Time
 	Misdirected                     bool // answered with 421
 	Ran                             bool
+	// Bad is set if the answer was a failure, or slow by the instance's version, EndedAt when
+	// it was given.
+	Bad     bool
+	EndedAt time.Time
 }
 
 // Instance is a stand-in of one start of an application instance.
@@ -40,6 +45,11 @@
 	// Late returns how late the heartbeat with a sequence number arrives; nil means that
 	// all arrive at once.
 	Late func(seq int64) time.Duration
+	// Version is what it states of its software; empty means v1.
+	Version string
+	// Answer returns how a request is answered and how many times as long its work takes,
+	// given the number of requests in progress with it. It may be nil.
+	Answer func(r *http.Request, running int) (status, factor int)
 	// ColdRequests is the number of requests in a second above which the instance crashes while
 	// it is cold; 0 means that it bears any number.
 	ColdRequests int
@@ -64,16 +74,22 @@
 
 // StartInstance starts an instance beside a node.
 func StartInstance(n *Node, id string, work time.Duration, late func(seq int64) time.Duration) (*Instance, error) {
+	return StartAs(&Instance{Node: n, ID: id, Work: work, Late: late})
+}
+
+// StartAs starts an instance whose exported fields are set.
+func StartAs(i *Instance) (*Instance, error) {
+	n := i.Node
 	l, err := net.Listen("tcp", n.App())
 	if err != nil {
 		return nil, err
 	}
-	i := &Instance{Node: n, ID: id, Born: time.Now(), Work: work, Late: late, free: make(chan struct{}, slots), beating: true}
+	i.Born, i.free, i.beating = time.Now(), make(chan struct{}, slots), true
 	i.ctx, i.cancel = context.WithCancel(context.Background())
 	i.server = &http.Server{Handler: i, IdleTimeout: 10 * time.Second}
 	go func() { _ = i.server.Serve(l) }()
 	go i.beat()
-	n.World.Log("instance %s started beside %s, born %d", id, n.Name, i.Born.UnixMilli())
+	n.World.Log("instance %s started beside %s, born %d", i.ID, n.Name, i.Born.UnixMilli())
 	return i, nil
 }
 
@@ -125,7 +141,7 @@
 	}
 	raw, _ := json.Marshal(map[string]any{
 		"address": i.Node.App(), "born": i.Born.UnixMilli(),
-		"info":   map[string]any{"service": i.Node.Service, "version": "v1", "zone": i.Node.Zone, "capacity": slots},
+		"info":   map[string]any{"service": i.Node.Service, "version": cmp.Or(i.Version, "v1"), "zone": i.Node.Zone, "capacity": slots},
 		"status": map[string]any{"lifecycle": lifecycle, "seq": seq, "warmup_left_ms": max(time.Until(i.coldUntil).Milliseconds(), 0)},
 	})
 	return raw
@@ -222,6 +238,13 @@
 	if i.warmUpLeft() > 0 {
 		work *= coldFactor
 	}
+	status := http.StatusOK
+	if i.Answer != nil {
+		var factor int
+		status, factor = i.Answer(r, len(i.free))
+		work *= time.Duration(factor)
+		i.answered(n-1, status, factor)
+	}
 	select {
 	case <-time.After(work):
 	case <-r.Context().Done():
@@ -235,7 +258,23 @@
 	if i.leaving() {
 		h.Set("Connection", "close")
 	}
+	w.WriteHeader(status)
 	_, _ = io.WriteString(w, text)
+	i.ended(n - 1)
+}
+
+// answered records how a request is answered.
+func (i *Instance) answered(n, status, factor int) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	i.arrivals[n].Bad = status != http.StatusOK || factor > 1
+}
+
+// ended records when a request was answered.
+func (i *Instance) ended(n int) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	i.arrivals[n].EndedAt = time.Now()
 }
 
 // TurnCold makes the instance cold for a while.
--- a/review/standins/world/store.go
+++ b/review/standins/world/store.go
@@ -33,6 +33,9 @@
 	last     uint64
 	changed  chan struct{}
 	server   *http.Server
+	// OnWrite is called with each key that a node writes, while the store is locked. It may
+	// be nil.
+	OnWrite func(key string, value []byte)
 }
 
 type lease struct {
@@ -212,6 +215,9 @@
 	if status == http.StatusOK {
 		for _, x := range t.Writes {
 			s.write(Item{Key: x.Key, Value: x.Value, Lease: x.Lease})
+			if s.OnWrite != nil {
+				s.OnWrite(x.Key, x.Value)
+			}
 		}
 		for _, key := range t.Remove {
 			s.remove(key)
--- a/review/standins/world/world.go
+++ b/review/standins/world/world.go
@@ -29,6 +29,9 @@
 	Store   *Store
 	Nodes   []*Node
 	Trouble bool
+	// MoreBounds are bounds of the settings besides those of the site shelterbook, such as
+	// `"exposure_ratio=0.1"`.
+	MoreBounds []string
 
 	dir     string
 	program string
@@ -159,8 +162,11 @@
 	fmt.Fprintf(&b, "node = %q\nrole = \"node\"\nmachine_class = \"sidecar\"\nserves = [\"sidecar\"]\nip = %q\nzone = %q\nregion = \"new-england\"\n", n.Name, n.IP, n.Zone)
 	fmt.Fprintf(&b, "port_range = [%d,%d]\nseed_nodes = []\nbootstrap = true\ncounts_as_loss = false\ndiscovery = \"static\"\nentry = \"static\"\nheartbeat_ms = 1500\n", portPeers, portPeers+15)
 	b.WriteString(`contracts = ["base","drain","config","cost","retry","recover","health","places","platform"]
-bounds = ["seed_lag_s=3","addr_reuse_s=2","contact_ms=3000","ack_ms=4000","catch_up_s=4","drain_ms=2000","grace_s=6","loss_slack_ms=200","config_apply_ms=2000","downgrade_slack_ms=250","max_stretch_ms=5000","retry_budget_ratio=0.2","budget_window_s=10","retry_slack=62","warmup_overshoot=1.5","warmup_slack=5","evacuation_ms=5000","recovery_s=15","probes_per_s=60"]
-`)
+bounds = ["seed_lag_s=3","addr_reuse_s=2","contact_ms=3000","ack_ms=4000","catch_up_s=4","drain_ms=2000","grace_s=6","loss_slack_ms=200","config_apply_ms=2000","downgrade_slack_ms=250","max_stretch_ms=5000","retry_budget_ratio=0.2","budget_window_s=10","retry_slack=62","warmup_overshoot=1.5","warmup_slack=5","evacuation_ms=5000","recovery_s=15","probes_per_s=60"`)
+	for _, bound := range n.World.MoreBounds {
+		fmt.Fprintf(&b, ",%q", bound)
+	}
+	b.WriteString("]\n")
 	fmt.Fprintf(&b, "app_addr = %q\nservice = %q\n[zones]\n", n.App(), n.Service)
 	for _, other := range n.World.Nodes {
 		if !zones[other.Zone] {
