--- a/review/standins/cmd/bad-version/main.go
+++ b/review/standins/cmd/bad-version/main.go
@@ -9,6 +9,7 @@
 	"math/rand/v2"
 	"net/http"
 	"os"
+	"sort"
 	"sync"
 	"time"
 
@@ -244,6 +245,13 @@
 // judge applies the rule. Requests that a machine sends within the contact time after its
 // start do not count, since it is not in touch.
 func (o *rollout) judge() bool {
+	w := o.world
+	sent := map[string]world.Sent{}
+	for _, c := range o.clients {
+		for _, s := range c.Sent() {
+			sent[s.ID] = s
+		}
+	}
 	var all []world.Arrival
 	for _, i := range o.olds {
 		all = append(all, i.Arrivals()...)
@@ -264,10 +272,13 @@
 			}
 		}
 	}
+	sort.Slice(all, func(a, b int) bool { return all[a].At.Before(all[b].At) })
 	for _, a := range all {
 		if a.At.After(o.orderedAt) && a.At.Before(deadline) {
 			served++
 		}
+		s := sent[a.ID]
+		w.Log("request %s %s sent %.3f on %s, reached %s at %.3f (ran %t, bad %t), answered %d", a.ID, a.Method, w.Since(s.At), s.Machine, a.Instance, w.Since(a.At), a.Ran, a.Bad, s.Status)
 	}
 	fiftieth := time.Time{}
 	if len(ends) >= badAnswers {
@@ -298,11 +309,9 @@
 	}
 	limit := exposureRatio*float64(served) + exposureSlack
 	failed := 0
-	for _, c := range o.clients {
-		for _, s := range c.Sent() {
-			if s.Status != http.StatusOK && s.At.After(o.orderedAt) {
-				failed++
-			}
+	for _, s := range sent {
+		if s.Status != http.StatusOK && s.At.After(o.orderedAt) {
+			failed++
 		}
 	}
 	broken := o.world.Trouble && (float64(reached) > limit || late > 0) // the rule is about bad versions
--- a/review/standins/world/client.go
+++ b/review/standins/world/client.go
@@ -29,6 +29,7 @@
 	Body     string
 	Deadline time.Duration
 	Every    time.Duration
+	Key      string // of the tenant, if any
 
 	client http.Client
 	wait   sync.WaitGroup
@@ -67,6 +68,9 @@
 	r.Host = c.Host
 	r.Header.Set("X-Zinniafall-Request-Id", s.ID)
 	r.Header.Set("X-Zinniafall-Deadline-Ms", fmt.Sprint(c.Deadline.Milliseconds()))
+	if c.Key != "" {
+		r.Header.Set("Authorization", "Bearer "+c.Key)
+	}
 	response, err := c.client.Do(r)
 	if err == nil {
 		s.Status, s.Signature = response.StatusCode, response.Header.Get("X-Zinniafall-Upstream-Signature")
--- a/review/standins/world/store.go
+++ b/review/standins/world/store.go
@@ -2,6 +2,9 @@
 
 import (
 	"encoding/json"
+	"io"
+	"log"
+	"maps"
 	"net"
 	"net/http"
 	"sort"
@@ -29,6 +32,7 @@
 	items    map[string]Item
 	history  []Item
 	revision uint64
+	oldest   uint64 // watches from an earlier revision, or from a later one, get 410
 	leases   map[uint64]*lease
 	last     uint64
 	changed  chan struct{}
@@ -36,6 +40,76 @@
 	// OnWrite is called with each key that a node writes, while the store is locked. It may
 	// be nil.
 	OnWrite func(key string, value []byte)
+	// Era, if it is not nil, is what the header Store-Era states.
+	Era *uint64
+
+	away bool
+	copy *storeCopy
+}
+
+// storeCopy is a copy of what the store holds.
+type storeCopy struct {
+	items    map[string]Item
+	revision uint64
+	leases   map[uint64]lease
+	last     uint64
+}
+
+// KeepCopy makes the copy from which Return brings the store back.
+func (s *Store) KeepCopy() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	c := &storeCopy{items: maps.Clone(s.items), revision: s.revision, leases: map[uint64]lease{}, last: s.last}
+	for id, l := range s.leases {
+		c.leases[id] = *l
+	}
+	s.copy = c
+}
+
+// GoAway ends all answers: connections are closed without one.
+func (s *Store) GoAway() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.away = true
+	s.wake()
+}
+
+// Return brings the store back from its copy, in the next era. The time of leases did not run
+// while it was away.
+func (s *Store) Return() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	c := s.copy
+	s.items, s.revision, s.last, s.history = c.items, c.revision, c.last, nil
+	s.leases = map[uint64]*lease{}
+	for id, l := range c.leases {
+		s.leases[id] = &lease{ttl: l.ttl, end: time.Now().Add(l.ttl)}
+	}
+	s.oldest = s.revision
+	s.away = false
+	*s.Era++
+	s.wake()
+}
+
+func (s *Store) isAway() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.away
+}
+
+// serve answers a request, unless the store is away.
+func (s *Store) serve(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if s.isAway() {
+			panic(http.ErrAbortHandler)
+		}
+		if s.Era != nil {
+			s.mu.Lock()
+			w.Header().Set("Store-Era", strconv.FormatUint(*s.Era, 10))
+			s.mu.Unlock()
+		}
+		next.ServeHTTP(w, r)
+	})
 }
 
 type lease struct {
@@ -58,7 +132,7 @@
 	mux.HandleFunc("POST /v1/kv-lease", s.grant)
 	mux.HandleFunc("POST /v1/kv-keep/{id}", s.keep)
 	mux.HandleFunc("DELETE /v1/kv-lease-end/{id}", s.end)
-	s.server = &http.Server{Handler: mux}
+	s.server = &http.Server{Handler: s.serve(mux), ErrorLog: log.New(io.Discard, "", 0)}
 	go func() { _ = s.server.Serve(l) }()
 	go s.expire()
 	return s, nil
@@ -101,7 +175,9 @@
 	for now := range time.Tick(100 * time.Millisecond) {
 		s.mu.Lock()
 		for id, l := range s.leases {
-			if now.After(l.end) {
+			if s.away {
+				l.end = l.end.Add(100 * time.Millisecond)
+			} else if now.After(l.end) {
 				s.endLease(id)
 			}
 		}
@@ -165,8 +241,16 @@
 				events = append(events, i)
 			}
 		}
-		revision, changed := s.revision, s.changed
+		revision, changed, away := s.revision, s.changed, s.away
+		gone := after < s.oldest || after > s.revision
 		s.mu.Unlock()
+		if away {
+			panic(http.ErrAbortHandler)
+		}
+		if gone {
+			reply(w, http.StatusGone, map[string]any{})
+			return
+		}
 		if len(events) > 0 || ended {
 			reply(w, http.StatusOK, map[string]any{"events": events, "current_rev": revision})
 			return
--- a/review/standins/world/world.go
+++ b/review/standins/world/world.go
@@ -310,6 +310,11 @@
 	}}
 }
 
+// Tenant returns a tenant with its keys and without a quota.
+func Tenant(name string, keys ...string) Resource {
+	return Resource{"tenants", map[string]string{"name": name}, map[string]any{"api_keys": keys, "priority": 1}}
+}
+
 // Limits returns the limits of callers.
 func Limits() Resource {
 	return Resource{"limits", map[string]string{"name": "limits"}, map[string]any{
