--- a/review/standins/cmd/bad-version/main.go
+++ b/review/standins/cmd/bad-version/main.go
@@ -18,8 +18,6 @@
 
 const (
 	host = "jepu9.example"
-	// duration is the time for a rollout, as on the site (for_s = 16).
-	duration = 16 * time.Second
 	// newDelay is the time from the order to the start of the new instances, coldTime how
 	// long these are cold, and drainDelay the time from a rollback to their end.
 	newDelay   = 800 * time.Millisecond
@@ -30,7 +28,6 @@
 	exposureSlack = 50
 	rollbackTime  = 5 * time.Second
 	badAnswers    = 50
-	work          = 90 * time.Millisecond
 )
 
 func main() { os.Exit(run(os.Args[1])) }
@@ -56,10 +53,9 @@
 
 // rollout is one service with the rollout of its version v2.
 type rollout struct {
-	world   *world.World
-	service string
-	// how is the way in which v2 is bad: errors, slow, under_load, one_class or late.
-	how      string
+	kind
+	world    *world.World
+	service  string
 	old, new []*world.Node
 	clients  []*world.Clients
 
@@ -73,34 +69,39 @@
 }
 
 const (
-	// perNode is the number of requests a second of the clients on one machine: the site has
-	// 332 for the 31 instances of `calendar`.
-	perNode   = 10.7
-	instances = 3 // of each version
-
 	badShare     = 0.5
-	slowFactor   = 8
 	loadFrom     = 2
-	lateAfter    = 3 * time.Second
 	settlingTime = 4 * time.Second
 )
 
-// kinds are the ways in which the versions are bad, a service each.
-var kinds = []string{"under_load", "under_load", "late", "one_class"}
+// kind is the rollout of one service.
+type kind struct {
+	// how is the way in which the new version is bad: errors or under_load.
+	how string
+	// duration is the time for the rollout, perNode the number of requests a second of the
+	// clients on one machine, and work the work of a request.
+	duration time.Duration
+	perNode  float64
+	work     time.Duration
+	// instances is the number of instances of each version.
+	instances int
+}
+
+var (
+	// The figures of underLoad are those of the site: 332 requests a second for 31 instances.
+	underLoad = kind{how: "under_load", duration: 16 * time.Second, perNode: 10.7, work: 90 * time.Millisecond, instances: 3}
+	failsHalf = kind{how: "errors", duration: 12 * time.Second, perNode: 30, work: 30 * time.Millisecond, instances: 2}
+	kinds     = []kind{underLoad, underLoad, failsHalf, failsHalf, failsHalf, failsHalf}
+)
 
 // answer returns how an instance of the version v2 answers.
-func (o *rollout) answer(started time.Time) func(r *http.Request, running int) (int, int) {
-	return func(r *http.Request, running int) (int, int) {
+func (o *rollout) answer() func(r *http.Request, running int) (int, int) {
+	return func(_ *http.Request, running int) (int, int) {
 		switch {
 		case !o.world.Trouble,
-			o.how == "late" && time.Since(started) < lateAfter,
 			o.how == "under_load" && running < loadFrom,
-			o.how == "one_class" && r.Method != "POST":
-			return http.StatusOK, 1
-		case rand.Float64() >= badShare:
+			rand.Float64() >= badShare:
 			return http.StatusOK, 1
-		case o.how == "slow":
-			return http.StatusOK, slowFactor
 		}
 		return http.StatusInternalServerError, 1
 	}
@@ -110,14 +111,14 @@
 	w.MoreBounds = []string{"exposure_ratio=0.1", "exposure_slack=50", "rollback_ms=5000"}
 	var rollouts []*rollout
 	resources := []world.Resource{world.Limits()}
-	for k, how := range kinds {
-		o := &rollout{world: w, service: fmt.Sprintf("huvo%da", k), how: how}
-		for i := range 2 * instances {
+	for k, kind := range kinds {
+		o := &rollout{kind: kind, world: w, service: fmt.Sprintf("huvo%da", k)}
+		for i := range 2 * o.instances {
 			n, err := w.AddNode(fmt.Sprintf("sidecar-%d-%d", k, i), []string{"ne-a", "ne-b", "ne-c"}[i%3], o.service)
 			if err != nil {
 				return 0, err
 			}
-			if i < instances {
+			if i < o.instances {
 				o.old = append(o.old, n)
 			} else {
 				o.new = append(o.new, n)
@@ -147,7 +148,7 @@
 			if err := n.Start(); err != nil {
 				return 0, err
 			}
-			instance, err := world.StartAs(&world.Instance{Node: n, ID: fmt.Sprintf("i-%s-old-%d", o.service, i), Work: work, Version: "v1"})
+			instance, err := world.StartAs(&world.Instance{Node: n, ID: fmt.Sprintf("i-%s-old-%d", o.service, i), Work: o.work, Version: "v1"})
 			if err != nil {
 				return 0, err
 			}
@@ -164,8 +165,8 @@
 	for _, o := range rollouts {
 		for _, n := range o.old {
 			for _, c := range []*world.Clients{
-				{Node: n, Method: "GET", Host: host, Path: "/look" + o.service + "/2f", Deadline: 1200 * time.Millisecond, Every: perSecond(perNode * 0.7)},
-				{Node: n, Method: "POST", Host: host, Path: "/book" + o.service + "/2f", Body: "shelter=12", Deadline: 1200 * time.Millisecond, Every: perSecond(perNode * 0.3)},
+				{Node: n, Method: "GET", Host: host, Path: "/look" + o.service + "/2f", Deadline: 1200 * time.Millisecond, Every: perSecond(o.perNode * 0.7)},
+				{Node: n, Method: "POST", Host: host, Path: "/book" + o.service + "/2f", Body: "shelter=12", Deadline: 1200 * time.Millisecond, Every: perSecond(o.perNode * 0.3)},
 			} {
 				o.clients = append(o.clients, c)
 				running.Go(func() { c.Run(ctx) })
@@ -196,16 +197,16 @@
 	o.mu.Lock()
 	o.orderedAt = time.Now()
 	o.mu.Unlock()
-	value, _ := json.Marshal(map[string]any{"service": o.service, "target_version": "v2", "duration_s": duration.Seconds()})
+	value, _ := json.Marshal(map[string]any{"service": o.service, "target_version": "v2", "duration_s": o.duration.Seconds()})
 	w.Store.Put("op/rollout/"+o.service, value)
-	w.Log("operator: rollout of %s to v2 (bad: %s) within %s", o.service, o.how, duration)
+	w.Log("operator: rollout of %s to v2 (bad: %s) within %s", o.service, o.how, o.duration)
 	time.Sleep(newDelay)
 	for i, n := range o.new {
 		if err := n.Start(); err != nil {
 			w.Log("%v", err)
 			return
 		}
-		instance := &world.Instance{Node: n, ID: fmt.Sprintf("i-%s-new-%d", o.service, i), Work: work, Version: "v2", Answer: o.answer(time.Now())}
+		instance := &world.Instance{Node: n, ID: fmt.Sprintf("i-%s-new-%d", o.service, i), Work: o.work, Version: "v2", Answer: o.answer()}
 		if _, err := world.StartAs(instance); err != nil {
 			w.Log("%v", err)
 			return
@@ -216,7 +217,7 @@
 		o.started = n.StartedAt
 		o.mu.Unlock()
 	}
-	time.Sleep(time.Until(o.orderedAt.Add(duration + drainDelay)))
+	time.Sleep(time.Until(o.orderedAt.Add(o.duration + drainDelay)))
 }
 
 // statusWritten applies a status that the system wrote: at "completed" the old instances stop
@@ -258,7 +259,7 @@
 	}
 	reached, bad, badAll, late := 0, 0, 0, 0
 	served := 0
-	deadline := o.orderedAt.Add(duration)
+	deadline := o.orderedAt.Add(o.duration)
 	inTouch := o.started.Add(world.ContactTime)
 	var ends []time.Time
 	for _, i := range o.news {
