--- a/review/standins/world/world.go
+++ b/review/standins/world/world.go
@@ -213,30 +213,6 @@
 	return nil
 }
 
-// Signal sends a signal to the process.
-func (n *Node) Signal(s os.Signal) {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	if n.cmd != nil {
-		_ = n.cmd.Process.Signal(s)
-	}
-}
-
-// Terminate sends SIGTERM, and SIGKILL after the grace period.
-func (n *Node) Terminate(grace time.Duration) {
-	n.mu.Lock()
-	n.wanted = true
-	exited := n.exited
-	n.mu.Unlock()
-	n.World.Log("platform: SIGTERM to %s", n.Name)
-	n.Signal(os.Interrupt)
-	select {
-	case <-exited:
-	case <-time.After(grace):
-	}
-	n.Kill()
-}
-
 // Kill ends the process with SIGKILL and waits for its end.
 func (n *Node) Kill() {
 	n.mu.Lock()
