--- a/review/standins/cmd/bad-version/main.go
+++ b/review/standins/cmd/bad-version/main.go
@@ -66,6 +66,7 @@
 	status    string
 	statusAt  time.Time
 	started   time.Time // the start of the new nodes
+	err       error     // the case could not run
 }
 
 const (
@@ -176,11 +177,22 @@
 	time.Sleep(settlingTime)
 	var ended sync.WaitGroup
 	for _, o := range rollouts {
-		ended.Go(func() { o.play() })
+		ended.Go(func() { o.err = o.play() })
 	}
 	ended.Wait()
 	cancel()
 	running.Wait()
+	if err := w.Ended(); err != nil {
+		return 0, err
+	}
+	for _, o := range rollouts {
+		if o.err != nil {
+			return 0, o.err
+		}
+		if o.status == "" {
+			return 0, fmt.Errorf("no status of %s was written", o.service)
+		}
+	}
 	for _, o := range rollouts {
 		if o.judge() {
 			broken++
@@ -192,7 +204,7 @@
 func perSecond(rate float64) time.Duration { return time.Duration(float64(time.Second) / rate) }
 
 // play orders the version and starts its instances, and waits for the end.
-func (o *rollout) play() {
+func (o *rollout) play() error {
 	w := o.world
 	o.mu.Lock()
 	o.orderedAt = time.Now()
@@ -203,25 +215,23 @@
 	time.Sleep(newDelay)
 	for i, n := range o.new {
 		if err := n.Start(); err != nil {
-			w.Log("%v", err)
-			return
+			return err
 		}
-		instance := &world.Instance{Node: n, ID: fmt.Sprintf("i-%s-new-%d", o.service, i), Work: o.work, Version: "v2", Answer: o.answer()}
+		instance := &world.Instance{Node: n, ID: fmt.Sprintf("i-%s-new-%d", o.service, i), Work: o.work, Version: "v2", Answer: o.answer(), ColdFor: coldTime}
 		if _, err := world.StartAs(instance); err != nil {
-			w.Log("%v", err)
-			return
+			return err
 		}
-		instance.TurnCold(coldTime)
 		o.mu.Lock()
 		o.news = append(o.news, instance)
 		o.started = n.StartedAt
 		o.mu.Unlock()
 	}
 	time.Sleep(time.Until(o.orderedAt.Add(o.duration + drainDelay)))
+	return nil
 }
 
 // statusWritten applies a status that the system wrote: at "completed" the old instances stop
-// at once. At "rolled_back" the new ones would drain some seconds later; they stay until the end.
+// at once and their machines are removed; the clients go on at the new machines. At "rolled_back" the new ones would drain some seconds later; they stay until the end.
 func (o *rollout) statusWritten(value []byte) {
 	var status struct {
 		Lifecycle string `json:"lifecycle"`
@@ -237,8 +247,14 @@
 	o.status, o.statusAt = status.Lifecycle, time.Now()
 	o.world.Log("status of %s: %s, %.1f s after the order", o.service, o.status, time.Since(o.orderedAt).Seconds())
 	if o.status == "completed" {
-		for _, i := range o.olds {
-			go i.Stop()
+		for i, c := range o.clients {
+			c.Move(o.new[i/2%len(o.new)])
+		}
+		for i := range o.olds {
+			go func() {
+				o.olds[i].Stop()
+				o.old[i].Terminate()
+			}()
 		}
 	}
 }
--- a/review/standins/cmd/cold-again/main.go
+++ b/review/standins/cmd/cold-again/main.go
@@ -14,20 +14,22 @@
 	"review/world"
 )
 
+// services are two services alike.
+var services = []string{"wuno96b", "wuno97b"}
+
 const (
-	service = "wuno96b"
-	host    = "jepu9.example"
+	host = "jepu9.example"
 	// The traffic of an instance of `bookings` of the site shelterbook: 47.6 reservations
 	// and 155 x 0.7 x 2 = 217 checks a second at 4 instances.
 	reservesPerSecond = 11.9
 	checksPerSecond   = 54.25
 	// burstFactor and burstTime are those of the site's disruption `burst`.
 	burstFactor = 1.7
-	burstTime   = 5 * time.Second
+	burstTime   = 3 * time.Second
 	restTime    = 1500 * time.Millisecond
 	// rounds is the number of bursts; none begins after lastRound.
-	rounds    = 13
-	lastRound = 92 * time.Second
+	rounds    = 20
+	lastRound = 86 * time.Second
 	// The cold time, and the requests that a cold instance may get in a second: cold_per_s x
 	// warmup_overshoot + warmup_slack.
 	coldTime        = 3 * time.Second
@@ -66,107 +68,144 @@
 	from     time.Time
 }
 
+// group is one of the services, with its machines, instances and clients.
+type group struct {
+	world   *world.World
+	service string
+	nodes   []*world.Node
+	present []*world.Instance
+	all     []*world.Instance
+	clients []*world.Clients
+	spans   []coldSpan
+	running sync.WaitGroup
+	err     error
+}
+
 func play(w *world.World) (broken int, err error) {
-	zones := []string{"ne-a", "ne-b", "ne-c", "ne-d"}
-	for _, zone := range zones {
-		if _, err := w.AddNode("sidecar-"+zone+"-1", zone, service); err != nil {
-			return 0, err
-		}
-	}
-	w.Configure(7,
-		world.Route("r-ctnfzs9", host, "/check/", "safe", service, 250*time.Millisecond),
-		world.Route("r-89anu6w", host, "/reserve/", "unsafe", service, time.Second),
-		world.Service(service), world.Limits())
-	for _, n := range w.Nodes {
-		if err := n.Start(); err != nil {
-			return 0, err
-		}
-	}
-	starts := 0
-	start := func(n *world.Node) (*world.Instance, error) {
-		starts++
-		i, err := world.StartInstance(n, fmt.Sprintf("i-%08x", 0x7f3a91c0+starts), checkWork, nil)
-		if err == nil {
-			i.ColdRequests = maxColdRequests
-			i.WorkOf = func(method string) time.Duration {
-				if method == "POST" {
-					return reserveWork
-				}
-				return checkWork
+	resources := []world.Resource{world.Limits()}
+	var groups []*group
+	for _, service := range services {
+		g := &group{world: w, service: service}
+		for _, zone := range []string{"ne-a", "ne-b", "ne-c", "ne-d"} {
+			n, err := w.AddNode("sidecar-"+service+"-"+zone, zone, service)
+			if err != nil {
+				return 0, err
 			}
+			g.nodes = append(g.nodes, n)
 		}
-		return i, err
+		resources = append(resources, world.Service(service),
+			world.Route("r-check-"+service, host, "/check-"+service+"/", "safe", service, 250*time.Millisecond),
+			world.Route("r-reserve-"+service, host, "/reserve-"+service+"/", "unsafe", service, time.Second))
+		groups = append(groups, g)
 	}
-	present := make([]*world.Instance, len(w.Nodes))
-	var all []*world.Instance
-	for i, n := range w.Nodes {
-		if present[i], err = start(n); err != nil {
-			return 0, err
+	w.Configure(7, resources...)
+	for _, g := range groups {
+		for _, n := range g.nodes {
+			if err := n.Start(); err != nil {
+				return 0, err
+			}
+			i, err := g.start(n, 0)
+			if err != nil {
+				return 0, err
+			}
+			g.present = append(g.present, i)
 		}
-		all = append(all, present[i])
 	}
 	if err := w.AwaitReady(10 * time.Second); err != nil {
 		return 0, err
 	}
 	time.Sleep(time.Second)
+	var ended sync.WaitGroup
+	for k, g := range groups {
+		ended.Go(func() {
+			time.Sleep(time.Duration(k) * 2 * time.Second)
+			g.err = g.play()
+		})
+	}
+	ended.Wait()
+	if err := w.Ended(); err != nil {
+		return 0, err
+	}
+	for _, g := range groups {
+		if g.err != nil {
+			return 0, g.err
+		}
+	}
+	for _, g := range groups {
+		broken += judge(w, g.clients, g.all, g.spans)
+	}
+	return broken, nil
+}
 
-	ctx, cancel := context.WithCancel(context.Background())
-	defer cancel()
-	var clients []*world.Clients
-	var running sync.WaitGroup
-	traffic := func(ctx context.Context, factor float64) {
-		for _, n := range w.Nodes {
-			for _, c := range []*world.Clients{
-				{Node: n, Method: "GET", Host: host, Path: "/check/2f", Deadline: 250 * time.Millisecond, Every: perSecond(checksPerSecond * factor)},
-				{Node: n, Method: "POST", Host: host, Path: "/reserve/2f", Body: "shelter=12", Deadline: time.Second, Every: perSecond(reservesPerSecond * factor)},
-			} {
-				clients = append(clients, c)
-				running.Go(func() { c.Run(ctx) })
+// start starts an instance beside a node of the group.
+func (g *group) start(n *world.Node, coldFor time.Duration) (*world.Instance, error) {
+	i, err := world.StartAs(&world.Instance{Node: n, ID: fmt.Sprintf("i-%s-%08x", g.service, 0x7f3a91c0+len(g.all)), ColdRequests: maxColdRequests, ColdFor: coldFor,
+		WorkOf: func(method string) time.Duration {
+			if method == "POST" {
+				return reserveWork
 			}
+			return checkWork
+		}})
+	if err == nil {
+		g.all = append(g.all, i)
+	}
+	return i, err
+}
+
+// traffic starts clients on all machines of the group, at a share of the usual rate.
+func (g *group) traffic(ctx context.Context, factor float64) {
+	for _, n := range g.nodes {
+		for _, c := range []*world.Clients{
+			{Node: n, Method: "GET", Host: host, Path: "/check-" + g.service + "/2f", Deadline: 250 * time.Millisecond, Every: perSecond(checksPerSecond * factor)},
+			{Node: n, Method: "POST", Host: host, Path: "/reserve-" + g.service + "/2f", Body: "shelter=12", Deadline: time.Second, Every: perSecond(reservesPerSecond * factor)},
+		} {
+			g.clients = append(g.clients, c)
+			g.running.Go(func() { c.Run(ctx) })
 		}
 	}
-	traffic(ctx, 1)
+}
+
+// play has bursts one after the other, in each of which one instance becomes cold.
+func (g *group) play() error {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	g.traffic(ctx, 1)
 	time.Sleep(2 * time.Second)
-	var spans []coldSpan
 	began := time.Now()
 	for round := range rounds {
 		if time.Since(began) > lastRound {
 			break
 		}
 		burst, end := context.WithTimeout(ctx, burstTime)
-		traffic(burst, burstFactor-1)
-		w.Log("clients: a burst of %.1f times the traffic for %s", burstFactor, burstTime)
-		time.Sleep(time.Second + rand.N(time.Second)) // at any moment
-		at := round % len(present)
-		if w.Trouble {
-			spans = append(spans, coldSpan{present[at], time.Now()})
-			present[at].TurnCold(coldTime)
+		g.traffic(burst, burstFactor-1)
+		g.world.Log("clients of %s: a burst of %.1f times the traffic for %s", g.service, burstFactor, burstTime)
+		time.Sleep(500*time.Millisecond + rand.N(time.Second)) // at any moment
+		at := round % len(g.present)
+		if g.world.Trouble {
+			g.spans = append(g.spans, coldSpan{g.present[at], time.Now()})
+			g.present[at].TurnCold(coldTime)
 		}
 		<-burst.Done()
 		end()
 		time.Sleep(restTime)
-		if present[at].Crashed() {
+		if g.present[at].Crashed() {
 			time.Sleep(downTime)
-			if present[at], err = start(w.Nodes[at]); err != nil {
-				return 0, err
+			i, err := g.start(g.nodes[at], coldTime)
+			if err != nil {
+				return err
 			}
-			all = append(all, present[at])
-			time.Sleep(time.Second)
+			g.present[at] = i
+			time.Sleep(coldTime + time.Second)
 		}
 	}
 	cancel()
-	running.Wait()
-	for _, i := range all {
+	g.running.Wait()
+	for _, i := range g.all {
 		if !i.Crashed() {
 			i.Stop()
 		}
 	}
-	for _, n := range w.Nodes {
-		if n.Ended != nil {
-			return 0, n.Ended
-		}
-	}
-	return judge(w, clients, all, spans), nil
+	return nil
 }
 
 func perSecond(rate float64) time.Duration { return time.Duration(float64(time.Second) / rate) }
@@ -217,7 +256,7 @@
 		}
 		w.Log("instance %s, cold from %.3f: at most %d requests in a second, %.1f are allowed%s", span.instance.ID, w.Since(span.from), most, float64(bound), note)
 	}
-	text := fmt.Sprintf("%d requests sent; %d of %d cold times with more than %.1f requests in a second; %d reservations cut off by the crashes that followed", len(sent), broken, len(spans), float64(bound), lost)
+	text := fmt.Sprintf("%s: %d requests sent; %d of %d cold times with more than %.1f requests in a second; %d reservations cut off by the crashes that followed", instances[0].Node.Service, len(sent), broken, len(spans), float64(bound), lost)
 	w.Log("%s", text)
 	fmt.Println(text)
 	return broken
--- a/review/standins/cmd/leaving-found/main.go
+++ b/review/standins/cmd/leaving-found/main.go
@@ -24,6 +24,9 @@
 	downTime  = 2 * time.Second
 	servesFor = time.Second
 	stayTime  = 6 * time.Second
+	// coldTime is how long a new instance is cold; it bears what the rule FAILBACK allows then.
+	coldTime        = 3 * time.Second
+	maxColdRequests = 48
 )
 
 func main() { os.Exit(run(os.Args[1])) }
@@ -93,7 +96,7 @@
 	if w.Trouble {
 		leaving.Stop()
 		time.Sleep(downTime)
-		leaving, err = world.StartInstance(w.Nodes[0], "i-02d9e6b4", 60*time.Millisecond, late)
+		leaving, err = world.StartAs(&world.Instance{Node: w.Nodes[0], ID: "i-02d9e6b4", Work: 60 * time.Millisecond, Late: late, ColdFor: coldTime, ColdRequests: maxColdRequests})
 		if err != nil {
 			return 0, err
 		}
@@ -108,10 +111,8 @@
 	time.Sleep(time.Until(ackedAt.Add(stayTime)))
 	cancel()
 	running.Wait()
-	for _, n := range w.Nodes {
-		if n.Ended != nil {
-			return 0, n.Ended
-		}
+	if err := w.Ended(); err != nil {
+		return 0, err
 	}
 	return judge(w, clients, instances, leaving, ackedAt), nil
 }
--- a/review/standins/cmd/leaving-restart/main.go
+++ b/review/standins/cmd/leaving-restart/main.go
@@ -113,10 +113,8 @@
 	time.Sleep(time.Second)
 	cancel()
 	running.Wait()
-	for _, n := range w.Nodes {
-		if n.Ended != nil {
-			return 0, n.Ended
-		}
+	if err := w.Ended(); err != nil {
+		return 0, err
 	}
 	return judge(w, clients, instances, leaving, ackedAt, inTouch), nil
 }
--- a/review/standins/cmd/withdrawn-key/main.go
+++ b/review/standins/cmd/withdrawn-key/main.go
@@ -55,7 +55,7 @@
 
 func play(w *world.World) (broken int, err error) {
 	era, _ := strconv.ParseUint(os.Getenv("FIRST_ERA"), 10, 64)
-	w.Store.Era = &era
+	w.Store.Era = era
 	w.MoreBounds = []string{"strict_revocation=true", "revoke_ms=5000"}
 	for i, zone := range []string{"za-inland-a", "za-inland-a", "za-inland-b", "za-inland-b"} {
 		if _, err := w.AddNode(fmt.Sprintf("sidecar-%s-%d", zone, i%2+1), zone, service); err != nil {
@@ -116,17 +116,15 @@
 		}
 		time.Sleep(time.Until(awayAt.Add(awayTime)))
 		w.Store.Return()
-		w.Log("store: back from a copy, Store-Era %d", era)
+		w.Log("store: back from a copy, Store-Era %d", era+1)
 		time.Sleep(restoreTime)
 		withdraw()
 	}
 	time.Sleep(time.Until(ackedAt.Add(observeTime)))
 	cancel()
 	running.Wait()
-	for _, n := range w.Nodes {
-		if n.Ended != nil {
-			return 0, n.Ended
-		}
+	if err := w.Ended(); err != nil {
+		return 0, err
 	}
 	return judge(w, clients, instances, ackedAt), nil
 }
--- a/review/standins/world/client.go
+++ b/review/standins/world/client.go
@@ -41,7 +41,8 @@
 
 // Run sends requests until the context ends, and waits for their answers.
 func (c *Clients) Run(ctx context.Context) {
-	c.client.Transport = &http.Transport{MaxIdleConnsPerHost: 16, IdleConnTimeout: 5 * time.Second, DisableCompression: true}
+	// A connection for each request: over a used one the library might send a request again.
+	c.client.Transport = &http.Transport{DisableKeepAlives: true, DisableCompression: true}
 	ticker := time.NewTicker(c.Every)
 	defer ticker.Stop()
 	defer c.wait.Wait()
@@ -56,10 +57,13 @@
 }
 
 func (c *Clients) send() {
-	s := Sent{ID: fmt.Sprintf("%016x", lastRequest.Add(1)+0x1c41d07b00000000), Machine: c.Node.Name, Method: c.Method, Path: c.Path, At: time.Now()}
+	c.mu.Lock()
+	node := c.Node
+	c.mu.Unlock()
+	s := Sent{ID: fmt.Sprintf("%016x", lastRequest.Add(1)+0x1c41d07b00000000), Machine: node.Name, Method: c.Method, Path: c.Path, At: time.Now()}
 	ctx, cancel := context.WithTimeout(context.Background(), c.Deadline)
 	defer cancel()
-	r, err := http.NewRequestWithContext(ctx, c.Method, "http://"+c.Node.Outbound()+c.Path, strings.NewReader(c.Body))
+	r, err := http.NewRequestWithContext(ctx, c.Method, "http://"+node.Outbound()+c.Path, strings.NewReader(c.Body))
 	if err != nil {
 		s.Err = err
 		c.add(s)
@@ -81,6 +85,13 @@
 	c.add(s)
 }
 
+// Move moves the clients to another machine.
+func (c *Clients) Move(n *Node) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.Node = n
+}
+
 func (c *Clients) add(s Sent) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/review/standins/world/instance.go
+++ b/review/standins/world/instance.go
@@ -18,6 +18,8 @@
 	// HeartbeatInterval is heartbeat_ms of the settings.
 	HeartbeatInterval = 1500 * time.Millisecond
 	slots             = 12
+	// queue is how many requests wait for a slot; more are refused (queue of the site).
+	queue = 24
 	// coldFactor is how many times as long work takes at a cold instance (cold_x of the site).
 	coldFactor = 2
 )
@@ -53,6 +55,8 @@
 	// ColdRequests is the number of requests in a second above which the instance crashes while
 	// it is cold; 0 means that it bears any number.
 	ColdRequests int
+	// ColdFor is how long it is cold after its start; 0 for one that starts before the traffic.
+	ColdFor time.Duration
 
 	server *http.Server
 	ctx    context.Context
@@ -70,6 +74,7 @@
 	coldTime  time.Duration
 	crashed   bool
 	arrivals  []Arrival
+	waiting   int // requests that wait for a slot
 }
 
 // StartInstance starts an instance beside a node.
@@ -85,11 +90,12 @@
 		return nil, err
 	}
 	i.Born, i.free, i.beating = time.Now(), make(chan struct{}, slots), true
+	i.coldUntil, i.coldTime = i.Born.Add(i.ColdFor), i.ColdFor
 	i.ctx, i.cancel = context.WithCancel(context.Background())
 	i.server = &http.Server{Handler: i, IdleTimeout: 10 * time.Second}
 	go func() { _ = i.server.Serve(l) }()
 	go i.beat()
-	n.World.Log("instance %s started beside %s, born %d", i.ID, n.Name, i.Born.UnixMilli())
+	n.World.Log("instance %s started beside %s, born %d, cold for %s", i.ID, n.Name, i.Born.UnixMilli(), i.ColdFor)
 	return i, nil
 }
 
@@ -195,7 +201,7 @@
 // ServeHTTP answers health questions and runs requests.
 func (i *Instance) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	h := w.Header()
-	h.Set("X-Zinniafall-Instance-Load", fmt.Sprintf("%d,0,%d,100", len(i.free), slots))
+	h.Set("X-Zinniafall-Instance-Load", fmt.Sprintf("%d,%d,%d,100", len(i.free), i.queued(), slots))
 	if r.URL.Path == "/health" {
 		h.Set("X-Zinniafall-Served-By", i.ID)
 		h.Set("X-Zinniafall-Warmup-Ms", strconv.FormatInt(i.warmUpLeft().Milliseconds(), 10))
@@ -217,20 +223,17 @@
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
-	select {
-	case i.free <- struct{}{}:
-	default:
-		i.add(a)
+	n := i.add(a)
+	if i.overrun() {
+		panic(http.ErrAbortHandler)
+	}
+	if !i.enter(r.Context()) {
 		h.Set("X-Zinniafall-Not-Executed", "1")
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
 	defer func() { <-i.free }()
-	a.Ran = true
-	n := i.add(a)
-	if i.overrun() {
-		return
-	}
+	i.begun(n - 1)
 	work := i.Work
 	if i.WorkOf != nil {
 		work = i.WorkOf(r.Method)
@@ -248,7 +251,7 @@
 	select {
 	case <-time.After(work):
 	case <-r.Context().Done():
-		return
+		panic(http.ErrAbortHandler)
 	case <-i.ctx.Done():
 		panic(http.ErrAbortHandler)
 	}
@@ -263,6 +266,48 @@
 	i.ended(n - 1)
 }
 
+// enter takes a slot, after others that wait for one. It reports whether it has.
+func (i *Instance) enter(ctx context.Context) bool {
+	select {
+	case i.free <- struct{}{}:
+		return true
+	default:
+	}
+	i.mu.Lock()
+	if i.waiting >= queue {
+		i.mu.Unlock()
+		return false
+	}
+	i.waiting++
+	i.mu.Unlock()
+	defer func() {
+		i.mu.Lock()
+		i.waiting--
+		i.mu.Unlock()
+	}()
+	select {
+	case i.free <- struct{}{}:
+		return true
+	case <-ctx.Done():
+		return false
+	case <-i.ctx.Done():
+		panic(http.ErrAbortHandler)
+	}
+}
+
+func (i *Instance) queued() int {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	return i.waiting
+}
+
+// begun records that a request has begun to run.
+func (i *Instance) begun(n int) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	i.arrivals[n].Ran = true
+}
+
 // answered records how a request is answered.
 func (i *Instance) answered(n, status, factor int) {
 	i.mu.Lock()
--- a/review/standins/world/store.go
+++ b/review/standins/world/store.go
@@ -40,8 +40,8 @@
 	// OnWrite is called with each key that a node writes, while the store is locked. It may
 	// be nil.
 	OnWrite func(key string, value []byte)
-	// Era, if it is not nil, is what the header Store-Era states.
-	Era *uint64
+	// Era is what the header Store-Era states in all answers.
+	Era uint64
 
 	away bool
 	copy *storeCopy
@@ -87,7 +87,7 @@
 	}
 	s.oldest = s.revision
 	s.away = false
-	*s.Era++
+	s.Era++
 	s.wake()
 }
 
@@ -103,11 +103,9 @@
 		if s.isAway() {
 			panic(http.ErrAbortHandler)
 		}
-		if s.Era != nil {
-			s.mu.Lock()
-			w.Header().Set("Store-Era", strconv.FormatUint(*s.Era, 10))
-			s.mu.Unlock()
-		}
+		s.mu.Lock()
+		w.Header().Set("Store-Era", strconv.FormatUint(s.Era, 10))
+		s.mu.Unlock()
 		next.ServeHTTP(w, r)
 	})
 }
@@ -123,7 +121,7 @@
 	if err != nil {
 		return nil, err
 	}
-	s := &Store{Addr: l.Addr().String(), items: map[string]Item{}, leases: map[uint64]*lease{}, revision: 100, changed: make(chan struct{})}
+	s := &Store{Addr: l.Addr().String(), items: map[string]Item{}, leases: map[uint64]*lease{}, revision: 100, Era: 1, changed: make(chan struct{})}
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /v1/kv-key", s.get)
 	mux.HandleFunc("GET /v1/kv-range", s.list)
--- a/review/standins/world/world.go
+++ b/review/standins/world/world.go
@@ -12,9 +12,11 @@
 	"net/http"
 	"os"
 	"os/exec"
+	"os/signal"
 	"path/filepath"
 	"strings"
 	"sync"
+	"syscall"
 	"time"
 )
 
@@ -22,6 +24,10 @@
 const (
 	ContactTime = 3 * time.Second
 	DrainTime   = 2 * time.Second
+	// graceTime is how long a process may take to end after SIGTERM.
+	graceTime = 6 * time.Second
+	// timeLimit ends a script that has not ended by itself.
+	timeLimit = 115 * time.Second
 )
 
 // World is one small deployment on loopback addresses.
@@ -39,6 +45,8 @@
 
 	mu     sync.Mutex
 	record *os.File
+	all    []*Node // also those that are not in Nodes at the moment
+	closed bool
 }
 
 // Node is one machine of the platform with the node's process.
@@ -54,7 +62,7 @@
 	exited    chan struct{}
 	wanted    bool // the exit is the script's doing
 	StartedAt time.Time
-	Ended     error // an exit that nobody caused
+	ended     error // an exit that nobody caused
 }
 
 const (
@@ -81,15 +89,34 @@
 		return nil, err
 	}
 	if w.record, err = os.Create(filepath.Join(caseDir, "record.txt")); err != nil {
+		_ = os.RemoveAll(w.dir)
 		return nil, err
 	}
 	if w.Store, err = StartStore("127.0.0.1"); err != nil {
+		w.Close()
 		return nil, err
 	}
 	w.Log("store at %s, trouble %t", w.Store.Addr, w.Trouble)
+	go w.guard()
 	return w, nil
 }
 
+// guard ends the script, with all that it has started, at a signal or after the time limit.
+func (w *World) guard() {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGINT, syscall.SIGTERM, syscall.SIGHUP)
+	reason := fmt.Sprintf("not over after %s", timeLimit)
+	select {
+	case s := <-signals:
+		reason = s.String()
+	case <-time.After(timeLimit):
+	}
+	w.Log("the case could not run: %s", reason)
+	fmt.Println("the case could not run:", reason)
+	w.Close()
+	os.Exit(2)
+}
+
 // Log writes one line to the record.
 func (w *World) Log(format string, args ...any) {
 	w.mu.Lock()
@@ -102,7 +129,11 @@
 
 // Close ends all processes and removes the temporary folder.
 func (w *World) Close() {
-	for _, n := range w.Nodes {
+	w.mu.Lock()
+	w.closed = true
+	all := w.all
+	w.mu.Unlock()
+	for _, n := range all {
 		n.Kill()
 	}
 	if os.Getenv("KEEP") == "" {
@@ -141,6 +172,9 @@
 	}
 	n := &Node{World: w, Name: name, IP: ip, Zone: zone, Service: service}
 	w.Nodes = append(w.Nodes, n)
+	w.mu.Lock()
+	w.all = append(w.all, n)
+	w.mu.Unlock()
 	return n, nil
 }
 
@@ -184,6 +218,9 @@
 func (n *Node) Start() error {
 	n.mu.Lock()
 	defer n.mu.Unlock()
+	if n.World.isClosed() {
+		return errors.New("the script ends")
+	}
 	file := filepath.Join(n.World.dir, n.Name+".toml")
 	if err := os.WriteFile(file, []byte(n.settings()), 0o600); err != nil {
 		return err
@@ -205,7 +242,7 @@
 		_ = out.Close()
 		n.mu.Lock()
 		if !n.wanted {
-			n.Ended = fmt.Errorf("the process of %s ended by itself: %v", n.Name, err)
+			n.ended = fmt.Errorf("the process of %s ended by itself: %v", n.Name, err)
 		}
 		n.mu.Unlock()
 		close(exited)
@@ -213,6 +250,48 @@
 	return nil
 }
 
+func (w *World) isClosed() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.closed
+}
+
+// Ended returns an error if a process has ended by itself.
+func (w *World) Ended() error {
+	w.mu.Lock()
+	all := w.all
+	w.mu.Unlock()
+	for _, n := range all {
+		n.mu.Lock()
+		err := n.ended
+		n.mu.Unlock()
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// Terminate ends the process with SIGTERM, and with SIGKILL after the grace time.
+func (n *Node) Terminate() {
+	n.mu.Lock()
+	if n.cmd == nil {
+		n.mu.Unlock()
+		return
+	}
+	n.wanted = true
+	_ = n.cmd.Process.Signal(syscall.SIGTERM)
+	exited := n.exited
+	n.mu.Unlock()
+	n.World.Log("platform: SIGTERM to the process of %s", n.Name)
+	select {
+	case <-exited:
+	case <-time.After(graceTime):
+		n.Kill()
+		n.World.Log("platform: process of %s killed at the end of its grace time", n.Name)
+	}
+}
+
 // Kill ends the process with SIGKILL and waits for its end.
 func (n *Node) Kill() {
 	n.mu.Lock()
