State how long a node has not known its configuration to be current

Logs and metrics say when a node was told, not when it last knew that there was none, nor whether the watchers that it relies on have heard from the store.

Change: the follower of the operators' keys reports when the store answered it. Greetings state how long ago that was. Each node keeps the latest time at which the store is known to have shown no later configuration than its own, as the metric zinniafall_configuration_unconfirmed_seconds, and as unconfirmed_ms in the line of a configuration that is applied. Nothing decides by it.

--- a/node/sidecar/configuration.go
+++ b/node/sidecar/configuration.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"runtime/debug"
 	"slices"
@@ -58,6 +59,9 @@
 	// storeReads is held during reads of the store besides those of the follower of the
 	// operators' keys, so that they do not transfer the configuration twice at a time.
 	storeReads sync.Mutex
+	// answeredAt is a time before which the store gave its last answer to the follower of the
+	// operators' keys. It is the start of the node before the first one.
+	answeredAt time.Time
 	// rejected is the last document that was not valid. The same one is not decoded again.
 	rejected struct {
 		sum distribution.Sum
@@ -70,7 +74,8 @@
 }
 
 func newConfiguration(n *Node) *configuration {
-	return &configuration{node: n, startedAt: time.Now(), changed: make(chan struct{}), puller: distribution.NewPuller(rand.Uint64()), reports: make(chan struct{}, 1)}
+	now := time.Now()
+	return &configuration{node: n, startedAt: now, answeredAt: now, changed: make(chan struct{}), puller: distribution.NewPuller(rand.Uint64()), reports: make(chan struct{}, 1)}
 }
 
 // current returns the table in force, or nil before the first configuration.
@@ -217,6 +222,7 @@
 	c.table, c.appliedAt = table, time.Now()
 	close(c.changed)
 	c.changed = make(chan struct{})
+	unconfirmedFor := c.puller.Unconfirmed(c.appliedAt)
 	var reportedFor time.Duration
 	if reported, since := c.puller.Newest(); reported >= table.Revision {
 		reportedFor = c.appliedAt.Sub(since)
@@ -225,7 +231,7 @@
 	c.node.proofs.advance(table.Revision)
 	attrs := []any{
 		"part", "configuration", "source", source, "revision", table.Revision, "routes", table.Routes(), "services", len(table.Services),
-		"bytes", len(document), "decode_ms", decodeTime.Seconds() * 1000, "reported_ms", reportedFor.Milliseconds(),
+		"bytes", len(document), "decode_ms", decodeTime.Seconds() * 1000, "reported_ms", reportedFor.Milliseconds(), "unconfirmed_ms", unconfirmedFor.Milliseconds(),
 	}
 	if table.HasAccounts() {
 		attrs = append(attrs, "accounts", table.Accounts())
@@ -400,6 +406,45 @@
 	notify(c.reports)
 }
 
+// recordAnswer records that the store answered after a time, and that the answer has been
+// applied.
+func (c *configuration) recordAnswer(at time.Time) {
+	have := c.revision()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.answeredAt = at
+	if !c.unreadable && !c.order.ShowsLater() {
+		c.puller.Confirm(at, have, have)
+	}
+}
+
+// recordConfirmed records that a node that follows the store had an answer of it after a
+// time, and has no later configuration than that of a revision.
+func (c *configuration) recordConfirmed(at time.Time, revision model.Revision) {
+	have := c.revision()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.puller.Confirm(at, revision, have)
+}
+
+// storeAge returns how long ago the store answered the follower of the operators' keys.
+func (c *configuration) storeAge(now time.Time) time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return max(now.Sub(c.answeredAt), 0)
+}
+
+// unconfirmedSeconds returns, for the metrics, how long the configuration in force has not
+// been known to be current. It is infinite if it never was.
+func (c *configuration) unconfirmedSeconds() float64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.puller.ConfirmedAt().IsZero() {
+		return math.Inf(1)
+	}
+	return c.puller.Unconfirmed(time.Now()).Seconds()
+}
+
 // newestReported returns the newest revision that another node reported.
 func (c *configuration) newestReported() model.Revision {
 	c.mu.Lock()
--- a/node/sidecar/exchange.go
+++ b/node/sidecar/exchange.go
@@ -34,6 +34,18 @@
 	// Rollouts holds the encoded states of rollouts. It is decoded by itself, so that one
 	// of another release that cannot be read does not spoil the greeting.
 	Rollouts cbor.RawMessage `cbor:"11,keyasint,omitempty"`
+	// StoreAge is how long ago the store answered the sender, if Watching is set. Earlier
+	// releases do not state it.
+	StoreAge time.Duration `cbor:"12,keyasint,omitempty"`
+}
+
+// maxStoreAge bounds the stated StoreAge, so that times computed from it do not overflow.
+const maxStoreAge = time.Hour
+
+// answeredAt returns when the store answered the sender, by the time at which the greeting
+// arrived.
+func (g *greeting) answeredAt(now time.Time) time.Time {
+	return now.Add(-min(max(g.StoreAge, 0), maxStoreAge))
 }
 
 // contactVanished contacts a node whose entry vanished from the store, and
@@ -185,7 +197,7 @@
 		Records: recent,
 		From:    f.self, Revision: f.node.configuration.revision(), Evacuation: f.node.configuration.currentEvacuation(),
 		Digest: roster.Digest(f.roster.Records(), f.self), Notices: f.node.crashes.notices(),
-		Watching: f.follower.readable.Load(), Era: era, Rollouts: rollouts,
+		Watching: f.follower.readable.Load(), Era: era, Rollouts: rollouts, StoreAge: f.node.configuration.storeAge(now),
 	}
 }
 
@@ -244,6 +256,9 @@
 	f.node.crashes.recordReported(g.Notices)
 	f.node.configuration.applyEvacuationOf(g.Evacuation, string(g.From.Node))
 	f.node.configuration.recordReported(g.Revision, g.From.Node)
+	if g.Watching {
+		f.node.configuration.recordConfirmed(g.answeredAt(now), g.Revision)
+	}
 	f.node.rollouts.applyGreeted(g.Rollouts)
 	f.updatePlacement()
 	return g, true
--- a/node/sidecar/node.go
+++ b/node/sidecar/node.go
@@ -226,6 +226,7 @@
 			n.operatorsChanged(asked, items, at)
 			n.proofs.storeAnswered(n.proofs.asked, at)
 		},
+		onAnswer: func(answeredAt time.Time, _ bool) { n.configuration.recordAnswer(answeredAt) },
 	}
 	n.rollouts.operators = operators
 	n.goBackground(func() { operators.run(n.ctx) })
--- a/node/sidecar/report.go
+++ b/node/sidecar/report.go
@@ -140,6 +140,7 @@
 	n.metrics.NewGauge(`zinniafall_target_stated_limit`, func() float64 { return n.owner.statedLimit() })
 	n.metrics.NewGauge(`zinniafall_configuration_revision`, func() float64 { return float64(n.configuration.revision()) })
 	n.metrics.NewGauge(`zinniafall_configuration_revision_reported`, func() float64 { return float64(n.configuration.newestReported()) })
+	n.metrics.NewGauge(`zinniafall_configuration_unconfirmed_seconds`, n.configuration.unconfirmedSeconds)
 	n.metrics.NewGauge(`zinniafall_configuration_bytes`, func() float64 { return float64(n.configuration.documentBytes()) })
 	n.metrics.NewGauge(`zinniafall_configuration_parts_not_understood`, func() float64 {
 		if table := n.configuration.current(); table != nil {
--- a/node/sidecar/store.go
+++ b/node/sidecar/store.go
@@ -151,6 +151,9 @@
 	// before each call of the store. Both may be nil.
 	maxWatch func() time.Duration
 	onAsk    func()
+	// onAnswer is called after an answer of the store has been applied, with a time before
+	// which the store gave it. changed reports whether it showed any keys. It may be nil.
+	onAnswer func(answeredAt time.Time, changed bool)
 	// onList and onChange are called with the time at which the store was asked.
 	onList   func(asked time.Time, items []Item, at Position)
 	onChange func(asked time.Time, items []Item, at Position)
@@ -183,6 +186,7 @@
 		}
 		f.markReadable(at)
 		f.onList(asked, items, at)
+		f.answered(asked, true)
 		first := false
 		f.listedOnce.Do(func() { close(f.listed); first = true })
 		f.waitForOtherList(ctx)
@@ -201,6 +205,13 @@
 	return time.Now()
 }
 
+// answered reports an answer of the store that has been applied.
+func (f *follower) answered(answeredAt time.Time, changed bool) {
+	if f.onAnswer != nil {
+		f.onAnswer(answeredAt, changed)
+	}
+}
+
 // leaveToOthers waits until the store need not be followed, up to a time.
 func (f *follower) leaveToOthers(ctx context.Context, limit time.Duration) {
 	for began := time.Now(); ctx.Err() == nil && f.needed() && time.Since(began) < limit; {
@@ -293,7 +304,8 @@
 		if f.maxWatch != nil {
 			wait = min(wait, f.maxWatch())
 		}
-		items, next, err := f.store.Watch(ctx, f.prefix, at, wait-rand.N(wait/4))
+		wait -= rand.N(wait / 4)
+		items, next, err := f.store.Watch(ctx, f.prefix, at, wait)
 		switch {
 		case errors.Is(err, ErrHistoryLost):
 			f.log.Info("store history lost", "part", "store", "watch", f.name, "store_era", at.Era, "store_revision", at.Revision)
@@ -310,7 +322,12 @@
 		if at.Before(next) {
 			at = next
 		}
+		answeredAt := asked
+		if len(items) == 0 && time.Since(asked) >= wait {
+			answeredAt = asked.Add(wait) // the store showed no change until then
+		}
 		f.onChange(asked, items, next)
+		f.answered(answeredAt, len(items) > 0)
 		if len(items) > 0 {
 			sleep(ctx, f.watchDelay)
 		}
--- a/policy/distribution/puller.go
+++ b/policy/distribution/puller.go
@@ -117,6 +117,9 @@
 	// here. It is not fetched.
 	rejected model.Revision
 	store    storeReads
+	// confirmedAt is the latest time at which the store is known to have shown no later
+	// configuration than the one in force.
+	confirmedAt time.Time
 }
 
 // firstReport is when a revision was reported first.
