Let nodes read the store once it no longer answers their watchers

Cause: a node leaves the store to the watchers of its failure domain while they greet it. A watcher that the store no longer answers noticed that after two watches in a row, up to 8 s, and greeted on as before. Nobody told the other nodes of a newer configuration, and they asked nobody.

Change: greetings count from the time at which the store answered the watcher, not from their arrival. Watches last for half of the bound on configurations, 1.25 s at most (2.5 s before), and a watcher greets after each answer, so that the nodes hear of an answer within 1.6 s while all is well. While a new configuration spreads, watchers are late because they decode it; its first report counts as contact. It costs 0.5 to 0.7 calls a second for each watcher.

--- a/node/sidecar/configuration.go
+++ b/node/sidecar/configuration.go
@@ -400,9 +400,13 @@
 		return
 	}
 	near := c.node.fleet.inOwnDomain(from)
+	now := time.Now()
 	c.mu.Lock()
-	c.puller.Report(time.Now(), from, near, revision, have)
+	first := c.puller.Report(now, from, near, revision, have)
 	c.mu.Unlock()
+	if first {
+		c.node.fleet.recordSpread(now)
+	}
 	notify(c.reports)
 }
 
--- a/node/sidecar/exchange.go
+++ b/node/sidecar/exchange.go
@@ -81,6 +81,7 @@
 	select {
 	case <-f.changed:
 		sleep(ctx, changeGreetingDelay)
+	case <-f.answered:
 	case <-timer.C:
 	case <-ctx.Done():
 	}
@@ -98,6 +99,10 @@
 	}
 }
 
+// greetAfterAnswer brings the next exchange forward after the store has shown a node that
+// follows it that nothing has changed: what the node greets with is never as young again.
+func (f *fleet) greetAfterAnswer() { notify(f.answered) }
+
 // greetPartners sends a greeting to the nodes that exchangePartners returns. If this node
 // follows the store, it tells them whether their entries are missing there.
 func (f *fleet) greetPartners() {
@@ -236,7 +241,7 @@
 	f.roster.Refresh(now, g.From)
 	f.watchers.MarkNodeAlive(now, g.From.Domain)
 	if g.Watching && f.watchers.YieldsTo(g.From.Node, f.follower.readable.Load()) {
-		f.watchers.Refresh(now, g.From.Domain)
+		f.watchers.Refresh(g.answeredAt(now), g.From.Domain)
 	}
 	f.wholeKnown = f.wholeKnown || g.Whole
 	switch following := f.follower.readable.Load(); {
--- a/node/sidecar/fleet.go
+++ b/node/sidecar/fleet.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"zinniafall/policy/distribution"
 	"zinniafall/policy/model"
 	"zinniafall/policy/placement"
 	"zinniafall/policy/roster"
@@ -79,10 +80,12 @@
 	pulledAt time.Time
 	// changed signals exchangeLoop that a configuration was put in force.
 	changed chan struct{}
+	// answered signals exchangeLoop that the store has shown no change.
+	answered chan struct{}
 }
 
 func newFleet(n *Node) *fleet {
-	f := &fleet{node: n, roster: roster.New(n.self), entryNotice: make(chan struct{}, 1), changed: make(chan struct{}, 1), watchers: roster.NewWatchPolicy(n.self, n.settings.Domain, int(n.settings.LinkMbps))}
+	f := &fleet{node: n, roster: roster.New(n.self), entryNotice: make(chan struct{}, 1), changed: make(chan struct{}, 1), answered: make(chan struct{}, 1), watchers: roster.NewWatchPolicy(n.self, n.settings.Domain, int(n.settings.LinkMbps))}
 	f.self = roster.Record{Node: n.self, Process: n.process, Domain: n.settings.Domain, Region: n.settings.Region, Service: n.settings.Service, Sequence: 1, LinkMbps: int(n.settings.LinkMbps)}
 	f.follower = &follower{
 		store: n.store, log: n.log, name: "fleet", prefix: nodePrefix, watchDelay: fleetWatchDelay, watchTimeout: fleetWatchTimeout,
@@ -308,6 +311,14 @@
 	return f.watchers.DomainSize(), f.watchers.ShouldWatch(time.Now())
 }
 
+// recordSpread records that a new configuration has begun to spread. Watchers greet later than
+// usual then: they decode it first.
+func (f *fleet) recordSpread(now time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.watchers.Refresh(now.Add(-distribution.MaxReportDelay), f.self.Domain)
+}
+
 // recordAlive records direct contact with a node.
 func (f *fleet) recordAlive(node model.NodeAddr) {
 	f.mu.Lock()
--- a/node/sidecar/node.go
+++ b/node/sidecar/node.go
@@ -226,7 +226,12 @@
 			n.operatorsChanged(asked, items, at)
 			n.proofs.storeAnswered(n.proofs.asked, at)
 		},
-		onAnswer: func(answeredAt time.Time, _ bool) { n.configuration.recordAnswer(answeredAt) },
+		onAnswer: func(answeredAt time.Time, changed bool) {
+			n.configuration.recordAnswer(answeredAt)
+			if !changed { // otherwise the change spreads first
+				n.fleet.greetAfterAnswer()
+			}
+		},
 	}
 	n.rollouts.operators = operators
 	n.goBackground(func() { operators.run(n.ctx) })
--- a/node/sidecar/proof.go
+++ b/node/sidecar/proof.go
@@ -90,13 +90,18 @@
 	return p.node.live.Load().RevocationTime - proof.Margin
 }
 
-// maxWatch returns the longest duration of a watch of the operators' keys: only the time at
-// which it was sent counts for the proof.
+// maxWatch returns the longest duration of a watch of the operators' keys. For a proof only
+// the time at which it was sent counts, and other nodes rely on an answer for as long as a
+// configuration may take until it is in force.
 func (p *proofs) maxWatch() time.Duration {
+	limit := operatorWatchTimeout
+	if t := p.node.live.Load().ApplyTime; t > 0 {
+		limit = min(limit, t/2)
+	}
 	if p.required() {
-		return proof.Interval
+		limit = min(limit, proof.Interval)
 	}
-	return operatorWatchTimeout
+	return limit
 }
 
 // advance records the revision in force.
--- a/node/sidecar/store.go
+++ b/node/sidecar/store.go
@@ -110,9 +110,12 @@
 	operatorWatchDelay = 150 * time.Millisecond
 	// operatorWatchTimeout bounds how long a watch of the operators' keys can
 	// miss changes unnoticed, and fleetWatchTimeout does so for the nodes'
-	// entries, which the nodes also exchange directly.
-	operatorWatchTimeout = 2500 * time.Millisecond
+	// entries, which the nodes also exchange directly. The former is below the
+	// time for which other nodes rely on an answer; see roster.WatchPolicy.
+	operatorWatchTimeout = 1250 * time.Millisecond
 	fleetWatchTimeout    = 10 * time.Second
+	// minWatch is the shortest watch.
+	minWatch = 100 * time.Millisecond
 	// otherListTimeout bounds how long one follower waits for the first list of
 	// the other.
 	otherListTimeout = 300 * time.Millisecond
@@ -297,12 +300,14 @@
 // once, without a call of failed.
 func (f *follower) watch(ctx context.Context, at Position, failed func(error)) {
 	failures := 0
+	answeredAt := time.Now()
 	for ctx.Err() == nil && f.needed() {
 		// Watches that end at the same time on all nodes would miss the same
 		// changes, so the duration varies.
 		asked, wait := f.ask(), f.watchTimeout
 		if f.maxWatch != nil {
-			wait = min(wait, f.maxWatch())
+			// An answer with changes counts from its question on: the next one makes up for it.
+			wait = max(min(wait, f.maxWatch()-asked.Sub(answeredAt)), minWatch)
 		}
 		wait -= rand.N(wait / 4)
 		items, next, err := f.store.Watch(ctx, f.prefix, at, wait)
@@ -322,7 +327,7 @@
 		if at.Before(next) {
 			at = next
 		}
-		answeredAt := asked
+		answeredAt = asked
 		if len(items) == 0 && time.Since(asked) >= wait {
 			answeredAt = asked.Add(wait) // the store showed no change until then
 		}
--- a/policy/distribution/currency.go
+++ b/policy/distribution/currency.go
@@ -26,3 +26,17 @@
 	}
 	return max(now.Sub(p.confirmedAt), 0)
 }
+
+// Overdue reports whether other nodes have a newer configuration that may have been
+// acknowledged so long ago that the one in force may no longer be used, if a configuration
+// must be in force everywhere within applyTime of its acknowledgement; 0 means that there is no
+// such bound. A call by an older configuration is then refused as not run: another node has the
+// newer one, and what the call would run by may have been withdrawn. While no other node has a
+// newer configuration, for instance because the store is silent, nothing is overdue.
+func (p *Puller) Overdue(now time.Time, have model.Revision, applyTime time.Duration) bool {
+	since, behind := p.behindSince(now, have)
+	if applyTime <= 0 || !behind {
+		return false
+	}
+	return now.Sub(since) >= max(applyTime-MaxReportDelay, applyTime/2)
+}
--- a/policy/distribution/fleet_test.go
+++ b/policy/distribution/fleet_test.go
@@ -84,6 +84,8 @@
 	// transferred counts the transfers between nodes, and damaged is set if none is usable.
 	transferred int
 	damaged     bool
+	// isolated is set if calls and greetings stay within failure domains.
+	isolated bool
 	// unusable caches the errors of Apply by base and target.
 	unusable map[[2]Sum]error
 }
@@ -103,6 +105,12 @@
 	loads   int // transfers at its link
 	// stuck is set if what the node sends hardly proceeds.
 	stuck bool
+	// unanswered is set if the store does not answer the node.
+	unanswered bool
+	// following is set while the node watches the store, and answeredAt is when the store
+	// last answered it; see follow.
+	following  bool
+	answeredAt time.Duration
 }
 
 // transfer moves bytes from one node to another, or from the store if from is nil.
@@ -231,7 +239,7 @@
 func (f *fleet) write(c change) {
 	f.stored = c
 	for _, n := range f.nodes {
-		if n.watcher.IsWatcher() {
+		if (n.watcher.IsWatcher() || n.following) && !n.unanswered {
 			f.after(roundTrip, func() {
 				f.read(n, c, func() {})
 			})
@@ -276,6 +284,7 @@
 	n.fleet.after(roundTrip, func() {
 		other.report(n)
 		n.report(other)
+		other.hear(n)
 	})
 }
 
@@ -283,10 +292,13 @@
 // of another.
 func (n *simNode) greet() {
 	n.fleet.after(time.Duration((0.75+n.fleet.rng.Float64()/2)*float64(greetPeriod)), n.greet)
-	if !n.watcher.IsWatcher() {
+	if !n.watcher.IsWatcher() && !n.following {
 		return
 	}
 	n.greetOwnDomain()
+	if n.fleet.isolated {
+		return
+	}
 	var others []*simNode
 	for _, other := range n.fleet.nodes {
 		if other.domain != n.domain {
@@ -310,11 +322,15 @@
 // receiveCall receives a call of a random node.
 func (n *simNode) receiveCall() {
 	n.fleet.after(time.Duration(n.fleet.rng.ExpFloat64()*float64(callPeriod)), n.receiveCall)
-	n.fleet.nodes[n.fleet.rng.IntN(len(n.fleet.nodes))].tell(n)
+	if from := n.fleet.nodes[n.fleet.rng.IntN(len(n.fleet.nodes))]; !n.fleet.isolated || from.domain == n.domain {
+		from.tell(n)
+	}
 }
 
 func (n *simNode) report(from *simNode) {
-	n.puller.Report(n.fleet.clock(), from.addr, from.domain == n.domain, from.change.revision, n.change.revision)
+	if n.puller.Report(n.fleet.clock(), from.addr, from.domain == n.domain, from.change.revision, n.change.revision) {
+		n.watcher.Refresh(n.fleet.clock().Add(-MaxReportDelay), n.domain)
+	}
 	n.pull()
 }
 
--- a/policy/distribution/puller.go
+++ b/policy/distribution/puller.go
@@ -55,9 +55,9 @@
 	maxUnusable      = 2
 	minUnusableDelay = 5 * time.Second
 	maxUnusableDelay = 30 * time.Second
-	// maxReportDelay is the time after the acknowledgement of a configuration in which
+	// MaxReportDelay is the time after the acknowledgement of a configuration in which
 	// other nodes are told of it: those that watch the store read and decode it first.
-	maxReportDelay = time.Second
+	MaxReportDelay = time.Second
 	// maxReported bounds the revisions whose first report is remembered.
 	maxReported = 16
 	// otherDomainDelay is how long a node leaves the transfer to the nodes of its own
@@ -134,12 +134,13 @@
 }
 
 // Report records that another node has a revision. near reports whether it is in this
-// node's failure domain, and have is the revision in force here.
-func (p *Puller) Report(now time.Time, from model.NodeAddr, near bool, revision, have model.Revision) {
+// node's failure domain, and have is the revision in force here. It returns whether this is
+// the first report of a revision that is newer than all before.
+func (p *Puller) Report(now time.Time, from model.NodeAddr, near bool, revision, have model.Revision) (first bool) {
 	if revision <= have || from == "" {
-		return
+		return false
 	}
-	if revision > p.newest {
+	if first = revision > p.newest; first {
 		p.newest, p.firstReport = revision, now
 	}
 	if revision == p.newest {
@@ -156,13 +157,14 @@
 			p.evict(near)
 		}
 		if len(p.holders) >= maxHolders {
-			return
+			return first
 		}
 		p.holders = append(p.holders, &holder{node: from, near: near})
 		i = len(p.holders) - 1
 	}
 	h := p.holders[i]
 	h.revision, h.lastReport = max(h.revision, revision), now
+	return first
 }
 
 // evict makes room for a holder: the one in another failure domain that was reported
@@ -326,20 +328,6 @@
 	return p.lastReport, true
 }
 
-// Overdue reports whether other nodes have had a newer configuration for so long that the one
-// in force may no longer be used, if a configuration must be in force everywhere within
-// applyTime of its acknowledgement; 0 means that there is no such bound. A call by an older
-// configuration is then refused as not run: another node has the newer one, and what the call
-// would run by may have been withdrawn. While no other node has a newer configuration, for
-// instance because the store is silent, nothing is overdue.
-func (p *Puller) Overdue(now time.Time, have model.Revision, applyTime time.Duration) bool {
-	if applyTime <= 0 {
-		return false
-	}
-	since, behind := p.behindSince(now, have)
-	return behind && now.Sub(since) >= max(applyTime-maxReportDelay, applyTime/2)
-}
-
 // Reject records that the store itself shows a configuration that is not valid here, of the
 // given revision or an earlier one. The last valid one stays in force and is not overdue, and
 // the other one is not fetched again.
--- a/policy/roster/watchers.go
+++ b/policy/roster/watchers.go
@@ -17,8 +17,8 @@
 	watchersPerDomain = 2
 	// treeFanOut is the number of nodes to which one node forwards changes.
 	treeFanOut = 4
-	// watcherTimeout is the silence of the watchers after which a node watches the
-	// store itself. Watchers send a message once a second.
+	// watcherTimeout is the time without an answer of the store to the watchers after
+	// which a node watches the store itself. Watchers send a message after each answer.
 	watcherTimeout = 1600 * time.Millisecond
 	// fallbackDelayStep is how much longer a fallback watcher waits than the one
 	// ranked before it: a listing of the store takes some 10 ms. maxFallbackDelay
@@ -61,8 +61,8 @@
 	watchers []model.NodeAddr
 	// children are the nodes to which this node forwards changes.
 	children []model.NodeAddr
-	// lastWatcherContact is when a watcher that reaches the store was last heard
-	// from.
+	// lastWatcherContact is the latest time at which the store is known to have answered
+	// a watcher.
 	lastWatcherContact time.Time
 	// lastNodeContact is when any node of the failure domain was last heard from.
 	lastNodeContact time.Time
@@ -118,11 +118,12 @@
 	}
 }
 
-// Refresh records contact with a node that watches the store and
-// reaches it.
-func (w *WatchPolicy) Refresh(now time.Time, domain model.Domain) {
-	if domain == w.domain {
-		w.lastWatcherContact = now
+// Refresh records contact with a node that watches the store. Only the time at which the
+// store answered that node counts: a watcher that is cut off from the store does not know
+// for seconds that it is, and what it greets with becomes stale meanwhile.
+func (w *WatchPolicy) Refresh(answeredAt time.Time, domain model.Domain) {
+	if domain == w.domain && answeredAt.After(w.lastWatcherContact) {
+		w.lastWatcherContact = answeredAt
 	}
 }
 
