Let only one watcher of a failure domain make short watches

Cause: since watches last for half of the bound on configurations, both watchers of a failure domain call the store twice as often as before.

Change: a watcher that hears from one ranked before it watches for 2.5 s, as before. It makes short watches as soon as it no longer does.

--- a/node/sidecar/fleet.go
+++ b/node/sidecar/fleet.go
@@ -102,6 +102,13 @@
 	return f.watchers.ShouldWatch(time.Now())
 }
 
+// maxWatch returns the longest watch of the operators' keys.
+func (f *fleet) maxWatch(short, long time.Duration) time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.watchers.MaxWatch(time.Now(), short, long)
+}
+
 // firstWatchDelay returns how long a node that starts leaves watching the store to
 // others.
 func (f *fleet) firstWatchDelay() time.Duration {
--- a/node/sidecar/node.go
+++ b/node/sidecar/node.go
@@ -216,7 +216,7 @@
 // startBackground starts the background goroutines.
 func (n *Node) startBackground() {
 	operators := &follower{
-		store: n.store, log: n.log, name: "operators", prefix: n.operatorKeys.Prefix(), watchDelay: operatorWatchDelay, watchTimeout: operatorWatchTimeout,
+		store: n.store, log: n.log, name: "operators", prefix: n.operatorKeys.Prefix(), watchDelay: operatorWatchDelay, watchTimeout: secondWatchTimeout,
 		needed: n.followsOperators, standInDelay: n.fleet.standInDelay, retryDelayLimit: n.fleet.retryDelayLimit, firstWatchDelay: n.fleet.firstWatchDelay, otherListed: n.fleet.follower.listed, listed: make(chan struct{}), maxWatch: n.proofs.maxWatch, onAsk: n.proofs.storeAsked,
 		onList: func(asked time.Time, items []Item, at Position) {
 			n.operatorsListed(asked, items, at)
--- a/node/sidecar/store.go
+++ b/node/sidecar/store.go
@@ -113,6 +113,8 @@
 	// entries, which the nodes also exchange directly. The former is below the
 	// time for which other nodes rely on an answer; see roster.WatchPolicy.
 	operatorWatchTimeout = 1250 * time.Millisecond
+	// secondWatchTimeout takes its place on a watcher that hears from another one.
+	secondWatchTimeout = 2500 * time.Millisecond
 	fleetWatchTimeout    = 10 * time.Second
 	// minWatch is the shortest watch.
 	minWatch = 100 * time.Millisecond
--- a/policy/roster/watchers.go
+++ b/policy/roster/watchers.go
@@ -218,6 +218,15 @@
 	return watchers
 }
 
+// MaxWatch returns the longest watch of the store: short for a node on whose answers the
+// failure domain relies, and long for one that hears from a watcher ranked before it.
+func (w *WatchPolicy) MaxWatch(now time.Time, short, long time.Duration) time.Duration {
+	if w.rank > 0 && now.Sub(w.lastWatcherContact) < short {
+		return long
+	}
+	return short
+}
+
 // DomainSize returns the number of nodes in the failure domain.
 func (w *WatchPolicy) DomainSize() int { return w.domainSize }
 
