--- a/node/upstream/conn.go
+++ b/node/upstream/conn.go
@@ -28,8 +28,10 @@
 	exchange         *exchange
 	closed           bool
 	skippedResponses int
-	idleSince        time.Time
-	keepAlive        time.Duration // longest idle time before reuse
+	// answered is set once a response was delivered: later bytes may be a copy of it.
+	answered  bool
+	idleSince time.Time
+	keepAlive time.Duration // longest idle time before reuse
 }
 
 // exchange is a request and its pending response.
@@ -269,6 +271,11 @@
 		}
 		return true
 	}
+	if c.answered && x.request.ID != "" && response.Header.Get(c.pool.fields.RequestID) == "" {
+		unattributedResponses.Inc()
+		x.result <- Result{Err: fmt.Errorf("%w: the answer on a kept connection names no request", ErrStray), Sent: true}
+		return false
+	}
 	if x.request.ID != "" && response.StatusCode < http.StatusMultipleChoices && !c.verified(response) {
 		x.result <- Result{Err: ErrUnverified, Sent: true}
 		return false
@@ -365,7 +372,7 @@
 	current := x.stop()
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.exchange = nil
+	c.exchange, c.answered = nil, true
 	c.idleSince = time.Now()
 	c.keepAlive = keepAliveOf(response.Header)
 	stray := c.reader.Buffered() > 0
--- a/node/upstream/upstream.go
+++ b/node/upstream/upstream.go
@@ -4,7 +4,9 @@
 //
 // Every connection is read at all times. It is closed when the target closes it
 // or sends bytes while no request is pending. A response that names another
-// request is a late duplicate and is skipped. A connection is not reused when
+// request is a late duplicate and is skipped. One that names none is not used on a
+// connection that has had a response, since it may be a copy of that: the request may
+// have run. A connection is not reused when
 // its response arrived before the whole request body was written, or when
 // further bytes followed the response.
 package upstream
@@ -29,10 +31,13 @@
 	connectionsOpened = metrics.NewCounter(`zinniafall_target_connections_opened_total`)
 	strayBytes        = metrics.NewCounter(`zinniafall_target_stray_bytes_total`)
 	lateResponses     = metrics.NewCounter(`zinniafall_target_late_answers_total`)
+	// unattributedResponses counts the responses on kept connections without an ID.
+	unattributedResponses = metrics.NewCounter(`zinniafall_target_unattributed_answers_total`)
 )
 
 // ErrStray reports responses that name other requests: too many of them, or one
-// after which the connection closes.
+// after which the connection closes. It also reports a response that names no request
+// on a connection that has had one before.
 var ErrStray = errors.New("the target sent bytes that belong to no request")
 
 // ErrUnverified reports a success response without the mark that the target puts
