Name the exchange in requests to targets, and check the answers that name one

What callers could see in zinniafalld run: the answer of another call, for instance a refusal, if a target writes an earlier answer once more on a kept connection after the next request was sent.

Cause: nothing in an answer said to which request it belongs.

Change: each request to a target has the field Zinniafall-Exchange. A target may repeat it. An answer that names another exchange is not passed on, nor one without it on a kept connection of a target that has named one before: the call counts as one that may have run, and the connection is closed. The stand-in repeats it.

--- a/node/execute/execute.go
+++ b/node/execute/execute.go
@@ -329,6 +329,10 @@
 		a.finish(admission.Failed)
 		return ProblemReply(problem.New(problem.AnswerCutOff, model.RunYes, result.Err.Error()))
 	}
+	if errors.Is(result.Err, target.ErrStray) {
+		a.finish(admission.Failed)
+		return ProblemReply(problem.New(problem.TargetFailed, model.RunUnknown, result.Err.Error()))
+	}
 	notice := a.executor.opts.CrashTracker.RecordConnectionLost(a.tracked)
 	a.finish(admission.Crashed)
 	reply := ProblemReply(problem.New(problem.TargetFailed, model.RunUnknown, "the target closed the connection without an answer"))
--- a/node/target/runner.go
+++ b/node/target/runner.go
@@ -9,6 +9,7 @@
 	"io"
 	"net/http"
 	"net/http/httptrace"
+	"strconv"
 	"strings"
 	"sync/atomic"
 	"time"
@@ -25,11 +26,22 @@
 // complete body cannot be distinguished from a truncated one.
 var ErrUnframed = errors.New("the answer has neither a length nor chunks, so its end can't be verified; make the target send one of them")
 
+// ErrStray reports a response that belongs to another request, or one on a connection that was
+// in use before that names none, though the target names them.
+var ErrStray = errors.New("the answer belongs to another request; the target sent one twice")
+
+// ExchangeHeader names the exchange in a request, and a target may repeat it in its response.
+// A connection that is kept does not show by itself to which request a response belongs.
+const ExchangeHeader = "Zinniafall-Exchange"
+
 // Runner sends requests to one target address.
 type Runner struct {
 	dialer    *dialer
 	transport *http.Transport
 	address   string
+	exchanges atomic.Uint64
+	// names is set once the target has named an exchange in a response.
+	names atomic.Bool
 }
 
 // NewRunner returns a runner for the address "ip:port" that opens at most the
@@ -69,15 +81,26 @@
 // since the target may have executed the first request.
 func (r *Runner) Run(ctx context.Context, request *http.Request) Result {
 	var sent atomic.Bool
-	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { sent.Store(true) }}
+	var used atomic.Pointer[httptrace.GotConnInfo]
+	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
+		used.Store(&info)
+		sent.Store(true)
+	}}
+	exchange := strconv.FormatUint(r.exchanges.Add(1), 36)
 	request = request.WithContext(httptrace.WithClientTrace(ctx, trace))
 	request.URL.Scheme = "http"
 	request.URL.Host = r.address
+	request.Header.Set(ExchangeHeader, exchange)
 	disableRetries(request)
 	response, err := r.transport.RoundTrip(request)
 	if err != nil {
 		return Result{Sent: sent.Load(), Err: err}
 	}
+	if info := used.Load(); !r.belongs(response, exchange, info.Reused) {
+		_ = info.Conn.Close() // the transport may keep it: the response may be complete
+		_ = response.Body.Close()
+		return Result{Sent: true, Err: ErrStray}
+	}
 	if request.Method != http.MethodHead && unframed(response) {
 		_ = response.Body.Close()
 		return Result{Sent: true, Err: ErrUnframed}
@@ -85,6 +108,18 @@
 	return Result{Response: response, Sent: true}
 }
 
+// belongs reports whether a response is the one of an exchange. It removes the field that says
+// so. reused reports whether its connection has had another response.
+func (r *Runner) belongs(response *http.Response, exchange string, reused bool) bool {
+	named := response.Header.Get(ExchangeHeader)
+	response.Header.Del(ExchangeHeader)
+	if named == "" {
+		return !reused || !r.names.Load()
+	}
+	r.names.Store(true)
+	return named == exchange
+}
+
 // unreplayableBody hides the type of a body from the transport, which retries only
 // requests whose body it can replay.
 type unreplayableBody struct{ io.Reader }
--- a/standin/target/target.go
+++ b/standin/target/target.go
@@ -34,6 +34,9 @@
 	LeavingHeader = "Zinniafall-Target-Leaving"
 )
 
+// ExchangeHeader names the exchange in a request; the target repeats it in its answer.
+const ExchangeHeader = "Zinniafall-Exchange"
+
 // The paths of the probes, which are not counted as calls.
 const (
 	HealthPath = "/health"
@@ -271,7 +274,12 @@
 	mux.HandleFunc(HealthPath, t.serveHealth)
 	mux.HandleFunc(LoadPath, t.serveLoad)
 	mux.HandleFunc("/", t.serveCall)
-	return mux
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if exchange := r.Header.Get(ExchangeHeader); exchange != "" {
+			w.Header().Set(ExchangeHeader, exchange)
+		}
+		mux.ServeHTTP(w, r)
+	})
 }
 
 func (t *Target) serveHealth(w http.ResponseWriter, _ *http.Request) {
