Leave out odd entries among those of nodes

What an operator of a system like ours saw: processes that read the list of instances ended or stopped following it because of one odd entry.

Cause: entries of nodes that are very deeply nested or have a number too large for their type were left out already. One with an impossible port, or with numbers that fit the type and nothing else, counted as a node: calls were placed on it, it was greeted, and a huge link made it a watcher. It was logged each time that the list was read. In the contact list of zinniafalld run one odd entry made the whole list unreadable, until an operator deleted it.

Change: a record has an address with a port, and bounds on its numbers and names; others are left out, logged once for each time they are written. Entries of the contact list are read one by one, and a list that cannot be read is replaced by the nodes that watch the store.

--- a/node/server/contacts.go
+++ b/node/server/contacts.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -50,7 +51,8 @@
 }
 
 // readContacts returns the contact list and the store index that a
-// compare-and-swap of it needs, 0 when there is no list.
+// compare-and-swap of it needs, 0 when there is no list. The index is also that of a list
+// that is malformed.
 func (s *Server) readContacts(ctx context.Context) (contacts.List, uint64, error) {
 	entry, err := s.configuration.store.Get(ctx, contacts.Key)
 	if err != nil || !entry.Found {
@@ -86,7 +88,7 @@
 	ctx, cancel := context.WithTimeout(s.ctx, contactsTimeout)
 	defer cancel()
 	list, index, err := s.readContacts(ctx)
-	if err != nil {
+	if err != nil && !errors.Is(err, contacts.ErrMalformed) {
 		klog.V(1).Infof("node: The contact list could not be read: %v.", err)
 		return
 	}
--- a/node/sidecar/exchange.go
+++ b/node/sidecar/exchange.go
@@ -235,6 +235,11 @@
 		f.node.log.Warn("greeting unreadable", "part", "fleet", "error", err.Error())
 		return g, false
 	}
+	if !g.From.Valid() {
+		f.node.log.Warn("greeting of a node without a valid record", "part", "fleet", "peer", g.From.Node)
+		return g, false
+	}
+	g.Records = slices.DeleteFunc(g.Records, func(r roster.Record) bool { return !r.Valid() })
 	f.node.store.LearnEra(g.Era)
 	now := time.Now()
 	f.mu.Lock()
--- a/node/sidecar/fleet.go
+++ b/node/sidecar/fleet.go
@@ -50,6 +50,8 @@
 	// greeting, and maxRecent bounds the number of such records.
 	recentAge = 2500 * time.Millisecond
 	maxRecent = 64
+	// maxUnreadable bounds the entries that are remembered as unreadable.
+	maxUnreadable = 64
 	// fleetWatchDelay is the pause after a change of the fleet before the watch
 	// continues: nodes start and stop in groups.
 	fleetWatchDelay = 800 * time.Millisecond
@@ -78,6 +80,8 @@
 	// pulling is true while records are requested from another node.
 	pulling  bool
 	pulledAt time.Time
+	// unreadable holds the revisions of the entries that are not those of nodes, by key.
+	unreadable map[string]uint64
 	// changed signals exchangeLoop that a configuration was put in force.
 	changed chan struct{}
 	// answered signals exchangeLoop that the store has shown no change.
@@ -85,7 +89,7 @@
 }
 
 func newFleet(n *Node) *fleet {
-	f := &fleet{node: n, roster: roster.New(n.self), entryNotice: make(chan struct{}, 1), changed: make(chan struct{}, 1), answered: make(chan struct{}, 1), watchers: roster.NewWatchPolicy(n.self, n.settings.Domain, int(n.settings.LinkMbps))}
+	f := &fleet{node: n, roster: roster.New(n.self), entryNotice: make(chan struct{}, 1), unreadable: make(map[string]uint64), changed: make(chan struct{}, 1), answered: make(chan struct{}, 1), watchers: roster.NewWatchPolicy(n.self, n.settings.Domain, int(n.settings.LinkMbps))}
 	f.self = roster.Record{Node: n.self, Process: n.process, Domain: n.settings.Domain, Region: n.settings.Region, Service: n.settings.Service, Sequence: 1, LinkMbps: int(n.settings.LinkMbps)}
 	f.follower = &follower{
 		store: n.store, log: n.log, name: "fleet", prefix: nodePrefix, watchDelay: fleetWatchDelay, watchTimeout: fleetWatchTimeout,
@@ -254,13 +258,27 @@
 		return record, false
 	}
 	err := json.Unmarshal(item.Value, &record)
-	if err != nil || record.Node == "" || string(record.Node) != item.Key[len(nodePrefix):] {
-		f.node.log.Warn("node entry unreadable", "part", "fleet", "key", item.Key, "store_revision", item.Revision)
+	if err != nil || !record.Valid() || string(record.Node) != item.Key[len(nodePrefix):] {
+		f.logUnreadable(item)
 		return record, false
 	}
 	return record, true
 }
 
+// logUnreadable logs an entry that is not one of a node, once for each time it is written.
+func (f *fleet) logUnreadable(item Item) {
+	f.mu.Lock()
+	logged := f.unreadable[item.Key] == item.Revision
+	if len(f.unreadable) >= maxUnreadable {
+		clear(f.unreadable)
+	}
+	f.unreadable[item.Key] = item.Revision
+	f.mu.Unlock()
+	if !logged {
+		f.node.log.Warn("node entry unreadable", "part", "fleet", "key", item.Key, "store_revision", item.Revision)
+	}
+}
+
 // dropExpired drops the nodes that are gone.
 func (f *fleet) dropExpired() {
 	f.mu.Lock()
--- a/node/sidecar/store.go
+++ b/node/sidecar/store.go
@@ -115,7 +115,7 @@
 	operatorWatchTimeout = 1250 * time.Millisecond
 	// secondWatchTimeout takes its place on a watcher that hears from another one.
 	secondWatchTimeout = 2500 * time.Millisecond
-	fleetWatchTimeout    = 10 * time.Second
+	fleetWatchTimeout  = 10 * time.Second
 	// minWatch is the shortest watch.
 	minWatch = 100 * time.Millisecond
 	// otherListTimeout bounds how long one follower waits for the first list of
--- a/policy/contacts/contacts.go
+++ b/policy/contacts/contacts.go
@@ -24,22 +24,28 @@
 )
 
 // ErrMalformed is returned for a value that is not a contact list.
-var ErrMalformed = errors.New("the contact list in the store is malformed; delete the key zinniafall/contacts, and the nodes write a new list")
+var ErrMalformed = errors.New("the contact list in the store is malformed; the nodes that watch the store replace it")
 
 // List is the contact list as stored.
 type List struct {
 	Nodes []model.NodeAddr `json:"nodes"`
 }
 
-// Decode decodes a value from the store.
+// Decode decodes a value from the store. It leaves out entries that are no address: one of
+// another writer must not keep the others from being used. The error is ErrMalformed if the
+// value is not a list.
 func Decode(raw []byte) (List, error) {
-	var l List
-	if err := json.Unmarshal(raw, &l); err != nil || len(l.Nodes) > Max {
+	var stored struct {
+		Nodes []json.RawMessage `json:"nodes"`
+	}
+	if err := json.Unmarshal(raw, &stored); err != nil {
 		return List{}, ErrMalformed
 	}
-	for _, node := range l.Nodes {
-		if node == "" || len(node) > maxAddress {
-			return List{}, ErrMalformed
+	var l List
+	for _, entry := range stored.Nodes {
+		var node model.NodeAddr
+		if json.Unmarshal(entry, &node) == nil && len(node) <= maxAddress && node.Valid() && len(l.Nodes) < Max {
+			l.Nodes = append(l.Nodes, node)
 		}
 	}
 	return l, nil
--- a/policy/contacts/contacts_test.go
+++ b/policy/contacts/contacts_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"testing"
 
 	qt "github.com/frankban/quicktest"
@@ -47,6 +48,22 @@
 	}
 }
 
+// TestOddEntriesAreLeftOut guards against one entry of another writer that keeps nodes from
+// joining through all others.
+func TestOddEntriesAreLeftOut(t *testing.T) {
+	want := testList(2)
+	for name, odd := range map[string]string{
+		"port out of range": `"10.0.0.9:99999"`, "no port": `"10.0.0.9"`, "empty": `""`, "too long": `"` + strings.Repeat("a", maxAddress) + `:1"`,
+		"number too large": `1e999`, "another type": `{"node":["10.0.0.9:1"]}`, "nested": strings.Repeat("[", 5000) + strings.Repeat("]", 5000),
+	} {
+		l, err := Decode(fmt.Appendf(nil, `{"nodes":["%s",%s,"%s"]}`, want.Nodes[0], odd, want.Nodes[1]))
+		qt.Assert(t, err, qt.IsNil, qt.Commentf(name))
+		qt.Assert(t, l, qt.DeepEquals, want, qt.Commentf(name))
+	}
+	_, err := Decode([]byte(`{"nodes":` + strings.Repeat("[", 1<<20)))
+	qt.Assert(t, err, qt.Equals, ErrMalformed)
+}
+
 func FuzzDecode(f *testing.F) {
 	f.Add(testList(2).Encode())
 	f.Add([]byte(`{"nodes":[""]}`))
--- a/policy/model/model.go
+++ b/policy/model/model.go
@@ -6,6 +6,8 @@
 import (
 	"encoding/hex"
 	"errors"
+	"net"
+	"strconv"
 	"time"
 )
 
@@ -27,6 +29,13 @@
 // with another ProcessID and a higher Incarnation.
 type NodeAddr string
 
+// Valid reports whether the address has a host and a port to which connections can be opened.
+func (a NodeAddr) Valid() bool {
+	host, port, err := net.SplitHostPort(string(a))
+	number, portErr := strconv.ParseUint(port, 10, 16)
+	return err == nil && portErr == nil && host != "" && number > 0
+}
+
 // Revision is the number of an accepted configuration; 0 means none.
 type Revision uint64
 
--- a/policy/roster/roster.go
+++ b/policy/roster/roster.go
@@ -59,6 +59,20 @@
 	Version string `cbor:"10,keyasint,omitempty" json:"version,omitempty"`
 }
 
+const (
+	// maxRecordSlots, maxLinkMbps and maxNameBytes bound what a record may state.
+	maxRecordSlots = 10_000
+	maxLinkMbps    = 1_000_000
+	maxNameBytes   = 256
+)
+
+// Valid reports whether the record can be one of a node: the store may hold entries of other
+// writers, and one without bounds would attract all calls or take the place of a watcher.
+func (r Record) Valid() bool {
+	return r.Node.Valid() && r.Slots >= 0 && r.Slots <= maxRecordSlots && r.LinkMbps >= 0 && r.LinkMbps <= maxLinkMbps &&
+		max(len(r.Node), len(r.Domain), len(r.Region), len(r.Service), len(r.Version)) <= maxNameBytes
+}
+
 // member is a Record with the evidence that its node is alive.
 type member struct {
 	Record
