Let the withdrawal of a process that was not announced yet close its target

Cause: a withdrawal closed the target only if it stated the start that was announced last. After a target was found by its health answer that is still the start of its predecessor, and after a restart under the same ID too, so that the withdrawal was taken for one of another process.

Change: a withdrawal under the present ID counts unless it states an earlier start than the one that was announced last. A process that starts later under the same ID is opened by its own announcement.

--- a/node/sidecar/announce.go
+++ b/node/sidecar/announce.go
@@ -183,7 +183,8 @@
 // it was not stated. The gate is closed only if the target is the current one.
 func (t *target) recordWithdrawal(id string, startedMs int64) {
 	t.mu.Lock()
-	isCurrent := id == t.id && (startedMs == 0 || t.startedMs == 0 || startedMs == t.startedMs)
+	// The present process may have started after the one that was announced last.
+	isCurrent := id == t.id && (startedMs == 0 || startedMs >= t.startedMs)
 	if isCurrent {
 		t.leaving = true
 		t.node.owner.setGate(dispatch.GateDraining, true)
--- a/node/sidecar/target_test.go
+++ b/node/sidecar/target_test.go
@@ -223,3 +223,31 @@
 	qt.Assert(t, ownerA.Announce(ready), qt.IsNil)
 	qt.Assert(t, ownerA.owner.gateClosed(dispatch.GateDraining), qt.IsFalse)
 }
+
+// TestWithdrawalOfASuccessorHolds guards against a withdrawal that has no effect since the
+// process started after the one that was announced last.
+func TestWithdrawalOfASuccessorHolds(t *testing.T) {
+	for _, sameID := range []bool{false, true} {
+		_, ownerA, _ := startEntryAndOwners(t)
+		qt.Assert(t, ownerA.Announce(ownerA.announcement(100, 1)), qt.IsNil)
+		id := ownerA.target.id
+		if !sameID {
+			id = "t9"
+			ownerA.target.mu.Lock()
+			ownerA.target.id = id
+			ownerA.target.mu.Unlock()
+			eventually(t, "the new target is found", func() bool {
+				found, _, _ := ownerA.Node.target.identity()
+				return found == id
+			})
+		}
+		ownerA.Withdraw(id, 50)
+		qt.Assert(t, ownerA.owner.gateClosed(dispatch.GateDraining), qt.IsFalse) // of a former process
+		ownerA.Withdraw(id, 200)
+		qt.Assert(t, ownerA.owner.gateClosed(dispatch.GateDraining), qt.IsTrue)
+		late := ownerA.announcement(200, 1)
+		late.ID = id
+		qt.Assert(t, ownerA.Announce(late), qt.IsNil)
+		qt.Assert(t, ownerA.owner.gateClosed(dispatch.GateDraining), qt.IsTrue)
+	}
+}
