Keep the departures that a node has acknowledged in the store

Cause: what was acknowledged was kept in the memory of one process. Its successor took a late announcement from before for news after one second.

An announcement that says draining is kept like a withdrawal if it states a start: it is final for that process.

Not covered: a node that is killed while the store is away since before the departure. Asking other nodes was weighed: a node is greeted as a new process before they could tell it.

--- a/node/sidecar/announce.go
+++ b/node/sidecar/announce.go
@@ -71,7 +71,8 @@
 		return nil
 	}
 	isNew := a.ID != t.id || a.Born != t.startedMs
-	a.Draining = a.Draining || t.isLeaving(a, isNew)
+	stated := a.Draining
+	a.Draining = stated || t.isLeaving(a, isNew)
 	foundBefore := t.id == a.ID && t.foundByHealth
 	restarted := t.id != "" && isNew && !foundBefore
 	wasLeaving := t.leaving
@@ -79,6 +80,10 @@
 	t.id, t.startedMs, t.sequence = a.ID, a.Born, a.Sequence
 	t.service, t.version, t.slots = a.Service, a.Version, a.Slots
 	t.leaving = a.Draining
+	departs := stated && a.Born != 0 && !t.withdrawn(a.ID, a.Born)
+	if departs {
+		t.keepWithdrawal(a.ID, a.Born)
+	}
 	if t.addr != a.Address {
 		t.addr = a.Address
 		t.replacePools()
@@ -91,6 +96,9 @@
 			"draining", a.Draining, "cold_left_ms", a.ColdLeft.Milliseconds(), "born", a.Born, "sequence", a.Sequence, "known_before", foundBefore)
 	}
 	t.applyState(a.ColdLeft)
+	if departs {
+		t.keepDepartures()
+	}
 	return nil
 }
 
@@ -202,4 +210,5 @@
 	if isCurrent {
 		t.publishState()
 	}
+	t.keepDepartures()
 }
--- /dev/null
+++ b/node/sidecar/departures_test.go
@@ -0,0 +1,68 @@
+package sidecar
+
+import (
+	"net/http"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"zinniafall/policy/dispatch"
+)
+
+// TestAcknowledgedDepartureHoldsAfterARestart guards against a target that has left and is used
+// again, because its node was killed and an announcement from before is late.
+func TestAcknowledgedDepartureHoldsAfterARestart(t *testing.T) {
+	for _, test := range []struct {
+		name   string
+		depart func(n *testNode)
+	}{
+		{"withdrawn", func(n *testNode) { n.Withdraw(n.target.id, 100) }},
+		{"withdrawn without a start", func(n *testNode) { n.Withdraw(n.target.id, 0) }},
+		{"draining", func(n *testNode) {
+			a := n.announcement(100, 2)
+			a.Draining = true
+			qt.Assert(t, n.Announce(a), qt.IsNil)
+		}},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			store := newMemoryStore()
+			store.configure(t, 1, "front")
+			target := newTestTarget(t, "t1")
+			n := startNode(t, store, "a", "front", target)
+			n.waitForOwnTarget()
+			qt.Assert(t, n.Announce(n.announcement(100, 1)), qt.IsNil)
+			test.depart(n)
+			n.Kill()
+
+			n = startNodeAt(t, store, "a", "front", target, string(n.self))
+			late := n.announcement(100, 1)
+			eventually(t, "the late announcement is taken", func() bool { return n.Announce(late) == nil && n.configuration.current() != nil })
+			time.Sleep(2 * suspectPeriod)
+			late.Sequence++
+			qt.Assert(t, n.Announce(late), qt.IsNil)
+			qt.Assert(t, n.owner.gateClosed(dispatch.GateDraining), qt.IsTrue)
+			qt.Assert(t, n.call(http.MethodGet, "front", "/safe/x").status, qt.Equals, http.StatusServiceUnavailable)
+
+			successor := n.announcement(time.Now().Add(time.Minute).UnixMilli(), 1)
+			qt.Assert(t, n.Announce(successor), qt.IsNil)
+			n.waitForOwnTarget()
+			qt.Assert(t, n.call(http.MethodGet, "front", "/safe/x").status, qt.Equals, 200)
+		})
+	}
+}
+
+// TestTargetIsUsedWithoutTheStore guards against a node that waits for the departures of its
+// predecessor while the store is down.
+func TestTargetIsUsedWithoutTheStore(t *testing.T) {
+	store := newMemoryStore()
+	store.configure(t, 1, "front")
+	peer := startNode(t, store, "a", "front", newTestTarget(t, "t0"))
+	target := newTestTarget(t, "t1")
+	n := startNode(t, store, "a", "front", target)
+	peer.waitForTargets("front", 2)
+	n.Kill()
+	store.setDown(true)
+	n = startNodeAt(t, store, "a", "front", target, string(n.self))
+	n.waitForOwnTarget()
+}
--- a/node/sidecar/fleet.go
+++ b/node/sidecar/fleet.go
@@ -169,6 +169,7 @@
 // listed applies a list of all nodes' entries. It contacts the nodes whose entries came
 // back from a copy and those of which the store lacks them.
 func (f *fleet) listed(_ time.Time, items []Item, at Position) {
+	items = f.applyDepartures(items)
 	var records []roster.Record
 	hasOwn := false
 	for _, item := range items {
@@ -222,6 +223,7 @@
 // applyChanges applies changes of the nodes' entries. It contacts each node whose
 // entry was removed, because the node may still be running.
 func (f *fleet) applyChanges(_ time.Time, items []Item, _ Position) {
+	items = f.applyDepartures(items)
 	now := time.Now()
 	f.mu.Lock()
 	alone := len(f.roster.Records()) == 0
--- a/node/sidecar/node.go
+++ b/node/sidecar/node.go
@@ -242,6 +242,7 @@
 	n.goBackground(func() { n.fleet.register(n.ctx) })
 	n.goBackground(func() { n.fleet.exchangeLoop(n.ctx) })
 	n.goBackground(func() { n.target.watchHealth(n.ctx) })
+	n.goBackground(func() { n.target.awaitDepartures(n.ctx) })
 }
 
 // operatorsListed applies a list of the operators' keys. Orders of rollouts come first: they
--- a/node/sidecar/probe.go
+++ b/node/sidecar/probe.go
@@ -219,7 +219,8 @@
 	}
 	adopt := isNew && r.Status == http.StatusOK && (hasLoad && load.Slots > 0)
 	if adopt {
-		t.id, t.slots, t.sequence, t.leaving, t.foundByHealth = id, load.Slots, 0, leaving, true
+		t.id, t.slots, t.sequence, t.foundByHealth = id, load.Slots, 0, true
+		t.leaving = leaving || t.hasLeft()
 		t.version = "" // the announcement states it
 		t.replacePools()
 	}
--- a/node/sidecar/target.go
+++ b/node/sidecar/target.go
@@ -40,6 +40,9 @@
 	// that were not known: an announcement sent before a withdrawal may arrive
 	// after it.
 	withdrawals map[string]withdrawal
+	// departuresAwaited is set until the departures that a predecessor of this process has
+	// acknowledged are known.
+	departuresAwaited bool
 	// suspectSince is the time of the first ready announcement that a health
 	// answer contradicts; zero if there is no contradiction.
 	suspectSince  time.Time
@@ -61,7 +64,7 @@
 }
 
 func newTarget(n *Node) *target {
-	t := &target{node: n, service: n.settings.Service, addr: n.settings.Target, wake: make(chan struct{}, 1), withdrawals: make(map[string]withdrawal), buffers: upstream.NewBuffers(answerBuffers)}
+	t := &target{node: n, service: n.settings.Service, addr: n.settings.Target, wake: make(chan struct{}, 1), withdrawals: make(map[string]withdrawal), departuresAwaited: true, buffers: upstream.NewBuffers(answerBuffers)}
 	t.replacePools()
 	return t
 }
@@ -122,7 +125,7 @@
 		d.SetColdRate(t.coldRate(t.service))
 		d.SetCold(now, max(coldLeft, d.ColdLeft(now)))
 		releases := d.SetSlots(now, t.slots)
-		releases = append(releases, d.SetGate(now, dispatch.GateDraining, t.leaving)...)
+		releases = append(releases, d.SetGate(now, dispatch.GateDraining, t.leaving || t.departuresAwaited)...)
 		t.node.owner.rollout.setTarget(now, t.id, t.service, t.version)
 		return append(releases, d.SetGate(now, dispatch.GateAbsent, false)...)
 	})
