Do not take the first known era of the store for its first one

Cause: a process that knows no earlier era took one up to 1 for that of a store that has never returned, and its first answer for a proof that the configuration is current. A store whose header counts its returns states 1 after the first of them. In two more places a known era of 0 counted as none, so that this return was neither logged nor followed by a check of the entries.

A node that has listed the keys takes any other era for a return. storeera.Configuration stays as it is, since its first era errs on the side of refusing keys.

--- a/node/sidecar/era.go
+++ b/node/sidecar/era.go
@@ -24,7 +24,7 @@
 		}
 		before := era
 		era, changed = n.store.Era()
-		if before == 0 {
+		if before == 0 && !n.fleet.isListed() {
 			continue // the first era that was stated
 		}
 		n.fleet.greetPartners()
--- a/node/sidecar/fleet.go
+++ b/node/sidecar/fleet.go
@@ -72,7 +72,8 @@
 
 	follower *follower
 	watchers *roster.WatchPolicy
-	// listedEra is the era of the last list. Only the follower accesses it.
+	// listedEra is the era of the last list, if there was one. Only the follower accesses
+	// it.
 	listedEra uint64
 	// registrationFailing is true while the registration cannot reach the
 	// store. Only the register goroutine accesses it.
@@ -180,7 +181,7 @@
 	}
 	var suspects []model.NodeAddr
 	f.mu.Lock()
-	if f.listedEra != 0 && f.listedEra != at.Era {
+	if f.isListed() && f.listedEra != at.Era {
 		suspects = f.roster.ReplaceRestored(time.Now(), records)
 	} else {
 		f.roster.ReplaceStored(time.Now(), records)
--- a/policy/storeera/configuration.go
+++ b/policy/storeera/configuration.go
@@ -16,7 +16,7 @@
 	copySettleTime = 30 * time.Second
 	// maxSuperseded bounds the contents that are remembered as replaced.
 	maxSuperseded = 8
-	// firstEra is the era of a store that has never returned from a copy.
+	// firstEra is the highest era that a store that has never returned from a copy may state.
 	firstEra = 1
 	// versionBits is the size of the operators' version in a revision, and eraShift
 	// leaves room for several terms in an era.
@@ -101,8 +101,8 @@
 func (c *Configuration) Pending() bool { return c.shown != (Content{}) && c.shown != c.content }
 
 // ShowsLater reports whether the store shows another configuration than the one in force
-// that was written after its first answer in the era. In the first era there is no copy that
-// it could be from.
+// that was written after its first answer in the era. In the first era it counts as such: there
+// may be no copy that it could be from.
 func (c *Configuration) ShowsLater() bool {
 	return c.Pending() && (c.rewritten || c.at.Era <= firstEra)
 }
