Publish the states of a target in their order

Cause: the state of a target was read and then published without a lock between the two. Of two tasks the one with the earlier state could publish last, and other nodes did not use the target until its next change. Two tasks publish at the start of a node since its target waits for the departures of its predecessor; the race is older than that.

Change: one lock around both.

--- a/node/sidecar/departures_test.go
+++ b/node/sidecar/departures_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"sync"
 	"testing"
 	"time"
 
@@ -66,3 +67,26 @@
 	n = startNodeAt(t, store, "a", "front", target, string(n.self))
 	n.waitForOwnTarget()
 }
+
+// TestPublishedStateIsTheLastOne guards against a state of the target that is published after
+// a later one, so that other nodes do not use it for good.
+func TestPublishedStateIsTheLastOne(t *testing.T) {
+	store := newMemoryStore()
+	store.configure(t, 1, "front")
+	n := startNode(t, store, "a", "front", newTestTarget(t, "t1"))
+	n.waitForOwnTarget()
+	for range 2000 {
+		var done sync.WaitGroup
+		for _, closed := range []bool{true, false, true, false, true, false} {
+			done.Go(func() {
+				n.owner.setGate(dispatch.GateDomainOut, closed)
+				n.Node.target.publishState()
+			})
+		}
+		done.Wait()
+		n.fleet.mu.Lock()
+		published := n.fleet.self.State
+		n.fleet.mu.Unlock()
+		qt.Assert(t, published, qt.Equals, n.owner.publishedState())
+	}
+}
--- a/node/sidecar/target.go
+++ b/node/sidecar/target.go
@@ -22,6 +22,10 @@
 type target struct {
 	node *Node
 
+	// publishing is held while the state is read and published, so that no state is
+	// published after a later one. It is taken before mu.
+	publishing sync.Mutex
+
 	mu        sync.Mutex
 	id        string
 	service   model.Service
@@ -148,6 +152,8 @@
 
 // publishState passes the target's state to the fleet.
 func (t *target) publishState() {
+	t.publishing.Lock()
+	defer t.publishing.Unlock()
 	t.mu.Lock()
 	service, slots, version := t.service, t.slots, t.version
 	t.mu.Unlock()
