Count the calls that a target got since it was last known to be warm

Cause: only health answers state that a target is cold, and a busy target was asked every 250 ms. Calls started at the full rate meanwhile, and the budget of the cold target began as if there had been none.

Change: the budget begins in debt by the calls that started since the last health request that was answered as warm. Once they are half of what a cold target tolerates in a second, the next call asks for the health first, as it does for the pace.

--- a/node/sidecar/owner.go
+++ b/node/sidecar/owner.go
@@ -92,6 +92,13 @@
 	return o.dispatch.PaceAge(time.Now())
 }
 
+// warmthUnsure reports whether the target must be asked whether it has turned cold.
+func (o *owner) warmthUnsure() bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.dispatch.WarmthUnsure(time.Now())
+}
+
 // statedLimit returns the limit that the target states, in requests per second.
 func (o *owner) statedLimit() float64 {
 	o.mu.Lock()
--- a/node/sidecar/probe.go
+++ b/node/sidecar/probe.go
@@ -78,12 +78,14 @@
 	return idleProbeInterval
 }
 
-// refreshPace reads the load before a call whose start depends on it.
+// refreshPace reads the load before a call whose start depends on it, or on whether the target
+// has turned cold: only health answers state that.
 // Concurrent calls share one health request. It returns after paceRefreshTimeout
 // at the latest, even without a new reading.
 func (t *target) refreshPace(ctx context.Context) {
 	age, known := t.node.owner.paceAge()
-	if !known || t.node.owner.statedLimit() != statedlimit.Unlimited || age < maxPaceAge || t.node.owner.gateClosed(dispatch.GateAbsent|dispatch.GateDown) {
+	needed := known && age >= maxPaceAge || t.node.owner.warmthUnsure()
+	if !needed || t.node.owner.statedLimit() != statedlimit.Unlimited || t.node.owner.gateClosed(dispatch.GateAbsent|dispatch.GateDown) {
 		return
 	}
 	t.mu.Lock()
@@ -244,6 +246,9 @@
 	}
 	t.recordAnswer()
 	t.node.owner.apply(func(d *dispatch.Owner, now time.Time) []dispatch.Decision {
+		if cold == 0 {
+			d.ConfirmWarm(sentAt)
+		}
 		if hasCold {
 			d.SetCold(now, cold)
 		}
--- a/policy/dispatch/dispatch.go
+++ b/policy/dispatch/dispatch.go
@@ -208,6 +208,9 @@
 	coldUntil  time.Time
 	coldRate   float64
 	coldTokens tokens.Bucket
+	// warmStarts are the starts of calls since the target was last known to be warm, those of
+	// the last second at most.
+	warmStarts []time.Time
 
 	pace       float64
 	paceReadAt time.Time
@@ -383,10 +386,7 @@
 		o.bulk.awaited[q.Ticket] = q
 		return
 	}
-	if o.Cold(now) {
-		o.refillColdTokens(now)
-		o.coldTokens.Take()
-	}
+	o.takeCold(now)
 	o.limiter.Take(now)
 	if o.startsLeft != UnlimitedStarts {
 		o.startsLeft--
--- a/policy/dispatch/limit.go
+++ b/policy/dispatch/limit.go
@@ -27,7 +27,7 @@
 func (o *Owner) StatedLimit() float64 { return o.limiter.Limit() }
 
 // ForgetStatements drops what a former process of the target has stated.
-func (o *Owner) ForgetStatements() { o.limiter = statedlimit.Limiter{} }
+func (o *Owner) ForgetStatements() { o.limiter, o.warmStarts = statedlimit.Limiter{}, nil }
 
 // HealthInterval returns the time until the next health request, given that to a
 // target without a limit.
--- a/policy/dispatch/pace.go
+++ b/policy/dispatch/pace.go
@@ -1,10 +1,6 @@
 package dispatch
 
-import (
-	"time"
-
-	"zinniafall/policy/tokens"
-)
+import "time"
 
 // Options configures an Owner.
 type Options struct {
@@ -17,26 +13,6 @@
 	Seed uint64
 }
 
-// SetCold sets how long the target stays cold. A target that becomes cold
-// starts with no tokens.
-func (o *Owner) SetCold(now time.Time, left time.Duration) {
-	wasCold := o.Cold(now)
-	if left <= 0 {
-		o.coldUntil = time.Time{}
-		return
-	}
-	o.coldUntil = now.Add(left)
-	if !wasCold {
-		o.coldTokens = tokens.Empty(now)
-	}
-}
-
-// ColdLeft returns how long the target stays cold.
-func (o *Owner) ColdLeft(now time.Time) time.Duration { return max(o.coldUntil.Sub(now), 0) }
-
-// Cold reports whether the target is cold.
-func (o *Owner) Cold(now time.Time) bool { return now.Before(o.coldUntil) }
-
 // LoadReading is the load that the target states.
 type LoadReading struct {
 	// Running counts the calls at the target from all senders.
@@ -124,45 +100,6 @@
 	return len(o.queue) > 0 && !o.limiter.Limited() && o.Pace(now) >= slowPace && len(o.running) < o.limit(now)
 }
 
-// coldRateAndBurst returns the rate of calls to a cold target, in calls per
-// second, and the number of calls that may start at once.
-func (o *Owner) coldRateAndBurst() (rate, burst float64) {
-	burst = max(coldSlackShare*o.options.ColdSlack, 1)
-	tolerated := o.coldRate*max(o.options.ColdOvershoot, 1) + o.options.ColdSlack
-	return max((tolerated-burst)/(time.Second+coldArrivalJitter).Seconds(), o.coldRate), burst
-}
-
-func (o *Owner) refillColdTokens(now time.Time) {
-	rate, burst := o.coldRateAndBurst()
-	o.coldTokens.Refill(now, rate, burst)
-}
-
-// coldWait returns the time until a cold target lets one more call start after a
-// number of others.
-func (o *Owner) coldWait(now time.Time, others int) time.Duration {
-	if !o.Cold(now) {
-		return 0
-	}
-	o.refillColdTokens(now)
-	rate, _ := o.coldRateAndBurst()
-	return o.coldTokens.WaitFor(float64(others+1), rate)
-}
-
-// coldLimit returns the number of calls that the cold rate keeps in flight, at
-// most the limit.
-func (o *Owner) coldLimit(limit uint16) uint16 {
-	rate, _ := o.coldRateAndBurst()
-	inFlight := rate * o.meanTime.Seconds()
-	return min(limit, uint16(max(inFlight, 1)))
-}
-
-// SetColdRate sets the rate that the target accepts while it is cold.
-func (o *Owner) SetColdRate(rate float64) {
-	if rate > 0 {
-		o.coldRate = rate
-	}
-}
-
 // RecordPace records the slots and the pace of a reading, but not its running
 // calls. An answer states the load at its own end, so its count differs from
 // the calls in flight here.
--- a/policy/tokens/tokens.go
+++ b/policy/tokens/tokens.go
@@ -17,6 +17,9 @@
 // Empty returns a bucket without tokens.
 func Empty(now time.Time) Bucket { return Bucket{refilledAt: now} }
 
+// Owing returns a bucket that owes tokens.
+func Owing(now time.Time, owed int) Bucket { return Bucket{tokens: -float64(owed), refilledAt: now} }
+
 // Refill adds the tokens since the last refill, at a rate per second, up to most.
 func (b *Bucket) Refill(now time.Time, rate, most float64) {
 	if now.After(b.refilledAt) {
