Retry departures whose lease has ended, and say what answeredAt holds

A write whose lease had ended counted as kept, and three comments called the earliest time of an answer a time before it.

Change: such a write is an error and is tried again under a new lease; the comments.

Result: tests of departures, withdrawals and watchers pass.

--- a/node/sidecar/configuration.go
+++ b/node/sidecar/configuration.go
@@ -59,8 +59,8 @@
 	// storeReads is held during reads of the store besides those of the follower of the
 	// operators' keys, so that they do not transfer the configuration twice at a time.
 	storeReads sync.Mutex
-	// answeredAt is a time before which the store gave its last answer to the follower of the
-	// operators' keys. It is the start of the node before the first one.
+	// answeredAt is the earliest time at which the store can have given its last answer to the
+	// follower of the operators' keys. It is the start of the node before the first one.
 	answeredAt time.Time
 	// rejected is the last document that was not valid. The same one is not decoded again.
 	rejected struct {
@@ -410,8 +410,8 @@
 	notify(c.reports)
 }
 
-// recordAnswer records that the store answered after a time, and that the answer has been
-// applied.
+// recordAnswer records that an answer of the store has been applied, and the earliest time at
+// which the store can have given it.
 func (c *configuration) recordAnswer(at time.Time) {
 	have := c.revision()
 	c.mu.Lock()
@@ -422,8 +422,8 @@
 	}
 }
 
-// recordConfirmed records that a node that follows the store had an answer of it after a
-// time, and has no later configuration than that of a revision.
+// recordConfirmed records that the store answered another node, which follows it and has no
+// later configuration than that of a revision, at a time.
 func (c *configuration) recordConfirmed(at time.Time, revision model.Revision) {
 	have := c.revision()
 	c.mu.Lock()
--- a/node/sidecar/departures.go
+++ b/node/sidecar/departures.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"strings"
 	"time"
 
@@ -25,6 +26,9 @@
 	departuresRetryDelay = time.Second
 )
 
+// errLeaseEnded reports that nothing was written because the lease has ended.
+var errLeaseEnded = errors.New("the lease for the departures has ended; they are written again under a new one")
+
 // departure is a target process that has said that it leaves. The store keeps those that a
 // node has acknowledged, since they bind the process that takes the node's place, too.
 type departure struct {
@@ -51,7 +55,7 @@
 
 // keepDepartures writes the departures to the store. It returns once that has succeeded, and
 // after departuresWait at the latest: the target waits for the acknowledgement, and the
-// attempts go on.
+// attempts go on. A lease that is not renewed removes them later.
 func (t *target) keepDepartures() {
 	done := make(chan struct{})
 	t.node.goBackground(func() {
@@ -82,7 +86,10 @@
 	if err != nil {
 		return err
 	}
-	_, err = t.node.store.Write(ctx, t.node.fleet.departuresKey(), value, lease)
+	held, err := t.node.store.Write(ctx, t.node.fleet.departuresKey(), value, lease)
+	if err == nil && !held {
+		return errLeaseEnded
+	}
 	return err
 }
 
--- a/node/sidecar/exchange.go
+++ b/node/sidecar/exchange.go
@@ -99,8 +99,8 @@
 	}
 }
 
-// greetAfterAnswer brings the next exchange forward after the store has shown a node that
-// follows it that nothing has changed: what the node greets with is never as young again.
+// greetAfterAnswer brings the next exchange forward after the store has shown this node that
+// nothing has changed: other nodes count its greeting from that answer on.
 func (f *fleet) greetAfterAnswer() { notify(f.answered) }
 
 // greetPartners sends a greeting to the nodes that exchangePartners returns. If this node
--- a/node/sidecar/store.go
+++ b/node/sidecar/store.go
@@ -156,8 +156,9 @@
 	// before each call of the store. Both may be nil.
 	maxWatch func() time.Duration
 	onAsk    func()
-	// onAnswer is called after an answer of the store has been applied, with a time before
-	// which the store gave it. changed reports whether it showed any keys. It may be nil.
+	// onAnswer is called after an answer of the store has been applied, with the earliest
+	// time at which the store can have given it. changed reports whether it showed any keys.
+	// It may be nil.
 	onAnswer func(answeredAt time.Time, changed bool)
 	// onList and onChange are called with the time at which the store was asked.
 	onList   func(asked time.Time, items []Item, at Position)
--- a/node/target/runner.go
+++ b/node/target/runner.go
@@ -26,8 +26,8 @@
 // complete body cannot be distinguished from a truncated one.
 var ErrUnframed = errors.New("the answer has neither a length nor chunks, so its end can't be verified; make the target send one of them")
 
-// ErrStray reports a response that belongs to another request, or one on a connection that was
-// in use before that names none, though the target names them.
+// ErrStray reports a response that names another exchange, or one on a kept connection that
+// names none although the target has named exchanges before.
 var ErrStray = errors.New("the answer belongs to another request; the target sent one twice")
 
 // ExchangeHeader names the exchange in a request, and a target may repeat it in its response.
@@ -109,7 +109,7 @@
 }
 
 // belongs reports whether a response is the one of an exchange. It removes the field that says
-// so. reused reports whether its connection has had another response.
+// so. reused reports whether its connection has had another request.
 func (r *Runner) belongs(response *http.Response, exchange string, reused bool) bool {
 	named := response.Header.Get(ExchangeHeader)
 	response.Header.Del(ExchangeHeader)
