Move what a node knows of its configuration's currency to a file of its own

Change: recordAnswer, recordConfirmed, storeAge, unconfirmedSeconds and checkOverdue are in currency.go; nothing else differs.

Result: tests of overdue configurations and watchers pass.

--- a/node/sidecar/configuration.go
+++ b/node/sidecar/configuration.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"math"
 	"math/rand/v2"
 	"runtime/debug"
 	"slices"
@@ -13,7 +12,6 @@
 
 	"zinniafall/policy/distribution"
 	"zinniafall/policy/model"
-	"zinniafall/policy/problem"
 	"zinniafall/policy/routing"
 	"zinniafall/policy/storeera"
 )
@@ -410,45 +408,6 @@
 	notify(c.reports)
 }
 
-// recordAnswer records that an answer of the store has been applied, and the earliest time at
-// which the store can have given it.
-func (c *configuration) recordAnswer(at time.Time) {
-	have := c.revision()
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.answeredAt = at
-	if !c.unreadable && !c.order.ShowsLater() {
-		c.puller.Confirm(at, have, have)
-	}
-}
-
-// recordConfirmed records that the store answered another node, which follows it and has no
-// later configuration than that of a revision, at a time.
-func (c *configuration) recordConfirmed(at time.Time, revision model.Revision) {
-	have := c.revision()
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.puller.Confirm(at, revision, have)
-}
-
-// storeAge returns how long ago the store answered the follower of the operators' keys.
-func (c *configuration) storeAge(now time.Time) time.Duration {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return max(now.Sub(c.answeredAt), 0)
-}
-
-// unconfirmedSeconds returns, for the metrics, how long the configuration in force has not
-// been known to be current. It is infinite if it never was.
-func (c *configuration) unconfirmedSeconds() float64 {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.puller.ConfirmedAt().IsZero() {
-		return math.Inf(1)
-	}
-	return c.puller.Unconfirmed(time.Now()).Seconds()
-}
-
 // newestReported returns the newest revision that another node reported.
 func (c *configuration) newestReported() model.Revision {
 	c.mu.Lock()
@@ -466,20 +425,6 @@
 	return c.puller.RetryAfter(now), c.puller.Behind(now, have)
 }
 
-// checkOverdue refuses a call if other nodes have had a newer configuration for so long that
-// the one in force may no longer be used; see distribution.Puller. The newer one is likely to
-// be missing for longer than a call would be held.
-func (c *configuration) checkOverdue(now time.Time) *problem.Error {
-	have, applyTime := c.revision(), c.node.live.Load().ApplyTime
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if !c.puller.Overdue(now, have, applyTime) {
-		return nil
-	}
-	callsOverdue.Inc()
-	return problem.New(problem.ConfigurationLag, model.RunNo, "other nodes have had a newer configuration for too long").After(c.puller.RetryAfter(now))
-}
-
 // nextChange returns a channel that is closed when the next configuration is in force.
 func (c *configuration) nextChange() <-chan struct{} {
 	c.mu.Lock()
