Drop the oldest withdrawal of a target instead of all

Cause: a node that knew 64 withdrawals dropped all of them, and believed the next late announcement of any of these targets, also of the one that it serves.

Change: the one that was recorded first goes, never that of the present target.

Evidence: TestManyWithdrawalsDoNotDropTheLatest, which failed before (a late announcement opened the gate of a target that had left).

--- a/node/sidecar/announce.go
+++ b/node/sidecar/announce.go
@@ -45,7 +45,8 @@
 type withdrawal struct {
 	// startedMs is the start of the process in Unix milliseconds or, when it
 	// was not stated, the latest time at which the process can have started.
-	startedMs int64
+	startedMs  int64
+	recordedAt time.Time
 }
 
 // unhealthyAnswer identifies the last health answer in which a target was not
@@ -132,10 +133,22 @@
 // keepWithdrawal keeps the withdrawal of the processes of a target that started up to a
 // time, in Unix milliseconds. The caller must hold t.mu.
 func (t *target) keepWithdrawal(id string, latestStartMs int64) {
-	if len(t.withdrawals) >= maxWithdrawals {
-		clear(t.withdrawals)
+	if _, known := t.withdrawals[id]; !known && len(t.withdrawals) >= maxWithdrawals {
+		t.dropOldestWithdrawal()
 	}
-	t.withdrawals[id] = withdrawal{startedMs: latestStartMs}
+	t.withdrawals[id] = withdrawal{startedMs: latestStartMs, recordedAt: time.Now()}
+}
+
+// dropOldestWithdrawal drops the withdrawal that was recorded first, but not that of the
+// present target. The caller must hold t.mu.
+func (t *target) dropOldestWithdrawal() {
+	oldest := ""
+	for id, w := range t.withdrawals {
+		if id != t.id && (oldest == "" || w.recordedAt.Before(t.withdrawals[oldest].recordedAt)) {
+			oldest = id
+		}
+	}
+	delete(t.withdrawals, oldest)
 }
 
 // withdrawn reports whether the process of a target that started at a time, in Unix
--- a/node/sidecar/departures_test.go
+++ b/node/sidecar/departures_test.go
@@ -1,6 +1,7 @@
 package sidecar
 
 import (
+	"fmt"
 	"net/http"
 	"sync"
 	"testing"
@@ -53,6 +54,26 @@
 	}
 }
 
+// TestManyWithdrawalsDoNotDropTheLatest guards against a late announcement of a target that is
+// believed because many others have withdrawn since.
+func TestManyWithdrawalsDoNotDropTheLatest(t *testing.T) {
+	store := newMemoryStore()
+	store.configure(t, 1, "front")
+	n := startNode(t, store, "a", "front", newTestTarget(t, "t1"))
+	n.waitForOwnTarget()
+	qt.Assert(t, n.Announce(n.announcement(100, 1)), qt.IsNil)
+	n.Withdraw("t1", 100)
+	n.Node.target.mu.Lock()
+	for i := range 2 * maxWithdrawals {
+		n.Node.target.keepWithdrawal(fmt.Sprint("other-", i), 100)
+	}
+	qt.Check(t, n.Node.target.withdrawals, qt.HasLen, maxWithdrawals)
+	qt.Check(t, n.Node.target.withdrawn(fmt.Sprint("other-", maxWithdrawals+2), 100), qt.IsTrue)
+	n.Node.target.mu.Unlock()
+	qt.Assert(t, n.Announce(n.announcement(100, 2)), qt.IsNil)
+	qt.Assert(t, n.owner.gateClosed(dispatch.GateDraining), qt.IsTrue)
+}
+
 // TestTargetIsUsedWithoutTheStore guards against a node that waits for the departures of its
 // predecessor while the store is down.
 func TestTargetIsUsedWithoutTheStore(t *testing.T) {
