Store each departure of a node's targets under a key of its own

Cause: the departures of a VM were one value, written whole. A process that stored one of its own before it had read those of its predecessor (a slow store, the first 0.4 s) replaced them.

Change: a key for each target process. Nothing is read before it is written.

Evidence: TestDeparturesDoNotReplaceEachOther, which failed before.

--- a/node/sidecar/departures.go
+++ b/node/sidecar/departures.go
@@ -4,15 +4,18 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"fmt"
 	"strings"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"zinniafall/policy/dispatch"
 )
 
 const (
-	// departuresSuffix is appended to the key of a node's entry for its departures.
-	departuresSuffix = "/departures"
+	// departuresInfix follows the key of a node's entry in the keys of its departures.
+	departuresInfix = "/departures/"
 	// departuresTTL is how long departures are kept in the store: a target that has said that
 	// it leaves may serve for many seconds, and its last announcements may be late.
 	departuresTTL = 2 * time.Minute
@@ -38,9 +41,13 @@
 	LatestStartMs int64 `json:"latest_start_ms"`
 }
 
-func (f *fleet) departuresKey() string { return f.entryKey() + departuresSuffix }
+// departureKey returns the key of a departure. Each has its own: a process that does not know
+// its predecessor's departures yet replaces none of them.
+func (f *fleet) departureKey(d departure) string {
+	return fmt.Sprintf("%s%s%016x-%d", f.entryKey(), departuresInfix, xxhash.Sum64String(d.Target), d.LatestStartMs)
+}
 
-func isDeparturesKey(key string) bool { return strings.HasSuffix(key, departuresSuffix) }
+func isDepartureKey(key string) bool { return strings.Contains(key, departuresInfix) }
 
 // departures returns the departures of this node's targets that are known.
 func (t *target) departures() []departure {
@@ -78,19 +85,24 @@
 }
 
 func (t *target) writeDepartures(ctx context.Context) error {
-	value, err := json.Marshal(t.departures())
-	if err != nil {
-		return err
-	}
-	lease, err := t.node.store.Grant(ctx, departuresTTL)
-	if err != nil {
-		return err
-	}
-	held, err := t.node.store.Write(ctx, t.node.fleet.departuresKey(), value, lease)
-	if err == nil && !held {
-		return errLeaseEnded
+	for _, d := range t.departures() {
+		value, err := json.Marshal(d)
+		if err != nil {
+			return err
+		}
+		lease, err := t.node.store.Grant(ctx, departuresTTL)
+		if err != nil {
+			return err
+		}
+		held, err := t.node.store.Write(ctx, t.node.fleet.departureKey(d), value, lease)
+		if err == nil && !held {
+			err = errLeaseEnded
+		}
+		if err != nil {
+			return err
+		}
 	}
-	return err
+	return nil
 }
 
 // awaitDepartures lets the target be used once the departures that a predecessor of this
@@ -113,18 +125,16 @@
 	}
 }
 
-// learnDepartures records the departures that the store keeps for this node.
-func (t *target) learnDepartures(item Item) {
-	var departures []departure
-	if err := json.Unmarshal(item.Value, &departures); err != nil {
-		t.node.log.Warn("departures unreadable", "part", "target", "key", item.Key, "error", err.Error())
+// learnDeparture records a departure that the store keeps for this node.
+func (t *target) learnDeparture(item Item) {
+	var d departure
+	if err := json.Unmarshal(item.Value, &d); err != nil {
+		t.node.log.Warn("departure unreadable", "part", "target", "key", item.Key, "error", err.Error())
 		return
 	}
 	t.mu.Lock()
-	for _, d := range departures {
-		if w, ok := t.withdrawals[d.Target]; !ok || w.startedMs < d.LatestStartMs {
-			t.keepWithdrawal(d.Target, d.LatestStartMs)
-		}
+	if !t.withdrawn(d.Target, d.LatestStartMs) {
+		t.keepWithdrawal(d.Target, d.LatestStartMs)
 	}
 	left := t.id != "" && !t.leaving && t.hasLeft()
 	if left {
@@ -155,10 +165,10 @@
 	var entries []Item
 	for _, item := range items {
 		switch {
-		case !isDeparturesKey(item.Key):
+		case !isDepartureKey(item.Key):
 			entries = append(entries, item)
-		case item.Key == f.departuresKey() && !item.Removed:
-			f.node.target.learnDepartures(item)
+		case strings.HasPrefix(item.Key, f.entryKey()+departuresInfix) && !item.Removed:
+			f.node.target.learnDeparture(item)
 		}
 	}
 	return entries
--- a/node/sidecar/departures_test.go
+++ b/node/sidecar/departures_test.go
@@ -54,6 +54,28 @@
 	}
 }
 
+// TestDeparturesDoNotReplaceEachOther guards against a node that loses the departures of its
+// predecessor because it stores one of its own before it has read them.
+func TestDeparturesDoNotReplaceEachOther(t *testing.T) {
+	store := newMemoryStore()
+	store.configure(t, 1, "front")
+	target := newTestTarget(t, "t1")
+	n := startNode(t, store, "a", "front", target)
+	n.waitForOwnTarget()
+	n.Withdraw("t1", 100)
+	n.Node.target.mu.Lock()
+	clear(n.Node.target.withdrawals) // as in a process that has not read them yet
+	n.Node.target.mu.Unlock()
+	n.Withdraw("t2", 100)
+	n.Kill()
+	n = startNodeAt(t, store, "a", "front", target, string(n.self))
+	eventually(t, "both departures are known", func() bool {
+		n.Node.target.mu.Lock()
+		defer n.Node.target.mu.Unlock()
+		return n.Node.target.withdrawn("t1", 100) && n.Node.target.withdrawn("t2", 100)
+	})
+}
+
 // TestManyWithdrawalsDoNotDropTheLatest guards against a late announcement of a target that is
 // believed because many others have withdrawn since.
 func TestManyWithdrawalsDoNotDropTheLatest(t *testing.T) {
