Acknowledge a departure only once the store has it

What callers saw: some 200 calls at a target later than drain_ms after its node had acknowledged that it leaves, two of them cut off when it exited.

Cause: keepDepartures returned after 0.4 s whether the store had the departure or not, and the acknowledgement was sent. The attempts went on in memory and ended with the process. A repeated announcement was acknowledged at once, too, and a draining target that states no start was not stored at all.

Change: one background task stores what is not stored yet. The gate is closed at once in any case. A target that gets no acknowledgement exits all the same, some seconds later.

Evidence: TestDepartureIsNotAcknowledgedBeforeItIsStored fails on (with Withdraw returning nil) in all three ways of leaving, and passes.

--- a/node/sidecar/announce.go
+++ b/node/sidecar/announce.go
@@ -15,8 +15,6 @@
 	// announcements come every second or two, and delayed ones arrive together.
 	maxUnhealthyAge = time.Second
 	suspectPeriod   = time.Second
-	// maxWithdrawals bounds the withdrawals that are kept.
-	maxWithdrawals = 64
 	// maxVersionBytes bounds the length of the version that a target may announce.
 	maxVersionBytes = 256
 	// maxSlots bounds the number of slots that a target may announce.
@@ -41,14 +39,6 @@
 	Born int64
 }
 
-// withdrawal records that a target process announced its immediate end.
-type withdrawal struct {
-	// startedMs is the start of the process in Unix milliseconds or, when it
-	// was not stated, the latest time at which the process can have started.
-	startedMs  int64
-	recordedAt time.Time
-}
-
 // unhealthyAnswer identifies the last health answer in which a target was not
 // ready.
 type unhealthyAnswer struct {
@@ -56,24 +46,38 @@
 	at time.Time
 }
 
-// recordAnnouncement applies an announcement. It returns an error if the
-// announcement is invalid; stale announcements are ignored without one.
+// recordAnnouncement applies an announcement. It returns an error if the announcement is
+// invalid, and ErrDepartureNotStored if it is that of a departure and the store does not have
+// it yet. Stale announcements are ignored without an error.
 func (t *target) recordAnnouncement(a Announcement) error {
 	if err := t.validate(a); err != nil {
 		t.node.log.Warn("announcement rejected", "part", "target", "target", a.ID, "error", err.Error())
 		return err
 	}
+	t.applyAnnouncement(a)
+	t.mu.Lock()
+	departs := a.Draining && t.withdrawn(a.ID, a.Born)
+	t.mu.Unlock()
+	if !departs {
+		return nil
+	}
+	return t.confirmDeparture(a.ID, a.Born)
+}
+
+func (t *target) applyAnnouncement(a Announcement) {
 	t.mu.Lock()
 	if t.isStale(a) {
 		newestStartMs, newestSequence := t.startedMs, t.sequence
 		t.mu.Unlock()
 		t.node.log.Info("old announcement ignored", "part", "target", "target", a.ID, "born", a.Born, "sequence", a.Sequence,
 			"newest_born", newestStartMs, "newest_sequence", newestSequence)
-		return nil
+		return
+	}
+	if a.Draining && !t.withdrawn(a.ID, a.Born) {
+		t.keepWithdrawal(a.ID, a.Born)
 	}
 	isNew := a.ID != t.id || a.Born != t.startedMs
-	stated := a.Draining
-	a.Draining = stated || t.isLeaving(a, isNew)
+	a.Draining = a.Draining || t.isLeaving(a, isNew)
 	foundBefore := t.id == a.ID && t.foundByHealth
 	restarted := t.id != "" && isNew && !foundBefore
 	wasLeaving := t.leaving
@@ -81,10 +85,6 @@
 	t.id, t.startedMs, t.sequence = a.ID, a.Born, a.Sequence
 	t.service, t.version, t.slots = a.Service, a.Version, a.Slots
 	t.leaving = a.Draining
-	departs := stated && a.Born != 0 && !t.withdrawn(a.ID, a.Born)
-	if departs {
-		t.keepWithdrawal(a.ID, a.Born)
-	}
 	if t.addr != a.Address {
 		t.addr = a.Address
 		t.replacePools()
@@ -97,10 +97,6 @@
 			"draining", a.Draining, "cold_left_ms", a.ColdLeft.Milliseconds(), "born", a.Born, "sequence", a.Sequence, "known_before", foundBefore)
 	}
 	t.applyState(a.ColdLeft)
-	if departs {
-		t.keepDepartures()
-	}
-	return nil
 }
 
 // isLeaving reports whether a target that announces itself as ready is leaving
@@ -130,34 +126,6 @@
 	return false
 }
 
-// keepWithdrawal keeps the withdrawal of the processes of a target that started up to a
-// time, in Unix milliseconds. The caller must hold t.mu.
-func (t *target) keepWithdrawal(id string, latestStartMs int64) {
-	if _, known := t.withdrawals[id]; !known && len(t.withdrawals) >= maxWithdrawals {
-		t.dropOldestWithdrawal()
-	}
-	t.withdrawals[id] = withdrawal{startedMs: latestStartMs, recordedAt: time.Now()}
-}
-
-// dropOldestWithdrawal drops the withdrawal that was recorded first, but not that of the
-// present target. The caller must hold t.mu.
-func (t *target) dropOldestWithdrawal() {
-	oldest := ""
-	for id, w := range t.withdrawals {
-		if id != t.id && (oldest == "" || w.recordedAt.Before(t.withdrawals[oldest].recordedAt)) {
-			oldest = id
-		}
-	}
-	delete(t.withdrawals, oldest)
-}
-
-// withdrawn reports whether the process of a target that started at a time, in Unix
-// milliseconds, has said that it leaves. The caller must hold t.mu.
-func (t *target) withdrawn(id string, startedMs int64) bool {
-	w, ok := t.withdrawals[id]
-	return ok && startedMs <= w.startedMs
-}
-
 // isStale reports whether an announcement was superseded by a later one or by a
 // later target at the same address. The caller must hold t.mu.
 func (t *target) isStale(a Announcement) bool {
@@ -201,8 +169,9 @@
 }
 
 // recordWithdrawal records that a target is gone or about to go. startedMs is 0 if
-// it was not stated. The gate is closed only if the target is the current one.
-func (t *target) recordWithdrawal(id string, startedMs int64) {
+// it was not stated. The gate is closed only if the target is the current one. It returns the
+// latest time at which the process can have started.
+func (t *target) recordWithdrawal(id string, startedMs int64) (latestStartMs int64) {
 	t.mu.Lock()
 	// The present process may have started after the one that was announced last.
 	isCurrent := id == t.id && (startedMs == 0 || startedMs >= t.startedMs)
@@ -210,7 +179,7 @@
 		t.leaving = true
 		t.node.owner.setGate(dispatch.GateDraining, true)
 	}
-	latestStartMs := startedMs
+	latestStartMs = startedMs
 	if latestStartMs == 0 && isCurrent && !t.foundByHealth {
 		latestStartMs = t.startedMs
 	}
@@ -223,5 +192,5 @@
 	if isCurrent {
 		t.publishState()
 	}
-	t.keepDepartures()
+	return latestStartMs
 }
--- a/node/sidecar/departures.go
+++ b/node/sidecar/departures.go
@@ -16,21 +16,27 @@
 const (
 	// departuresInfix follows the key of a node's entry in the keys of its departures.
 	departuresInfix = "/departures/"
-	// departuresTTL is how long departures are kept in the store: a target that has said that
+	// departuresTTL is how long a departure is kept in the store: a target that has said that
 	// it leaves may serve for many seconds, and its last announcements may be late.
 	departuresTTL = 2 * time.Minute
-	// departuresWait is how long the acknowledgement of a departure waits until the store has
-	// it, and how long a node that starts waits for those of its predecessor before it uses
-	// its target.
+	// acknowledgementTimeout bounds the wait of a target for the acknowledgement of its
+	// departure. Targets take one that is later than a second for none.
+	acknowledgementTimeout = 800 * time.Millisecond
+	// departuresWait is how long a node that starts waits for the departures of its
+	// predecessor before it uses its target.
 	departuresWait = 400 * time.Millisecond
-	// departuresRetries is the number of further attempts to write departures, and
-	// departuresRetryDelay the time between them.
-	departuresRetries    = 20
-	departuresRetryDelay = time.Second
+	// departureRetryDelay is the time between two attempts to store a departure.
+	departureRetryDelay = 500 * time.Millisecond
+	// maxWithdrawals bounds the withdrawals that are kept.
+	maxWithdrawals = 64
 )
 
+// ErrDepartureNotStored reports that the store does not have the departure of a target yet. It
+// would be lost with this process, so it is not acknowledged.
+var ErrDepartureNotStored = errors.New("the store does not have the departure yet; report it again")
+
 // errLeaseEnded reports that nothing was written because the lease has ended.
-var errLeaseEnded = errors.New("the lease for the departures has ended; they are written again under a new one")
+var errLeaseEnded = errors.New("the lease for the departure has ended; it is written again under a new one")
 
 // departure is a target process that has said that it leaves. The store keeps those that a
 // node has acknowledged, since they bind the process that takes the node's place, too.
@@ -41,6 +47,22 @@
 	LatestStartMs int64 `json:"latest_start_ms"`
 }
 
+// withdrawal records that the processes of a target that started up to a time have said that
+// they leave.
+type withdrawal struct {
+	// startedMs is that time in Unix milliseconds: the start of the process or, when it was
+	// not stated, the latest time at which the process can have started.
+	startedMs  int64
+	recordedAt time.Time
+	// storedMs is what the store has of startedMs, if isStored is set, since the era storedEra.
+	storedMs  int64
+	isStored  bool
+	storedEra uint64
+}
+
+// covers reports whether the store has the departure of a process that started at a time.
+func (w withdrawal) covers(startedMs int64) bool { return w.isStored && startedMs <= w.storedMs }
+
 // departureKey returns the key of a departure. Each has its own: a process that does not know
 // its predecessor's departures yet replaces none of them.
 func (f *fleet) departureKey(d departure) string {
@@ -49,62 +71,132 @@
 
 func isDepartureKey(key string) bool { return strings.Contains(key, departuresInfix) }
 
-// departures returns the departures of this node's targets that are known.
-func (t *target) departures() []departure {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	var out []departure
-	for id, w := range t.withdrawals {
-		out = append(out, departure{id, w.startedMs})
+// keepWithdrawal keeps the withdrawal of the processes of a target that started up to a
+// time, in Unix milliseconds. The caller must hold t.mu.
+func (t *target) keepWithdrawal(id string, latestStartMs int64) {
+	w, known := t.withdrawals[id]
+	if !known && len(t.withdrawals) >= maxWithdrawals {
+		t.dropOldestWithdrawal()
 	}
-	return out
+	if !known || w.startedMs < latestStartMs {
+		w.startedMs = latestStartMs
+	}
+	w.recordedAt = time.Now()
+	t.withdrawals[id] = w
+	notify(t.departureNotice)
 }
 
-// keepDepartures writes the departures to the store. It returns once that has succeeded, and
-// after departuresWait at the latest: the target waits for the acknowledgement, and the
-// attempts go on. A lease that is not renewed removes them later.
-func (t *target) keepDepartures() {
-	done := make(chan struct{})
-	t.node.goBackground(func() {
-		defer close(done)
-		for range departuresRetries {
-			if t.node.ctx.Err() != nil || t.writeDepartures(t.node.ctx) == nil {
-				return
-			}
-			sleep(t.node.ctx, departuresRetryDelay)
+// dropOldestWithdrawal drops the withdrawal that was recorded first, but not that of the
+// present target. The caller must hold t.mu.
+func (t *target) dropOldestWithdrawal() {
+	oldest := ""
+	for id, w := range t.withdrawals {
+		if id != t.id && (oldest == "" || w.recordedAt.Before(t.withdrawals[oldest].recordedAt)) {
+			oldest = id
 		}
-	})
-	timer := time.NewTimer(departuresWait)
-	defer timer.Stop()
-	select {
-	case <-done:
-	case <-timer.C:
-		t.node.log.Warn("departure not stored yet", "part", "target")
-	case <-t.node.ctx.Done():
 	}
+	delete(t.withdrawals, oldest)
 }
 
-func (t *target) writeDepartures(ctx context.Context) error {
-	for _, d := range t.departures() {
-		value, err := json.Marshal(d)
-		if err != nil {
-			return err
+// withdrawn reports whether the process of a target that started at a time, in Unix
+// milliseconds, has said that it leaves. The caller must hold t.mu.
+func (t *target) withdrawn(id string, startedMs int64) bool {
+	w, ok := t.withdrawals[id]
+	return ok && startedMs <= w.startedMs
+}
+
+// confirmDeparture waits until the store has the departure of a target process. Otherwise it
+// returns ErrDepartureNotStored.
+func (t *target) confirmDeparture(id string, startedMs int64) error {
+	timer := time.NewTimer(acknowledgementTimeout)
+	defer timer.Stop()
+	for {
+		t.mu.Lock()
+		stored, changed := t.withdrawals[id].covers(startedMs), t.departureStored
+		t.mu.Unlock()
+		if stored {
+			return nil
 		}
-		lease, err := t.node.store.Grant(ctx, departuresTTL)
-		if err != nil {
-			return err
+		select {
+		case <-changed:
+		case <-timer.C:
+			t.node.log.Warn("departure not acknowledged", "part", "target", "target", id, "born", startedMs)
+			return ErrDepartureNotStored
+		case <-t.node.ctx.Done():
+			return ErrDepartureNotStored
 		}
-		held, err := t.node.store.Write(ctx, t.node.fleet.departureKey(d), value, lease)
-		if err == nil && !held {
-			err = errLeaseEnded
+	}
+}
+
+// storeDepartures writes the departures of this node's targets to the store until the context
+// ends, and again when the store has returned from a copy that may lack them.
+func (t *target) storeDepartures(ctx context.Context) {
+	for ctx.Err() == nil {
+		_, eraChanged := t.node.store.Era()
+		var retry <-chan time.Time
+		for _, d := range t.departuresToStore() {
+			if err := t.storeDeparture(ctx, d); err != nil {
+				t.node.log.Warn("departure not stored", "part", "target", "target", d.Target, "error", err.Error())
+				retry = time.After(departureRetryDelay)
+			}
 		}
-		if err != nil {
-			return err
+		select {
+		case <-ctx.Done():
+		case <-t.departureNotice:
+		case <-eraChanged:
+		case <-retry:
 		}
 	}
+}
+
+// departuresToStore returns the departures that the store may lack.
+func (t *target) departuresToStore() []departure {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var out []departure
+	for id, w := range t.withdrawals {
+		if time.Since(w.recordedAt) < departuresTTL && !(w.covers(w.startedMs)) {
+			out = append(out, departure{id, w.startedMs})
+		}
+	}
+	return out
+}
+
+// storeDeparture writes a departure under a lease of its own, which is not renewed.
+func (t *target) storeDeparture(ctx context.Context, d departure) error {
+	value, err := json.Marshal(d)
+	if err != nil {
+		return err
+	}
+	lease, err := t.node.store.Grant(ctx, departuresTTL)
+	if err != nil {
+		return err
+	}
+	held, err := t.node.store.Write(ctx, t.node.fleet.departureKey(d), value, lease)
+	if err == nil && !held {
+		err = errLeaseEnded
+	}
+	if err != nil {
+		return err
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.recordStored(d, lease.Era)
 	return nil
 }
 
+// recordStored records that the store has a departure. The caller must hold t.mu.
+func (t *target) recordStored(d departure, era uint64) {
+	w, ok := t.withdrawals[d.Target]
+	if !ok {
+		return // dropped meanwhile
+	}
+	w.isStored, w.storedMs, w.storedEra = true, d.LatestStartMs, era
+	t.withdrawals[d.Target] = w
+	close(t.departureStored)
+	t.departureStored = make(chan struct{})
+}
+
 // awaitDepartures lets the target be used once the departures that a predecessor of this
 // process has acknowledged are known, or cannot be read in time.
 func (t *target) awaitDepartures(ctx context.Context) {
@@ -132,9 +224,11 @@
 		t.node.log.Warn("departure unreadable", "part", "target", "key", item.Key, "error", err.Error())
 		return
 	}
+	era, _ := t.node.store.Era()
 	t.mu.Lock()
 	if !t.withdrawn(d.Target, d.LatestStartMs) {
 		t.keepWithdrawal(d.Target, d.LatestStartMs)
+		t.recordStored(d, era)
 	}
 	left := t.id != "" && !t.leaving && t.hasLeft()
 	if left {
--- a/node/sidecar/departures_test.go
+++ b/node/sidecar/departures_test.go
@@ -19,8 +19,8 @@
 		name   string
 		depart func(n *testNode)
 	}{
-		{"withdrawn", func(n *testNode) { n.Withdraw(n.target.id, 100) }},
-		{"withdrawn without a start", func(n *testNode) { n.Withdraw(n.target.id, 0) }},
+		{"withdrawn", func(n *testNode) { qt.Assert(t, n.Withdraw(n.target.id, 100), qt.IsNil) }},
+		{"withdrawn without a start", func(n *testNode) { qt.Assert(t, n.Withdraw(n.target.id, 0), qt.IsNil) }},
 		{"draining", func(n *testNode) {
 			a := n.announcement(100, 2)
 			a.Draining = true
@@ -54,6 +54,49 @@
 	}
 }
 
+// TestDepartureIsNotAcknowledgedBeforeItIsStored guards against a departure that a node
+// acknowledges while the store is away, and that is lost when the node is killed.
+func TestDepartureIsNotAcknowledgedBeforeItIsStored(t *testing.T) {
+	for name, depart := range map[string]func(n *testNode) error{
+		"withdrawn": func(n *testNode) error { return n.Withdraw(n.target.id, 100) },
+		"draining": func(n *testNode) error { // with the same sequence number at each attempt
+			a := n.announcement(100, 2)
+			a.Draining = true
+			return n.Announce(a)
+		},
+		"draining without a start": func(n *testNode) error {
+			a := n.announcement(0, 2)
+			a.Draining = true
+			return n.Announce(a)
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			store := newMemoryStore()
+			store.configure(t, 1, "front")
+			target := newTestTarget(t, "t1")
+			n := startNode(t, store, "a", "front", target)
+			n.waitForOwnTarget()
+			store.setDown(true)
+			for range 2 {
+				qt.Assert(t, depart(n), qt.ErrorIs, ErrDepartureNotStored)
+				qt.Assert(t, n.owner.gateClosed(dispatch.GateDraining), qt.IsTrue)
+			}
+			store.setDown(false)
+			eventually(t, "the departure is acknowledged", func() bool { return depart(n) == nil })
+			n.Kill()
+
+			n = startNodeAt(t, store, "a", "front", target, string(n.self))
+			eventually(t, "the configuration", func() bool { return n.configuration.current() != nil && n.fleet.isListed() })
+			late := n.announcement(100, 1)
+			if name == "draining without a start" {
+				late.Born = 0
+			}
+			qt.Assert(t, n.Announce(late), qt.IsNil)
+			qt.Assert(t, n.owner.gateClosed(dispatch.GateDraining), qt.IsTrue)
+		})
+	}
+}
+
 // TestDeparturesDoNotReplaceEachOther guards against a node that loses the departures of its
 // predecessor because it stores one of its own before it has read them.
 func TestDeparturesDoNotReplaceEachOther(t *testing.T) {
@@ -62,11 +105,11 @@
 	target := newTestTarget(t, "t1")
 	n := startNode(t, store, "a", "front", target)
 	n.waitForOwnTarget()
-	n.Withdraw("t1", 100)
+	qt.Assert(t, n.Withdraw("t1", 100), qt.IsNil)
 	n.Node.target.mu.Lock()
 	clear(n.Node.target.withdrawals) // as in a process that has not read them yet
 	n.Node.target.mu.Unlock()
-	n.Withdraw("t2", 100)
+	qt.Assert(t, n.Withdraw("t2", 100), qt.IsNil)
 	n.Kill()
 	n = startNodeAt(t, store, "a", "front", target, string(n.self))
 	eventually(t, "both departures are known", func() bool {
@@ -84,7 +127,7 @@
 	n := startNode(t, store, "a", "front", newTestTarget(t, "t1"))
 	n.waitForOwnTarget()
 	qt.Assert(t, n.Announce(n.announcement(100, 1)), qt.IsNil)
-	n.Withdraw("t1", 100)
+	qt.Assert(t, n.Withdraw("t1", 100), qt.IsNil)
 	n.Node.target.mu.Lock()
 	for i := range 2 * maxWithdrawals {
 		n.Node.target.keepWithdrawal(fmt.Sprint("other-", i), 100)
--- a/node/sidecar/node.go
+++ b/node/sidecar/node.go
@@ -243,6 +243,7 @@
 	n.goBackground(func() { n.fleet.exchangeLoop(n.ctx) })
 	n.goBackground(func() { n.target.watchHealth(n.ctx) })
 	n.goBackground(func() { n.target.awaitDepartures(n.ctx) })
+	n.goBackground(func() { n.target.storeDepartures(n.ctx) })
 }
 
 // operatorsListed applies a list of the operators' keys. Orders of rollouts come first: they
@@ -327,12 +328,15 @@
 	n.fleet.pushToChildren()
 }
 
-// Announce handles an announcement of the target beside this node.
+// Announce handles an announcement of the target beside this node. A nil error acknowledges it.
 func (n *Node) Announce(a Announcement) error { return n.target.recordAnnouncement(a) }
 
 // Withdraw handles the message of a target that it leaves at once. startedMs is
-// the start of its process in Unix milliseconds, or 0 if it was not stated.
-func (n *Node) Withdraw(id string, startedMs int64) { n.target.recordWithdrawal(id, startedMs) }
+// the start of its process in Unix milliseconds, or 0 if it was not stated. A nil error
+// acknowledges it.
+func (n *Node) Withdraw(id string, startedMs int64) error {
+	return n.target.confirmDeparture(id, n.target.recordWithdrawal(id, startedMs))
+}
 
 // NotReadyReason returns why callers should not use this node, or "" if it is
 // ready.
--- a/node/sidecar/statement.go
+++ b/node/sidecar/statement.go
@@ -72,8 +72,11 @@
 	} else {
 		// A process that was not announced yet: the one that answers now and any
 		// that started before.
-		_, known = t.withdrawals[id]
-		t.keepWithdrawal(id, time.Now().UnixMilli())
+		var w withdrawal
+		if w, known = t.withdrawals[id]; known {
+			w.startedMs = time.Now().UnixMilli()
+			t.withdrawals[id] = w
+		}
 	}
 	t.mu.Unlock()
 	if !known {
--- a/node/sidecar/target.go
+++ b/node/sidecar/target.go
@@ -44,6 +44,9 @@
 	// that were not known: an announcement sent before a withdrawal may arrive
 	// after it.
 	withdrawals map[string]withdrawal
+	// departureNotice signals storeDepartures that there is a withdrawal to store, and
+	// departureStored is closed and replaced when the store has one.
+	departureNotice, departureStored chan struct{}
 	// departuresAwaited is set until the departures that a predecessor of this process has
 	// acknowledged are known.
 	departuresAwaited bool
@@ -68,7 +71,7 @@
 }
 
 func newTarget(n *Node) *target {
-	t := &target{node: n, service: n.settings.Service, addr: n.settings.Target, wake: make(chan struct{}, 1), withdrawals: make(map[string]withdrawal), departuresAwaited: true, buffers: upstream.NewBuffers(answerBuffers)}
+	t := &target{node: n, service: n.settings.Service, addr: n.settings.Target, wake: make(chan struct{}, 1), withdrawals: make(map[string]withdrawal), departureNotice: make(chan struct{}, 1), departureStored: make(chan struct{}), departuresAwaited: true, buffers: upstream.NewBuffers(answerBuffers)}
 	t.replacePools()
 	return t
 }
