Store departures again when the store has returned from a copy

Cause: departures that were written since the copy were gone from the store while the node that had acknowledged them lived, and lost when it was killed.

Change: what is stored is stored in an era.

Evidence: TestDepartureIsStoredAgainAfterReturnFromCopy, which failed before.

--- a/node/sidecar/departures.go
+++ b/node/sidecar/departures.go
@@ -132,9 +132,9 @@
 // ends, and again when the store has returned from a copy that may lack them.
 func (t *target) storeDepartures(ctx context.Context) {
 	for ctx.Err() == nil {
-		_, eraChanged := t.node.store.Era()
+		era, eraChanged := t.node.store.Era()
 		var retry <-chan time.Time
-		for _, d := range t.departuresToStore() {
+		for _, d := range t.departuresToStore(era) {
 			if err := t.storeDeparture(ctx, d); err != nil {
 				t.node.log.Warn("departure not stored", "part", "target", "target", d.Target, "error", err.Error())
 				retry = time.After(departureRetryDelay)
@@ -149,13 +149,13 @@
 	}
 }
 
-// departuresToStore returns the departures that the store may lack.
-func (t *target) departuresToStore() []departure {
+// departuresToStore returns the departures that the store may lack in an era.
+func (t *target) departuresToStore(era uint64) []departure {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	var out []departure
 	for id, w := range t.withdrawals {
-		if time.Since(w.recordedAt) < departuresTTL && !(w.covers(w.startedMs)) {
+		if time.Since(w.recordedAt) < departuresTTL && !(w.covers(w.startedMs) && w.storedEra == era) {
 			out = append(out, departure{id, w.startedMs})
 		}
 	}
