Leave an unhealthy target unused until its departures are known

A node that others greeted before it had listed the fleet never read the departures.

Until then a target that calls itself unhealthy is not used. A full target that rejects the health request is not unhealthy.

Cost: a target whose health answers are wrong is not used while its node has been restarted and the store is away; other targets are.

Evidence: TestUnhealthyTargetWaitsForDepartures, which failed before; TestUnhealthyTargetIsUsedOnceDeparturesAreKnown.

--- a/node/sidecar/announce.go
+++ b/node/sidecar/announce.go
@@ -106,7 +106,7 @@
 // isNew is true if the last announcement was of another process. The caller must
 // hold t.mu.
 func (t *target) isLeaving(a Announcement, isNew bool) bool {
-	if t.withdrawn(a.ID, a.Born) {
+	if t.withdrawn(a.ID, a.Born) || t.mayHaveLeft(a.ID) {
 		return true
 	}
 	now := time.Now()
--- a/node/sidecar/departures.go
+++ b/node/sidecar/departures.go
@@ -197,26 +197,69 @@
 	t.departureStored = make(chan struct{})
 }
 
-// awaitDepartures lets the target be used once the departures that a predecessor of this
-// process has acknowledged are known, or cannot be read in time.
+// awaitDepartures learns the departures that a predecessor of this process has acknowledged,
+// and lets the target be used once they are known or departuresWait has passed. The list of
+// the fleet has them, but a node that hears from others may do without that list.
 func (t *target) awaitDepartures(ctx context.Context) {
+	listed := t.node.fleet.follower.listed
 	timer := time.NewTimer(departuresWait)
 	defer timer.Stop()
 	select {
 	case <-ctx.Done():
 		return
-	case <-t.node.fleet.follower.listed:
+	case <-listed:
+		t.departuresLearned(true)
+		return
 	case <-timer.C:
+		t.departuresLearned(false)
+	}
+	for ctx.Err() == nil {
+		items, _, err := t.node.store.List(ctx, t.node.fleet.entryKey()+departuresInfix)
+		if err == nil {
+			t.node.fleet.applyDepartures(items)
+			t.departuresLearned(true)
+			return
+		}
+		select {
+		case <-listed:
+			t.departuresLearned(true)
+			return
+		case <-ctx.Done():
+		case <-time.After(departureRetryDelay):
+		}
 	}
+}
+
+// departuresLearned lets the target be used, unless it has left. known reports whether the
+// store has been read.
+func (t *target) departuresLearned(known bool) {
 	t.mu.Lock()
-	t.departuresAwaited = false
-	known := t.id != ""
+	t.departuresAwaited, t.departuresKnown = false, known
+	announced := t.id != ""
 	t.mu.Unlock()
-	if known {
+	if announced {
 		t.applyState(0)
 	}
 }
 
+// mayHaveLeft reports whether an unhealthy process of the target may be one whose departure a
+// predecessor of this node has acknowledged: an announcement that says otherwise may be late.
+// The caller must hold t.mu.
+func (t *target) mayHaveLeft(id string) bool {
+	return !t.departuresKnown && t.lastUnhealthy.id == id && time.Since(t.lastUnhealthy.at) < maxUnhealthyAge
+}
+
+// closeUnlessKnown closes the gate of the present target if it may have left. It reports
+// whether the gate was open. The caller must hold t.mu.
+func (t *target) closeUnlessKnown() bool {
+	if t.id == "" || t.leaving || !t.mayHaveLeft(t.id) {
+		return false
+	}
+	t.leaving = true
+	t.node.owner.setGate(dispatch.GateDraining, true)
+	return true
+}
+
 // learnDeparture records a departure that the store keeps for this node.
 func (t *target) learnDeparture(item Item) {
 	var d departure
--- a/node/sidecar/departures_test.go
+++ b/node/sidecar/departures_test.go
@@ -97,6 +97,53 @@
 	}
 }
 
+// TestUnhealthyTargetWaitsForDepartures guards against a target that has left and is used
+// because its node was killed and the store is away when it starts again.
+func TestUnhealthyTargetWaitsForDepartures(t *testing.T) {
+	store := newMemoryStore()
+	store.configure(t, 1, "front")
+	peer := startNode(t, store, "a", "front", newTestTarget(t, "t0"))
+	target := newTestTarget(t, "t1")
+	n := startNode(t, store, "a", "front", target)
+	peer.waitForTargets("front", 2)
+	qt.Assert(t, n.Announce(n.announcement(100, 1)), qt.IsNil)
+	target.mu.Lock()
+	target.unhealthy = true
+	target.mu.Unlock()
+	qt.Assert(t, n.Withdraw("t1", 100), qt.IsNil)
+	n.Kill()
+	store.setDown(true)
+	n = startNodeAt(t, store, "a", "front", target, string(n.self))
+	for sequence := int64(2); sequence < 6; sequence++ {
+		time.Sleep(suspectPeriod / 2)
+		qt.Assert(t, n.Announce(n.announcement(100, sequence)), qt.IsNil)
+		eventually(t, "the target is not used", func() bool { return n.owner.gateClosed(dispatch.GateDraining) })
+	}
+	store.setDown(false)
+	eventually(t, "the departures are known", func() bool {
+		n.Node.target.mu.Lock()
+		defer n.Node.target.mu.Unlock()
+		return n.Node.target.departuresKnown
+	})
+	qt.Assert(t, n.Announce(n.announcement(100, 6)), qt.IsNil)
+	qt.Assert(t, n.owner.gateClosed(dispatch.GateDraining), qt.IsTrue)
+}
+
+// TestUnhealthyTargetIsUsedOnceDeparturesAreKnown guards against a target whose health answers
+// are wrong and that stays unused after the store has shown that it has not left.
+func TestUnhealthyTargetIsUsedOnceDeparturesAreKnown(t *testing.T) {
+	store := newMemoryStore()
+	store.configure(t, 1, "front")
+	target := newTestTarget(t, "t1")
+	target.unhealthy = true
+	n := startNode(t, store, "a", "front", target)
+	sequence := int64(0)
+	eventually(t, "the target is used", func() bool {
+		sequence++
+		return n.Announce(n.announcement(100, sequence)) == nil && n.targetsReady("front")
+	})
+}
+
 // TestDeparturesDoNotReplaceEachOther guards against a node that loses the departures of its
 // predecessor because it stores one of its own before it has read them.
 func TestDeparturesDoNotReplaceEachOther(t *testing.T) {
--- a/node/sidecar/probe.go
+++ b/node/sidecar/probe.go
@@ -216,9 +216,10 @@
 	leaving := t.statesLeaving(r.Header)
 	t.mu.Lock()
 	isNew := id != t.id
-	if r.Status != http.StatusOK {
+	if r.Status != http.StatusOK && r.Header.Get(t.node.dialect.NotRun) == "" { // a full target rejects it
 		t.lastUnhealthy = unhealthyAnswer{id: id, at: time.Now()}
 	}
+	closed := t.closeUnlessKnown()
 	adopt := isNew && r.Status == http.StatusOK && (hasLoad && load.Slots > 0)
 	if adopt {
 		t.id, t.slots, t.sequence, t.foundByHealth = id, load.Slots, 0, true
@@ -227,6 +228,10 @@
 		t.replacePools()
 	}
 	t.mu.Unlock()
+	if closed {
+		t.node.log.Info("unhealthy target not used until the store answers", "part", "target", "target", id)
+		t.publishState()
+	}
 	if isNew && !adopt {
 		if leaving {
 			t.recordLeaving(id)
--- a/node/sidecar/target.go
+++ b/node/sidecar/target.go
@@ -47,9 +47,9 @@
 	// departureNotice signals storeDepartures that there is a withdrawal to store, and
 	// departureStored is closed and replaced when the store has one.
 	departureNotice, departureStored chan struct{}
-	// departuresAwaited is set until the departures that a predecessor of this process has
-	// acknowledged are known.
-	departuresAwaited bool
+	// departuresAwaited is set until the target may be used, and departuresKnown once the
+	// departures that a predecessor of this process has acknowledged are known.
+	departuresAwaited, departuresKnown bool
 	// suspectSince is the time of the first ready announcement that a health
 	// answer contradicts; zero if there is no contradiction.
 	suspectSince  time.Time
