Acknowledge departures of targets of the product once the store has them

Cause: drain and withdrawal were answered with 204 and kept in the memory of one process. A process that took its place used the target at the next announcement of the same instance, however old.

Change: 204 means that the store has the departure, under a lease that outlives each announcement; otherwise the answer is 503 and the target sends it again. The first announcement of an instance is looked up. If the store does not answer within 0.4 s the target is used and the node goes on asking.

Evidence: TestAcknowledgedDepartureHoldsAfterARestart fails before (204 with the store away; in each of its four cases) and passes.

--- a/node/owner/owner.go
+++ b/node/owner/owner.go
@@ -228,6 +228,12 @@
 // Withdraw records that the target leaves at once and does not come back.
 func (o *Owner) Withdraw() { o.send(&changeEvent{change: (*admission.Owner).Withdraw}) }
 
+// Leave records that a process of the target, which may be the present one, has said that it
+// leaves.
+func (o *Owner) Leave(instance string) {
+	o.send(&changeEvent{change: func(a *admission.Owner, now time.Time) []admission.Release { return a.Leave(now, instance) }})
+}
+
 // Gone records that the target died.
 func (o *Owner) Gone() { o.send(&changeEvent{change: (*admission.Owner).Gone}) }
 
--- a/node/server/fixture_test.go
+++ b/node/server/fixture_test.go
@@ -261,3 +261,11 @@
 	qt.Assert(t, issued.Keys, qt.HasLen, 1)
 	return issued.Keys[0]
 }
+
+// restart starts a node in the place of one that was killed, beside the same target.
+func (f *testFleet) restart(old *testNode) *testNode {
+	node, err := Start(old.settings)
+	qt.Assert(f.t, err, qt.IsNil)
+	f.t.Cleanup(node.Kill)
+	return &testNode{Server: node, url: "http://" + node.CallerAddr(), target: old.target, socket: node.transport.Addr()}
+}
--- a/node/server/matrix_test.go
+++ b/node/server/matrix_test.go
@@ -353,9 +353,15 @@
 	{
 		"after a restart a server that had left, or a key that had been withdrawn, is in use again",
 		"it could: a restarted node used a target that said in its answers that it leaves, a withdrawal without a start time did not hold for a target found by its health, and an instance that had left came back after its lease. Keys end with the process that issued them",
-		"node/sidecar TestRestartedNodeDoesNotUseATargetThatSaidItLeaves, TestWithdrawalOfATargetFoundByItsHealthHolds, TestAnnouncementInProgressDoesNotUndoAWithdrawal; policy/admission TestInstanceThatLeftIsNotUsedAgain; node/server TestKeyOfStoppedIssuerDoesNotRun",
+		"node/sidecar TestRestartedNodeDoesNotUseATargetThatSaidItLeaves, TestWithdrawalOfATargetFoundByItsHealthHolds, TestAnnouncementInProgressDoesNotUndoAWithdrawal; policy/admission TestInstanceThatLeftIsNotUsedAgain; node/server TestKeyOfStoppedIssuerDoesNotRun, TestAcknowledgedDepartureHoldsAfterARestart",
 		"answers that state it are not read, withdrawals are forgotten, or the instance that left is not kept: the tests named fail",
 	},
+	{
+		"an acknowledgement is given before what makes it outlive its process is done, and is lost with the process",
+		"it could: a departure was acknowledged after 0.4 s although the store did not have it (sidecar), or was kept in memory only (product). It is acknowledged when the store has it",
+		"node/sidecar TestDepartureIsNotAcknowledgedBeforeItIsStored, TestUnhealthyTargetWaitsForDepartures; platform TestDepartureIsStoredAgainAfterReturnFromCopy; node/server TestAcknowledgedDepartureHoldsAfterARestart",
+		"the answer does not wait for the store: the tests named fail",
+	},
 	{
 		"one malformed message or unexpected error takes a process down",
 		"it could: heads without an end took the memory, and a panic over one message of a caller, a node or the operators ended the sidecar's process",
--- a/node/server/server.go
+++ b/node/server/server.go
@@ -52,6 +52,9 @@
 	freshnessTracker *freshnessTracker
 	control          *controlChannel
 	target           *announcedTarget
+	// unchecked signals departuresLoop that the store could not be asked for the departure of
+	// the target.
+	unchecked chan struct{}
 
 	metrics   *metrics.Set
 	callers   *http.Server
@@ -84,7 +87,7 @@
 // Start starts a node. It returns once the node listens; the node accepts
 // calls once it has a configuration.
 func Start(settings *static.Settings) (*Server, error) {
-	s := &Server{settings: settings, servicesWithTargets: make(map[model.Service]struct{}), target: newAnnouncedTarget(), metrics: metrics.NewSet(), started: make(chan struct{})}
+	s := &Server{settings: settings, servicesWithTargets: make(map[model.Service]struct{}), target: newAnnouncedTarget(), metrics: metrics.NewSet(), started: make(chan struct{}), unchecked: make(chan struct{}, 1)}
 	if _, err := rand.Read(s.process[:]); err != nil {
 		return nil, oops.In("node").Wrap(err)
 	}
@@ -234,6 +237,7 @@
 	s.startGoroutine(s.ownerProbeLoop)
 	s.startGoroutine(s.contactsLoop)
 	s.startGoroutine(s.targetProbeLoop)
+	s.startGoroutine(s.departuresLoop)
 	s.serveHTTP()
 	close(s.started)
 }
--- a/node/server/target.go
+++ b/node/server/target.go
@@ -112,6 +112,13 @@
 	return t.announcement.Service
 }
 
+// instance returns the process of the announced target, or "" if there is none.
+func (t *announcedTarget) instance() string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.announcement.Instance
+}
+
 // fillMember writes the published state of the target into the node's member
 // record.
 func (t *announcedTarget) fillMember(m *membership.Member) {
@@ -182,6 +189,9 @@
 		http.Error(w, refusal.Error(), refusal.Status())
 		return
 	}
+	if a.Instance != s.target.instance() {
+		s.checkDeparture(r.Context(), a.Instance)
+	}
 	s.target.update(a)
 	s.updateTargetProbeRate()
 	s.owner.Announce(admission.Announcement{
@@ -192,17 +202,17 @@
 }
 
 // serveDrain stops new calls to the target; calls in progress complete.
-func (s *Server) serveDrain(w http.ResponseWriter, _ *http.Request) {
+func (s *Server) serveDrain(w http.ResponseWriter, r *http.Request) {
 	klog.Info("target: The target announced that it drains.")
 	s.owner.Drain()
-	w.WriteHeader(http.StatusNoContent)
+	s.acknowledgeDeparture(w, r)
 }
 
 // serveWithdraw reports to the owner that the target is gone.
-func (s *Server) serveWithdraw(w http.ResponseWriter, _ *http.Request) {
+func (s *Server) serveWithdraw(w http.ResponseWriter, r *http.Request) {
 	klog.Info("target: The target withdrew.")
 	s.owner.Withdraw()
-	w.WriteHeader(http.StatusNoContent)
+	s.acknowledgeDeparture(w, r)
 }
 
 const (
--- a/policy/admission/lifecycle.go
+++ b/policy/admission/lifecycle.go
@@ -83,6 +83,16 @@
 	return o.Gone(now)
 }
 
+// Leave records that an instance has said that it leaves. It is not used from then on, also if
+// it announces itself later.
+func (o *Owner) Leave(now time.Time, instance string) []Release {
+	if instance == o.instance {
+		return o.Drain(now)
+	}
+	o.left = instance
+	return nil
+}
+
 // Gone records that the target withdrew or died.
 func (o *Owner) Gone(now time.Time) []Release {
 	o.sendEvent(eventGone)
