Answer each request that a stopping node accepts or reads

What callers saw: closed connections without an answer late in a stop.

Cause: after CloseIdle the listener still accepted, and what began was closed unread. Calls that outlast the stop were cut off without an answer when the process ended.

Change: a request that begins after CloseIdle gets 503, not run. CloseIdle leaves connections alone that were opened since the stop began. At the end of the stop what is being read is refused, calls in progress are answered (502 if they may have run), the listener is closed and callers have up to 0.25 s to read. A request whose connection the system had not accepted when the listener is closed is still reset.

--- a/node/front/body.go
+++ b/node/front/body.go
@@ -14,7 +14,7 @@
 // rejected or, after any other read error, the requests in flight canceled.
 func (c *conn) readBody(r *Request, limits Limits) bool {
 	c.limited.N = unlimited
-	_ = c.net.SetReadDeadline(time.Now().Add(bodyTimeout))
+	c.setReadDeadline(time.Now().Add(bodyTimeout))
 	limited := http.MaxBytesReader(nil, r.Request.Body, limits.BodyBytes)
 	var head bytes.Buffer
 	if r.Length > 0 && r.Length <= maxBufferedBody {
@@ -27,6 +27,9 @@
 	case errors.As(err, &tooLong):
 		c.respondAndClose(c.server.opts.Reject(http.StatusRequestEntityTooLarge, "the body is over the limit"))
 		return false
+	case errors.As(err, &timeout) && timeout.Timeout() && c.server.ended.Load():
+		c.enqueueLast(c.server.opts.Refuse(), true)
+		return false
 	case errors.As(err, &timeout) && timeout.Timeout():
 		c.respondAndClose(c.server.opts.Reject(http.StatusRequestTimeout, "the body did not arrive in time"))
 		return false
--- a/node/front/front.go
+++ b/node/front/front.go
@@ -91,6 +91,8 @@
 	// Reject returns the response to a request that is malformed or exceeds a
 	// limit.
 	Reject func(status int, detail string) *Response
+	// Refuse returns the response to a request that begins after CloseIdle.
+	Refuse func() *Response
 	// Limits returns the current limits.
 	Limits func() Limits
 	// Panicked is told of a panic of Handle; it must not be nil. The connection is closed without a
@@ -106,10 +108,11 @@
 	// keepAlivesDisabled is set when responses ask callers to close the
 	// connection.
 	keepAlivesDisabled atomic.Bool
-	// noNewRequests is set when no further request may start.
-	noNewRequests atomic.Bool
-	openConns     atomic.Int64
-	refusedConns  atomic.Int64
+	// refusing is set when no further request may start; each one is refused. ended is set
+	// when those that are being read are refused, too.
+	refusing, ended atomic.Bool
+	openConns       atomic.Int64
+	refusedConns    atomic.Int64
 
 	mu    sync.Mutex
 	conns map[*conn]struct{}
@@ -133,13 +136,12 @@
 			}
 			return err
 		}
-		if s.openConns.Add(1) > int64(s.opts.MaxConnections) {
-			s.openConns.Add(-1)
+		if s.openConns.Load() >= int64(s.opts.MaxConnections) {
 			s.refusedConns.Add(1)
 			_ = c.Close()
 			continue
 		}
-		go s.serve(c)
+		go s.serve(s.open(c))
 	}
 }
 
@@ -154,22 +156,24 @@
 // after the next response.
 func (s *Server) DisableKeepAlives() { s.keepAlivesDisabled.Store(true) }
 
-// Busy reports whether a request is in flight or being read.
+// Busy reports whether a request is in flight or being read, other than those that are
+// refused since CloseIdle.
 func (s *Server) Busy() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for c := range s.conns {
-		if c.busy() {
+		if c.serves() {
 			return true
 		}
 	}
 	return false
 }
 
-// CloseIdle closes the connections on which no request is in flight or being
-// read, and prevents new requests on the others.
+// CloseIdle closes the connections on which no request is in flight or being read, except for
+// those that were opened since DisableKeepAlives: their first request is under way. From then
+// on each request that begins, on a new connection or an open one, is refused.
 func (s *Server) CloseIdle() {
-	s.noNewRequests.Store(true)
+	s.refusing.Store(true)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for c := range s.conns {
@@ -177,6 +181,16 @@
 	}
 }
 
+// EndReading refuses the requests that are being read, after CloseIdle.
+func (s *Server) EndReading() {
+	s.ended.Store(true)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for c := range s.conns {
+		_ = c.net.SetReadDeadline(time.Now())
+	}
+}
+
 // conn is one caller's connection.
 type conn struct {
 	server    *Server
@@ -186,11 +200,16 @@
 	ctx       context.Context
 	cancel    context.CancelFunc
 	responses chan *pendingResponse
+	// single is true if the connection was opened for one request, since DisableKeepAlives.
+	single bool
 
 	mu      sync.Mutex
 	pending int  // responses that have not been written yet
 	reading bool // a request is being read
-	closed  bool // no further request may start
+	refused bool // the last request is refused
+	// refusals is the number of refusals that have been in pending: 0 or 1.
+	refusals int
+	closed   bool // no further request may start
 }
 
 // pendingResponse is the position of one response in the order of its
@@ -200,21 +219,28 @@
 	method   string
 	last     bool // the connection is closed after this response
 	http10   bool
+	refusal  bool          // it refuses a request that began after CloseIdle
 	interim  bool          // a 100 Continue instead of a final response
 	bodyDone chan struct{} // closed when the handler is done with a streamed body; nil without one
 }
 
-// serve serves one connection. It reads requests in its own goroutine and
-// writes the responses in a second one; it returns when all responses are
-// written or dropped and the connection is closed.
-func (s *Server) serve(nc net.Conn) {
+// open registers a new connection.
+func (s *Server) open(nc net.Conn) *conn {
 	ctx, cancel := context.WithCancel(context.Background())
-	c := &conn{server: s, net: nc, ctx: ctx, cancel: cancel, responses: make(chan *pendingResponse, maxPipelined)}
+	c := &conn{server: s, net: nc, ctx: ctx, cancel: cancel, responses: make(chan *pendingResponse, maxPipelined), single: s.keepAlivesDisabled.Load()}
 	c.limited = &io.LimitedReader{R: nc}
 	c.reader = bufio.NewReader(c.limited)
 	s.mu.Lock()
 	s.conns[c] = struct{}{}
 	s.mu.Unlock()
+	s.openConns.Add(1)
+	return c
+}
+
+// serve serves one connection. It reads requests in its own goroutine and
+// writes the responses in a second one; it returns when all responses are
+// written or dropped and the connection is closed.
+func (s *Server) serve(c *conn) {
 	writerDone := make(chan struct{})
 	go func() {
 		defer close(writerDone)
@@ -229,8 +255,8 @@
 	}()
 	<-writerDone
 	c.linger(readerDone)
-	cancel()
-	_ = nc.Close()
+	c.cancel()
+	_ = c.net.Close()
 	<-readerDone
 	s.mu.Lock()
 	delete(s.conns, c)
@@ -268,7 +294,7 @@
 func (c *conn) closeIdle() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.pending > 0 || c.reading || c.closed {
+	if c.pending > 0 || c.reading || c.refused || c.closed || c.single {
 		return
 	}
 	c.closed = true
@@ -280,8 +306,9 @@
 func (c *conn) beginRequest() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.reading = !c.closed && !c.server.noNewRequests.Load()
-	return c.reading
+	c.refused = !c.closed && c.server.refusing.Load()
+	c.reading = !c.closed && !c.refused
+	return !c.closed
 }
 
 // closeAfterResponse reports whether the connection is closed after the
@@ -293,7 +320,7 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.pending > 1 || c.reading {
+	if c.pending > 1 || c.reading || c.refused {
 		return false
 	}
 	c.closed = true
@@ -314,12 +341,16 @@
 			return
 		}
 		deadline := time.Now().Add(limits.HeaderTimeout)
-		_ = c.net.SetReadDeadline(deadline)
+		c.setReadDeadline(deadline)
 		parsed, err := http.ReadRequest(c.reader)
 		if err != nil {
 			c.reject(err, !time.Now().Before(deadline))
 			return
 		}
+		if c.isRefused() {
+			c.enqueueLast(c.server.opts.Refuse(), true)
+			return
+		}
 		if !c.handleRequest(parsed, limits) {
 			return
 		}
@@ -332,13 +363,13 @@
 // the requests in flight.
 func (c *conn) awaitRequest(idle time.Duration) bool {
 	for {
-		_ = c.net.SetReadDeadline(time.Now().Add(idle))
+		c.setReadDeadline(time.Now().Add(idle))
 		_, err := c.reader.Peek(1)
 		if err == nil {
 			return c.beginRequest()
 		}
 		var timeout net.Error
-		if errors.As(err, &timeout) && timeout.Timeout() && c.busy() {
+		if errors.As(err, &timeout) && timeout.Timeout() && c.busy() && !c.server.ended.Load() {
 			continue
 		}
 		if !errors.As(err, &timeout) || !timeout.Timeout() {
@@ -348,11 +379,33 @@
 	}
 }
 
+// setReadDeadline sets the deadline for reading, which has passed after EndReading.
+func (c *conn) setReadDeadline(deadline time.Time) {
+	_ = c.net.SetReadDeadline(deadline)
+	if c.server.ended.Load() {
+		_ = c.net.SetReadDeadline(time.Now())
+	}
+}
+
 // busy reports whether a request is in flight or being read.
 func (c *conn) busy() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.pending > 0 || c.reading
+	return c.pending > 0 || c.reading || c.refused
+}
+
+// isRefused reports whether the request that was begun last is refused.
+func (c *conn) isRefused() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.refused
+}
+
+// serves reports whether a request is in flight or being read that is not refused.
+func (c *conn) serves() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.reading || c.pending > c.refusals
 }
 
 // reject responds to a request that could not be read, after the responses to
@@ -364,6 +417,8 @@
 	switch {
 	case c.limited.N <= 0:
 		c.respondAndClose(c.server.opts.Reject(http.StatusRequestHeaderFieldsTooLarge, "the header is over the limit"))
+	case c.server.ended.Load():
+		c.enqueueLast(c.server.opts.Refuse(), true)
 	case overdue:
 		c.respondAndClose(c.server.opts.Reject(http.StatusRequestTimeout, "the header did not arrive in time"))
 	case errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF), errors.Is(err, net.ErrClosed):
@@ -379,8 +434,11 @@
 }
 
 // respondAndClose enqueues the response as the last one of the connection.
-func (c *conn) respondAndClose(response *Response) {
-	p := &pendingResponse{ready: make(chan *Response, 1), last: true}
+func (c *conn) respondAndClose(response *Response) { c.enqueueLast(response, false) }
+
+// enqueueLast is respondAndClose for a response that may be a refusal since CloseIdle.
+func (c *conn) enqueueLast(response *Response, refusal bool) {
+	p := &pendingResponse{ready: make(chan *Response, 1), last: true, refusal: refusal}
 	p.ready <- response
 	c.enqueue(p)
 }
@@ -391,6 +449,9 @@
 	c.mu.Lock()
 	c.pending++
 	c.reading = false
+	if p.refusal {
+		c.refusals++
+	}
 	c.mu.Unlock()
 	c.responses <- p
 }
--- a/node/sidecar/call.go
+++ b/node/sidecar/call.go
@@ -98,8 +98,31 @@
 
 // forward returns the target's answer, or a problem. A kept fallback response
 // takes the place of a problem. For a streamed answer, the context is canceled
-// when the stream is closed.
+// when the stream is closed. The end of a stop ends the call.
 func (c *call) forward(ctx context.Context, r *front.Request) (*front.Response, *problem.Error) {
+	ctx, cancelCall := context.WithCancel(ctx)
+	detach := context.AfterFunc(c.node.callsCtx, cancelCall)
+	cancel := func() {
+		detach()
+		cancelCall()
+	}
+	response, p := c.forwardUntil(ctx, r)
+	if p != nil && c.fallback != nil {
+		response, p = c.fallback, nil
+	}
+	if p == nil && response.Stream != nil {
+		response.Stream = &cancelOnClose{ReadCloser: response.Stream, cancel: cancel}
+		return response, nil
+	}
+	cancel()
+	if p != nil && p.Kind == problem.Canceled && c.node.callsCtx.Err() != nil {
+		p = problem.New(problem.Draining, p.Run, "the node stopped before the call had an answer")
+	}
+	return response, p
+}
+
+// forwardUntil is forward for a context that ends with the call.
+func (c *call) forwardUntil(ctx context.Context, r *front.Request) (*front.Response, *problem.Error) {
 	c.deadline = c.received.Add(callerTimeout(r, c.node.dialect.Deadline))
 	if p := c.awaitRoute(ctx, r); p != nil {
 		return nil, p
@@ -109,9 +132,6 @@
 	}
 	ctx, cancel := context.WithDeadline(ctx, c.deadline)
 	response, p := c.sendUntilFinal(ctx, r)
-	if p != nil && c.fallback != nil {
-		response, p = c.fallback, nil
-	}
 	if p != nil || response.Stream == nil {
 		cancel()
 		return response, p
--- a/node/sidecar/call_test.go
+++ b/node/sidecar/call_test.go
@@ -3,12 +3,14 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
 	"slices"
 	"strconv"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -352,3 +354,54 @@
 	n.configuration.recordReported(2, holder.self)
 	qt.Assert(t, n.call(http.MethodGet, "back", "/safe/x").body, qt.Equals, "from t1")
 }
+
+// TestStopAnswersWhatItCannotFinish guards against calls that a stop cuts off without an answer
+// at its end, and against requests that are accepted then and get none.
+func TestStopAnswersWhatItCannotFinish(t *testing.T) {
+	entry, ownerA, _ := startEntryAndOwners(t)
+	s := entry.settings
+	s.GracePeriod = 4 * time.Second
+	entry.Reload(s)
+	started, held := make(chan struct{}), make(chan struct{})
+	defer close(held)
+	ownerA.target.onRequest(func(http.ResponseWriter, *http.Request) {
+		close(started)
+		<-held
+	})
+	result := make(chan answer, 1)
+	go func() {
+		a, err := entry.tryCall(t.Context(), http.MethodPost, "back", "/unsafe/x")
+		qt.Check(t, err, qt.IsNil)
+		result <- a
+	}()
+	<-started
+	began, stopped := time.Now(), make(chan struct{})
+	go func() {
+		entry.Stop(t.Context())
+		close(stopped)
+	}()
+	eventually(t, "the node is no longer ready", func() bool { return entry.NotReadyReason() != "" })
+	refused, cut := 0, 0
+	for running := true; running; {
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		a, err := entry.tryCallWith(ctx, http.MethodPost, "back", "/unsafe/y", http.Header{"X-Deadline": {"20000"}})
+		cancel()
+		switch {
+		case err == nil:
+			qt.Assert(t, a.status, qt.Equals, http.StatusServiceUnavailable)
+			refused++
+		case !errors.Is(err, syscall.ECONNREFUSED):
+			cut++ // the system resets the connection that is not accepted yet when the listener is closed
+			t.Logf("%s after the start of the stop: %v", time.Since(began), err)
+		}
+		select {
+		case <-stopped:
+			running = false
+		case <-time.After(time.Millisecond):
+		}
+	}
+	qt.Assert(t, (<-result).status, qt.Equals, http.StatusBadGateway)
+	qt.Assert(t, refused > 0, qt.IsTrue)
+	qt.Assert(t, cut <= 1, qt.IsTrue)
+	qt.Assert(t, ownerA.target.requests(), qt.HasLen, 1)
+}
--- a/node/sidecar/node.go
+++ b/node/sidecar/node.go
@@ -33,6 +33,7 @@
 	"zinniafall/node/upstream"
 	"zinniafall/policy/dispatch"
 	"zinniafall/policy/model"
+	"zinniafall/policy/problem"
 	"zinniafall/policy/proof"
 	"zinniafall/policy/routing"
 )
@@ -44,6 +45,11 @@
 	// stopMargin is the part of the grace period that is left when a stop ends
 	// at the latest.
 	stopMargin = 500 * time.Millisecond
+	// lastAnswersTime bounds how long a stop waits for callers to read the answers that
+	// are left when it accepts no connection any more, and lastAnswersMargin how far that
+	// may go beyond the latest end of the stop.
+	lastAnswersTime   = 250 * time.Millisecond
+	lastAnswersMargin = 50 * time.Millisecond
 	// drainPollInterval is the time between checks for calls in progress.
 	drainPollInterval = 20 * time.Millisecond
 	// reservedDescriptors is the number of descriptors kept for everything
@@ -129,6 +135,11 @@
 	calls atomic.Int64
 	// stopEnd is the time at which a stop ends at the latest.
 	stopEnd atomic.Pointer[time.Time]
+	// callsCtx ends when a stop gives up the calls in progress, which are answered then.
+	callsCtx context.Context
+	endCalls context.CancelFunc
+	// callers is the listener for callers.
+	callers net.Listener
 }
 
 // Start starts a node. If a listener cannot be opened, it ends the node again and
@@ -148,6 +159,7 @@
 		return nil, oops.In("node").Wrap(err)
 	}
 	n.ctx, n.cancel = context.WithCancel(context.Background())
+	n.callsCtx, n.endCalls = context.WithCancel(context.Background())
 	n.configuration = newConfiguration(n)
 	n.proofs = newProofs(n, opts.BootTime)
 	n.quotas = newQuotas(n, opts.BootTime)
@@ -160,7 +172,7 @@
 	n.target = newTarget(n)
 	n.server = hop.NewServer(n)
 	n.front = front.New(front.Options{
-		Handle: n.serveCaller, Reject: n.rejectMalformed, Limits: n.callerLimits, Panicked: n.logPanic,
+		Handle: n.serveCaller, Reject: n.rejectMalformed, Refuse: n.refuseStopping, Limits: n.callerLimits, Panicked: n.logPanic,
 		MaxConnections: max(s.MaxDescriptors-reservedDescriptors, minCallerConnections),
 	})
 	n.registerGauges(opts.Release)
@@ -197,6 +209,9 @@
 			return oops.In("node").Hint("Set the address of " + l.name + " to one that is free on this VM.").Wrap(err)
 		}
 		n.listeners = append(n.listeners, listener)
+		if l.name == "callers" {
+			n.callers = listener
+		}
 		n.goBackground(func() {
 			err := l.serve(listener)
 			if n.ctx.Err() == nil && !errors.Is(err, net.ErrClosed) && !errors.Is(err, http.ErrServerClosed) {
@@ -373,10 +388,22 @@
 	// A request may have started since the last check.
 	n.front.CloseIdle()
 	n.waitUntil(ctx, func() bool { return !n.front.Busy() && n.calls.Load()+int64(n.owner.report().InFlight) == 0 })
-	n.log.Info("node stopped", "part", "node", "calls_cut_off", n.calls.Load(), "seconds", time.Since(began).Seconds())
+	cutOff := n.calls.Load()
+	n.endCalls()
+	n.front.EndReading()
+	_ = n.callers.Close()
+	lastAnswers, cancelAnswers := context.WithTimeout(context.Background(), min(lastAnswersTime, time.Until(end)+lastAnswersMargin))
+	defer cancelAnswers()
+	n.waitUntil(lastAnswers, func() bool { return n.front.OpenConnections() == 0 })
+	n.log.Info("node stopped", "part", "node", "calls_cut_off", cutOff, "seconds", time.Since(began).Seconds())
 	n.Kill()
 }
 
+// refuseStopping answers a request that begins when a stop no longer serves any.
+func (n *Node) refuseStopping() *front.Response {
+	return n.refusalResponse(context.Background(), problem.New(problem.Draining, model.RunNo, "the node stops"), nil)
+}
+
 // waitUntil waits until the condition holds or the context ends.
 func (n *Node) waitUntil(ctx context.Context, condition func() bool) {
 	for ctx.Err() == nil && !condition() {
@@ -387,6 +414,7 @@
 // Kill ends the node at once, without waiting for calls in progress.
 func (n *Node) Kill() {
 	n.cancel()
+	n.endCalls()
 	for _, l := range n.listeners {
 		_ = l.Close()
 	}
