Close a connection at once when its last response is given up

What callers saw: after an answer that is cut off, or none, the connection stayed open until its idle timeout or the caller's deadline.

Cause: the writer ends the reader by a deadline that has passed. A reader that was about to wait for the next request replaced it by its own, 30 s later. Seen as TestDisableKeepAlivesAsksCallersToClose and TestPartialResponseIsDetectable, which took 30 s in 3 of 60 and 1 of 100 runs beside a load.

Change: the reader looks whether the last response has been written after it has set its deadline.

--- a/node/front/front.go
+++ b/node/front/front.go
@@ -202,6 +202,8 @@
 	responses chan *pendingResponse
 	// single is true if the connection was opened for one request, since DisableKeepAlives.
 	single bool
+	// writeEnded is set once no further response is written.
+	writeEnded atomic.Bool
 
 	mu      sync.Mutex
 	pending int  // responses that have not been written yet
@@ -369,7 +371,7 @@
 			return c.beginRequest()
 		}
 		var timeout net.Error
-		if errors.As(err, &timeout) && timeout.Timeout() && c.busy() && !c.server.ended.Load() {
+		if errors.As(err, &timeout) && timeout.Timeout() && c.busy() && !c.server.ended.Load() && !c.writeEnded.Load() {
 			continue
 		}
 		if !errors.As(err, &timeout) || !timeout.Timeout() {
@@ -379,10 +381,11 @@
 	}
 }
 
-// setReadDeadline sets the deadline for reading, which has passed after EndReading.
+// setReadDeadline sets the deadline for reading, which has passed after EndReading and after
+// the last response.
 func (c *conn) setReadDeadline(deadline time.Time) {
 	_ = c.net.SetReadDeadline(deadline)
-	if c.server.ended.Load() {
+	if c.server.ended.Load() || c.writeEnded.Load() {
 		_ = c.net.SetReadDeadline(time.Now())
 	}
 }
--- a/node/front/front_test.go
+++ b/node/front/front_test.go
@@ -408,3 +408,22 @@
 		c.expectClosed()
 	}
 }
+
+// TestAbortedResponseClosesTheConnectionAtOnce guards against callers that wait for the idle
+// timeout, because the next request was awaited when the response had been given up.
+func TestAbortedResponseClosesTheConnectionAtOnce(t *testing.T) {
+	s, addr := startServer(t, testLimits, func(_ context.Context, r *Request) *Response {
+		_, _ = io.Copy(io.Discard, r.Rest)
+		return &Response{Abort: true}
+	})
+	body := strings.Repeat("x", maxBufferedBody+1000)
+	for range 50 {
+		c := dial(t, addr)
+		c.send(fmt.Sprintf("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n\r\n%s", len(body), body))
+		_ = c.conn.SetReadDeadline(time.Now().Add(10 * time.Second))
+		c.expectClosed()
+	}
+	for s.OpenConnections() > 0 {
+		time.Sleep(time.Millisecond)
+	}
+}
--- a/node/front/write.go
+++ b/node/front/write.go
@@ -35,7 +35,8 @@
 		if !c.writeResponse(w, p, response) {
 			ended = true
 			c.cancel()
-			// Unblocks the reading goroutine.
+			// Unblocks the reading goroutine, also if it is about to set a deadline of its own.
+			c.writeEnded.Store(true)
 			_ = c.net.SetReadDeadline(time.Now())
 		}
 		c.responseDone()
