Answer or refuse calls that outlast a stop of the product's node

What callers saw: nothing yet; the report of other operators (calls taken late in a planned stop and cut at its end), on the product's own interface.

Cause: a stopping node took calls whatever their time limit, and closed the connections of those that were left at the stop timeout.

Change: a call that may outlast the stop is refused, not run; another node can serve it. At the stop timeout the calls that are left are answered, with an unknown outcome where a target may have begun them.

Evidence: TestStopAnswersCallsThatOutlastIt fails before and passes.

--- a/node/entry/entry.go
+++ b/node/entry/entry.go
@@ -61,6 +61,9 @@
 	// Behind reports whether other nodes have a newer configuration than Snapshot. If
 	// it is nil, none has.
 	Behind func() bool
+	// StopEnd returns the time at which a stop of the node ends at the latest, if it stops.
+	// If it is nil, the node does not stop.
+	StopEnd func() (time.Time, bool)
 	// OnNewerRevision is called when another node applies a newer
 	// configuration.
 	OnNewerRevision func(revision model.Revision, from model.NodeAddr)
--- a/node/entry/ingress.go
+++ b/node/entry/ingress.go
@@ -127,6 +127,9 @@
 	}
 	_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(request.Timeout + bodyGrace))
 	b, refusal := readBody(r, request, e.opts.Limits.BodyBytes)
+	if refusal == nil {
+		refusal = e.checkStop(request.Timeout)
+	}
 	if refusal != nil {
 		return execute.ProblemReply(coverEarlierRequests(r, refusal))
 	}
@@ -140,6 +143,17 @@
 	return e.place(ctx, request, b, number)
 }
 
+// checkStop refuses a call that may outlast a stop of the node: another node can serve it.
+func (e *Entry) checkStop(timeout time.Duration) *problem.Error {
+	if e.opts.StopEnd == nil {
+		return nil
+	}
+	if end, stops := e.opts.StopEnd(); stops && time.Now().Add(timeout).After(end) {
+		return problem.New(problem.Draining, model.RunNo, "the node stops before the call's time is over")
+	}
+	return nil
+}
+
 // newRequest builds the request from the header of a call.
 func newRequest(snapshot *settings.Snapshot, caller calltoken.Token, r *http.Request) (*peer.Request, *problem.Error) {
 	name := serviceName(r)
--- a/node/server/http.go
+++ b/node/server/http.go
@@ -43,12 +43,16 @@
 
 // serveCaller passes a call to the entry. While the node stops, each answer
 // asks the caller to close its kept-alive connection: over HTTP/1.1 by the
-// header, over HTTP/2 by the GOAWAY frame into which net/http turns it.
+// header, over HTTP/2 by the GOAWAY frame into which net/http turns it. The end of a stop
+// ends the call.
 func (s *Server) serveCaller(w http.ResponseWriter, r *http.Request) {
 	if s.stopping.Load() {
 		w.Header().Set("Connection", "close")
 	}
-	s.entry.ServeHTTP(w, r)
+	ctx, cancel := context.WithCancel(r.Context())
+	defer cancel()
+	defer context.AfterFunc(s.callsCtx, cancel)()
+	s.entry.ServeHTTP(w, r.WithContext(ctx))
 }
 
 // startServing serves connections of the listener until the server is closed.
--- a/node/server/path_test.go
+++ b/node/server/path_test.go
@@ -11,6 +11,7 @@
 	"sync"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	qt "github.com/frankban/quicktest"
 
@@ -293,6 +294,41 @@
 	}
 }
 
+// TestStopAnswersCallsThatOutlastIt guards against calls that a stop takes although they may
+// outlast it, and against calls that it cuts off without an answer.
+func TestStopAnswersCallsThatOutlastIt(t *testing.T) {
+	t.Parallel()
+	started, release := make(chan struct{}, 1), make(chan struct{})
+	defer close(release)
+	f := newTestFleet(t)
+	var runs atomic.Int64
+	owner := f.add("a", func(http.ResponseWriter, *http.Request) {
+		runs.Add(1)
+		started <- struct{}{}
+		<-release
+	})
+	f.ready()
+	held := make(chan callResult, 1)
+	go func() { held <- owner.call(callRequest{method: "POST", path: "/1"}) }()
+	<-started
+	stopped := make(chan struct{})
+	go func() {
+		defer close(stopped)
+		ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second) // less than the service's timeout
+		defer cancel()
+		owner.Stop(ctx)
+	}()
+	f.eventually(func() bool { return owner.stopping.Load() })
+	late := owner.call(callRequest{method: "POST", path: "/2"})
+	qt.Assert(t, late.err, qt.IsNil)
+	qt.Assert(t, late.run, qt.Equals, "no")
+	g := <-held
+	qt.Assert(t, g.err, qt.IsNil)
+	qt.Assert(t, g.run, qt.Equals, "unknown")
+	<-stopped
+	qt.Assert(t, runs.Load(), qt.Equals, int64(1))
+}
+
 // TestNestedCallsKeepTheirAccount nests calls up to the depth limit. Each has
 // a wrong account key, so it counts only by the call token that it carries.
 func TestNestedCallsKeepTheirAccount(t *testing.T) {
--- a/node/server/server.go
+++ b/node/server/server.go
@@ -66,6 +66,11 @@
 	// other nodes wait and their control messages are dropped.
 	started  chan struct{}
 	stopping atomic.Bool
+	// stopEnd is the time at which a stop ends at the latest, if there is one.
+	stopEnd atomic.Pointer[time.Time]
+	// callsCtx ends when a stop gives up the calls in progress, which are answered then.
+	callsCtx context.Context
+	endCalls context.CancelFunc
 	// peerRequests is the number of requests of other nodes in progress.
 	peerRequests   atomic.Int64
 	ctx            context.Context
@@ -93,6 +98,7 @@
 	}
 	s.incarnation = model.Incarnation(time.Now().UnixNano())
 	s.ctx, s.cancel = context.WithCancel(context.Background())
+	s.callsCtx, s.endCalls = context.WithCancel(context.Background())
 	err := s.listen()
 	if err == nil {
 		err = s.assemble()
@@ -198,7 +204,7 @@
 	return entry.Options{
 		Self: s.self, Process: s.process, Peers: s.transport, Executor: s.executor, Tracer: s.tracer,
 		Snapshot: s.configuration.current, Behind: s.configuration.behind, OnNewerRevision: s.configuration.recordRevision, Suspects: s.suspects, IsMember: s.isMember, Bindings: s.configuration.store,
-		Tokens: s.tokens, KeySecrets: keys,
+		Tokens: s.tokens, KeySecrets: keys, StopEnd: s.currentStopEnd,
 		Limits: entry.Limits{BodyBytes: s.settings.Limits.BodyBytes, Calls: s.settings.Limits.Calls},
 		Placement: placement.Options{
 			Policy: placement.Policy(s.settings.Placement.Policy), Self: s.self,
--- a/node/server/stop.go
+++ b/node/server/stop.go
@@ -12,6 +12,9 @@
 	// that the other entries and its callers learn that it leaves before it
 	// refuses any.
 	leaveSpreadTime = 1500 * time.Millisecond
+	// lastAnswersTime bounds how long a stop that has timed out answers the calls that are
+	// left.
+	lastAnswersTime = 250 * time.Millisecond
 	// drainPollInterval is the time between two checks for calls in progress.
 	drainPollInterval = 20 * time.Millisecond
 	// drainLogInterval is the time between two log lines on calls in progress.
@@ -25,6 +28,9 @@
 	ctx, cancel := context.WithTimeout(ctx, s.settings.StopTimeout())
 	defer cancel()
 	klog.Info("node: A graceful stop has begun.")
+	if end, ok := ctx.Deadline(); ok {
+		s.stopEnd.Store(&end)
+	}
 	s.stopping.Store(true)
 	s.overlay.Leave()
 	sleep(ctx, leaveSpreadTime)
@@ -33,10 +39,29 @@
 	s.entry.Close()
 	s.awaitIdle(ctx)
 	<-callersDone
+	s.endRemainingCalls()
 	s.Kill()
 	klog.Info("node: The node has stopped.")
 }
 
+// endRemainingCalls answers the calls that the stop did not wait for: their outcome is unknown
+// if a target may have begun them.
+func (s *Server) endRemainingCalls() {
+	s.endCalls()
+	for began := time.Now(); s.entry.CallsInFlight() > 0 && time.Since(began) < lastAnswersTime; {
+		time.Sleep(drainPollInterval)
+	}
+}
+
+// currentStopEnd returns the time at which the stop of the node ends at the latest. The second
+// result is false if it does not stop.
+func (s *Server) currentStopEnd() (time.Time, bool) {
+	if end := s.stopEnd.Load(); end != nil {
+		return *end, true
+	}
+	return time.Time{}, false
+}
+
 // onSuperseded stops accepting calls because a later process has this node's
 // address.
 func (s *Server) onSuperseded() {
