Mark the era of the store in which its answers count

Cause: a process that knew no era took 1 for that of a store that had never returned. It cannot tell by the number alone.

Change: under strict revocation a watcher writes the era to the store once its answers count. A process that starts trusts its first answers if that mark is of the same era, or if there is none and the era is at most 1. A mark of the present era also spares a restarted process the wait of 3 s in later eras.

A conditional write: one that is late is of an earlier era and shows nothing.

--- a/node/sidecar/fleet.go
+++ b/node/sidecar/fleet.go
@@ -107,6 +107,13 @@
 	return f.watchers.ShouldWatch(time.Now())
 }
 
+// isWatcher reports whether this node watches the store for its failure domain.
+func (f *fleet) isWatcher() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.watchers.IsWatcher()
+}
+
 // maxWatch returns the longest watch of the operators' keys.
 func (f *fleet) maxWatch(short, long time.Duration) time.Duration {
 	f.mu.Lock()
@@ -170,7 +177,7 @@
 // listed applies a list of all nodes' entries. It contacts the nodes whose entries came
 // back from a copy and those of which the store lacks them.
 func (f *fleet) listed(_ time.Time, items []Item, at Position) {
-	items = f.applyDepartures(items)
+	items = f.node.proofs.readMark(f.applyDepartures(items), at, true)
 	var records []roster.Record
 	hasOwn := false
 	for _, item := range items {
@@ -223,8 +230,8 @@
 
 // applyChanges applies changes of the nodes' entries. It contacts each node whose
 // entry was removed, because the node may still be running.
-func (f *fleet) applyChanges(_ time.Time, items []Item, _ Position) {
-	items = f.applyDepartures(items)
+func (f *fleet) applyChanges(_ time.Time, items []Item, at Position) {
+	items = f.node.proofs.readMark(f.applyDepartures(items), at, false)
 	now := time.Now()
 	f.mu.Lock()
 	alone := len(f.roster.Records()) == 0
--- a/policy/proof/proof.go
+++ b/policy/proof/proof.go
@@ -39,7 +39,7 @@
 	// maxStatedAge is the greatest age that a statement may have: a proof of that age is
 	// of no use, and sums of ages must not overflow.
 	maxStatedAge = time.Hour
-	// firstEra is the era of a store that has never returned from a copy.
+	// firstEra is the highest era that a store that has never returned from a copy may state.
 	firstEra = 1
 )
 
@@ -68,6 +68,22 @@
 	era               uint64
 	lastAnswer        Instant
 	answered          time.Duration
+	// returned is set once the store has returned from a copy while this process ran.
+	returned bool
+	// current is the last answer that showed no later configuration, before it counted.
+	current aheadProof
+	mark    Mark
+}
+
+// Mark is what the store holds about itself: the latest era in which some node has found that
+// its answers count.
+type Mark struct {
+	// Read is set once the store has been read, in the era ReadIn.
+	Read   bool
+	ReadIn uint64
+	// Found is false if there is no mark, and Era the marked era otherwise.
+	Found bool
+	Era   uint64
 }
 
 type aheadProof struct {
@@ -130,17 +146,55 @@
 	since := max(asked, t.lastAnswer)
 	switch {
 	case !t.eraKnown:
-		t.settled, since = era <= firstEra, now
+		since = now
 	case era > t.era:
-		t.settled, t.answered, since = false, 0, now
+		t.settled, t.returned, t.answered, since = false, true, 0, now
 	default:
 		t.answered += min(since.Sub(t.lastAnswer), maxAnswerGap)
 	}
 	t.eraKnown, t.era, t.lastAnswer = true, era, since
-	t.settled = t.settled || t.answered >= returnSettleTime
-	if t.settled && current {
-		t.Learn(asked, t.revision)
+	if current {
+		t.current = aheadProof{t.revision, asked}
+	} else {
+		t.current = aheadProof{}
+	}
+	t.settle()
+}
+
+// MarkRead records what the store holds about itself. Marks arrive in the order in which the
+// store held them.
+func (t *Tracker) MarkRead(m Mark) {
+	t.mark = m
+	if t.eraKnown {
+		t.settle()
+	}
+}
+
+// Unmarked returns the era that is to be marked in the store: its answers count, and it is not
+// marked. ok is false if there is none, or if the mark is not known.
+func (t *Tracker) Unmarked() (era uint64, ok bool) {
+	return t.era, t.settled && t.proven && t.mark.Read && !(t.mark.Found && t.mark.Era == t.era)
+}
+
+// settle lets the answers of the present era count once the store is known to have what it
+// had acknowledged in earlier ones.
+func (t *Tracker) settle() {
+	t.settled = t.settled || t.answered >= returnSettleTime || t.markedCurrent()
+	if t.settled {
+		t.Learn(t.current.at, t.current.revision)
+	}
+}
+
+// markedCurrent reports whether the mark shows that the store has not returned from a copy
+// since its answers counted. Without a mark that is so for the first era that it can state.
+func (t *Tracker) markedCurrent() bool {
+	switch {
+	case !t.mark.Read:
+		return false
+	case t.mark.Found:
+		return t.mark.Era == t.era
 	}
+	return !t.returned && t.era <= firstEra && t.mark.ReadIn == t.era
 }
 
 // Age returns the age of the proof. It reports false if there is none.
--- a/policy/proof/proof_test.go
+++ b/policy/proof/proof_test.go
@@ -23,13 +23,15 @@
 type fleetModel struct {
 	now time.Duration
 	// acked is when the store acknowledged each revision, including those that it lost.
-	acked    map[model.Revision]time.Duration
-	newest   model.Revision
-	shown    model.Revision
-	era      uint64
-	repeatAt time.Duration // 0 if the store has lost nothing
-	nodes    []*modelNode
-	messages []message
+	acked  map[model.Revision]time.Duration
+	newest model.Revision
+	shown  model.Revision
+	era    uint64
+	// mark is the era that the store has marked, and earlierMark the one before.
+	mark, earlierMark uint64
+	repeatAt          time.Duration // 0 if the store has lost nothing
+	nodes             []*modelNode
+	messages          []message
 }
 
 type modelNode struct {
@@ -63,6 +65,22 @@
 		f.repeatAt = f.now + repeatTime
 	}
 	f.era++
+	f.mark = f.earlierMark // or the mark as it is, if it is older than the copy
+}
+
+// askMark reads the mark of the store for a node.
+func (f *fleetModel) askMark(n *modelNode, there, back time.Duration) {
+	f.send(n, there, func(n *modelNode) {
+		mark := Mark{Read: true, ReadIn: f.era, Found: true, Era: f.mark}
+		f.send(n, back, func(n *modelNode) { n.tracker.MarkRead(mark) })
+	})
+}
+
+// markEra marks the present era for a node that may.
+func (f *fleetModel) markEra(n *modelNode) {
+	if era, ok := n.tracker.Unmarked(); ok && era == f.era {
+		f.earlierMark, f.mark = f.mark, era
+	}
 }
 
 func (f *fleetModel) send(to *modelNode, delay time.Duration, apply func(n *modelNode)) {
@@ -127,7 +145,8 @@
 func TestNoProofOutlivesAWithdrawal(t *testing.T) {
 	proofs := 0
 	rapid.Check(t, func(t *rapid.T) {
-		f := &fleetModel{now: time.Hour, acked: map[model.Revision]time.Duration{}, era: firstEra}
+		f := &fleetModel{now: time.Hour, acked: map[model.Revision]time.Duration{}, era: rapid.Uint64Range(0, firstEra).Draw(t, "first era")}
+		f.mark, f.earlierMark = f.era, f.era
 		f.write()
 		for i := range 4 {
 			f.nodes = append(f.nodes, &modelNode{offset: time.Duration(i) * 17 * time.Minute})
@@ -158,6 +177,12 @@
 				actions[i]()
 			}
 			for _, n := range f.nodes {
+				if rapid.Bool().Draw(t, "mark") {
+					f.askMark(n, ms(900), ms(900))
+				}
+				if rapid.Bool().Draw(t, "marks") {
+					f.markEra(n)
+				}
 				if rapid.Bool().Draw(t, "store") {
 					f.askStore(n, ms(900), ms(3000))
 				} else {
@@ -180,6 +205,36 @@
 	qt.Assert(t, proofs > 100, qt.IsTrue, qt.Commentf("%d proofs: the replay shows nothing", proofs))
 }
 
+// TestFirstReturnFromCopyIsNoticedByItsMark guards against a process that starts after the first
+// return of a store that counts from 0 and takes that era for the first one.
+func TestFirstReturnFromCopyIsNoticedByItsMark(t *testing.T) {
+	for _, test := range []struct {
+		name   string
+		mark   Mark
+		proven bool
+	}{
+		{"not read", Mark{}, false},
+		{"none, read in the era before", Mark{Read: true, ReadIn: 0}, false},
+		{"none", Mark{Read: true, ReadIn: 1}, true},
+		{"the era before", Mark{Read: true, ReadIn: 1, Found: true, Era: 0}, false},
+		{"the same era", Mark{Read: true, ReadIn: 1, Found: true, Era: 1}, true},
+	} {
+		for _, markFirst := range []bool{true, false} {
+			var tracker Tracker
+			tracker.Advance(4)
+			if markFirst {
+				tracker.MarkRead(test.mark)
+			}
+			tracker.Answered(Instant(time.Second), 0, 1, true)
+			if !markFirst {
+				tracker.MarkRead(test.mark)
+			}
+			_, proven := tracker.Age(Instant(time.Second))
+			qt.Assert(t, proven, qt.Equals, test.proven, qt.Commentf("%s, before the answer: %v", test.name, markFirst))
+		}
+	}
+}
+
 // TestProofOfALaterConfigurationCountsOnceItIsInForce guards against a node without any
 // proof while changes follow each other faster than its questions.
 func TestProofOfALaterConfigurationCountsOnceItIsInForce(t *testing.T) {
