Wait for the requests of new connections at the end of a stop

What callers saw: 1 to 3 connections of a stop closed in the millisecond in which EndReading ended the wait for their first request.

Cause: it ended the reading on every connection, also where nothing had been sent.

Change: it ends only what is being read. A request that begins later is refused from what has arrived.

TestEndReadingRefusesWhatIsBeingRead passes.

Besides, a node without a listener for callers can be stopped, and a function is named after what it does (closeIfMayHaveLeft).

--- a/node/front/front.go
+++ b/node/front/front.go
@@ -181,13 +181,14 @@
 	}
 }
 
-// EndReading refuses the requests that are being read, after CloseIdle.
+// EndReading refuses the requests that are being read, after CloseIdle, and those that begin
+// later without waiting for all of them.
 func (s *Server) EndReading() {
 	s.ended.Store(true)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for c := range s.conns {
-		_ = c.net.SetReadDeadline(time.Now())
+		c.endReading()
 	}
 }
 
@@ -303,6 +304,15 @@
 	_ = c.net.Close()
 }
 
+// endReading ends the reading of a request, if one is being read.
+func (c *conn) endReading() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.reading || c.refused {
+		_ = c.net.SetReadDeadline(time.Now())
+	}
+}
+
 // beginRequest records that a request is being read. It returns false if the
 // connection accepts no further requests.
 func (c *conn) beginRequest() bool {
@@ -365,13 +375,16 @@
 // the requests in flight.
 func (c *conn) awaitRequest(idle time.Duration) bool {
 	for {
-		c.setReadDeadline(time.Now().Add(idle))
+		_ = c.net.SetReadDeadline(time.Now().Add(idle))
+		if c.writeEnded.Load() {
+			return false
+		}
 		_, err := c.reader.Peek(1)
 		if err == nil {
 			return c.beginRequest()
 		}
 		var timeout net.Error
-		if errors.As(err, &timeout) && timeout.Timeout() && c.busy() && !c.server.ended.Load() && !c.writeEnded.Load() {
+		if errors.As(err, &timeout) && timeout.Timeout() && c.busy() && !c.writeEnded.Load() {
 			continue
 		}
 		if !errors.As(err, &timeout) || !timeout.Timeout() {
@@ -381,11 +394,10 @@
 	}
 }
 
-// setReadDeadline sets the deadline for reading, which has passed after EndReading and after
-// the last response.
+// setReadDeadline sets the deadline for reading a request, which has passed after EndReading.
 func (c *conn) setReadDeadline(deadline time.Time) {
 	_ = c.net.SetReadDeadline(deadline)
-	if c.server.ended.Load() || c.writeEnded.Load() {
+	if c.server.ended.Load() {
 		_ = c.net.SetReadDeadline(time.Now())
 	}
 }
--- a/node/sidecar/departures.go
+++ b/node/sidecar/departures.go
@@ -249,9 +249,9 @@
 	return !t.departuresKnown && t.lastUnhealthy.id == id && time.Since(t.lastUnhealthy.at) < maxUnhealthyAge
 }
 
-// closeUnlessKnown closes the gate of the present target if it may have left. It reports
+// closeIfMayHaveLeft closes the gate of the present target if it may have left. It reports
 // whether the gate was open. The caller must hold t.mu.
-func (t *target) closeUnlessKnown() bool {
+func (t *target) closeIfMayHaveLeft() bool {
 	if t.id == "" || t.leaving || !t.mayHaveLeft(t.id) {
 		return false
 	}
--- a/node/sidecar/node.go
+++ b/node/sidecar/node.go
@@ -138,7 +138,7 @@
 	// callsCtx ends when a stop gives up the calls in progress, which are answered then.
 	callsCtx context.Context
 	endCalls context.CancelFunc
-	// callers is the listener for callers.
+	// callers is the listener for callers, if there is one.
 	callers net.Listener
 }
 
@@ -391,7 +391,9 @@
 	cutOff := n.calls.Load()
 	n.endCalls()
 	n.front.EndReading()
-	_ = n.callers.Close()
+	if n.callers != nil {
+		_ = n.callers.Close()
+	}
 	lastAnswers, cancelAnswers := context.WithTimeout(context.Background(), min(lastAnswersTime, time.Until(end)+lastAnswersMargin))
 	defer cancelAnswers()
 	n.waitUntil(lastAnswers, func() bool { return n.front.OpenConnections() == 0 })
--- a/node/sidecar/probe.go
+++ b/node/sidecar/probe.go
@@ -219,7 +219,7 @@
 	if r.Status != http.StatusOK && r.Header.Get(t.node.dialect.NotRun) == "" { // a full target rejects it
 		t.lastUnhealthy = unhealthyAnswer{id: id, at: time.Now()}
 	}
-	closed := t.closeUnlessKnown()
+	closed := t.closeIfMayHaveLeft()
 	adopt := isNew && r.Status == http.StatusOK && (hasLoad && load.Slots > 0)
 	if adopt {
 		t.id, t.slots, t.sequence, t.foundByHealth = id, load.Slots, 0, true
