Do not wait for ever for a call that a test's node refuses

TestStopAnswersCallsThatOutlastIt waited without an end for a call that may be refused before it begins; that this was the place is suspected, not shown.

Change: the call is made again while it is refused, and the wait ends with a failure.

--- a/node/server/path_test.go
+++ b/node/server/path_test.go
@@ -309,8 +309,16 @@
 	})
 	f.ready()
 	held := make(chan callResult, 1)
-	go func() { held <- owner.call(callRequest{method: "POST", path: "/1"}) }()
-	<-started
+	go func() {
+		for {
+			if g := owner.call(callRequest{method: "POST", path: "/1"}); g.run != "no" {
+				held <- g
+				return
+			}
+			time.Sleep(20 * time.Millisecond) // refused before it began
+		}
+	}()
+	f.eventually(func() bool { return len(started) > 0 })
 	stopped := make(chan struct{})
 	go func() {
 		defer close(stopped)
