Let a test wait for the store's answer that is under way

Since the mark of the era a proof can be there while a question to the store is under way. The test's own question then returned at once, as it does while another one is asked, and the change that the test had just written was not in that answer. The node asks again a second later.

Change: the test writes the change when no question is under way.

--- a/node/sidecar/lag_test.go
+++ b/node/sidecar/lag_test.go
@@ -141,7 +141,10 @@
 		o.Settings.StrictRevocation, o.Settings.RevocationTime = true, 5*time.Second
 	})
 	eventually(t, "there is a proof", func() bool { _, ok := n.proofs.age(); return ok })
+	// A question that is under way, of which there is one at a time, may be older than the change.
+	n.configuration.storeReads.Lock()
 	store.configureAccounts(t, 2, map[model.Account][]string{"gold": {testKey}})
+	n.configuration.storeReads.Unlock()
 	n.proofs.askStore(t.Context())
 	qt.Assert(t, n.configuration.revision(), qt.Equals, model.Revision(2))
 }
