--- /dev/null
+++ b/review/standins-2/instance.go
@@ -0,0 +1,199 @@
+package main
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+)
+
+// run is one request that an instance ran.
+type run struct {
+	at                    time.Time
+	id, method, uri, host string
+	body                  string
+	instance, service     string
+	caller                string
+}
+
+// instance is an application instance beside a node.
+type instance struct {
+	m       *machine
+	id      string
+	service string
+	born    int64
+	slots   int
+	work    time.Duration
+	record  *record
+
+	mu       sync.Mutex
+	server   *http.Server
+	running  int
+	seq      int64
+	runs     []run
+	others   int // requests for other instances
+	stopBeat chan struct{}
+	// spoilEach makes the instance spoil the status line of each such answer; 0 means none.
+	spoilEach int
+	// beaten receives a value after each heartbeat that was acknowledged.
+	beaten chan struct{}
+}
+
+func newInstance(m *machine, id, service string, work time.Duration, rec *record) *instance {
+	return &instance{m: m, id: id, service: service, born: time.Now().UnixMilli(), slots: 12, work: work, record: rec, stopBeat: make(chan struct{}), beaten: make(chan struct{}, 1)}
+}
+
+// start serves requests and begins to send heartbeats.
+func (i *instance) start() error {
+	l, err := net.Listen("tcp", i.m.app)
+	if err != nil {
+		return err
+	}
+	i.server = &http.Server{Handler: http.HandlerFunc(i.serve), IdleTimeout: 10 * time.Second}
+	go func() { _ = i.server.Serve(l) }()
+	go i.beat()
+	i.record.add("instance %s of %s starts at %s, beside %s", i.id, i.service, i.m.app, i.m.name)
+	return nil
+}
+
+// crash ends the instance without a word.
+func (i *instance) crash() {
+	close(i.stopBeat)
+	_ = i.server.Close()
+	i.record.add("instance %s of %s is gone", i.id, i.service)
+}
+
+// message returns the body of a heartbeat.
+func (i *instance) message(seq int64) []byte {
+	raw, _ := json.Marshal(map[string]any{
+		"address": i.m.app, "born": i.born,
+		"info":   map[string]any{"service": i.service, "version": "v1", "zone": i.m.zone, "capacity": i.slots},
+		"status": map[string]any{"lifecycle": "ready", "seq": seq, "warmup_left_ms": 0},
+	})
+	return raw
+}
+
+// post sends a heartbeat and returns the status of the answer, or 0.
+func (i *instance) post(raw []byte) int {
+	client := http.Client{Timeout: time.Second}
+	r, err := client.Post("http://"+i.m.control+"/v1/Instances.Heartbeat/"+i.id, "application/json", bytes.NewReader(raw))
+	if err != nil {
+		return 0
+	}
+	_, _ = io.Copy(io.Discard, r.Body)
+	_ = r.Body.Close()
+	return r.StatusCode
+}
+
+// beat sends a heartbeat every 1.5 s.
+func (i *instance) beat() {
+	for {
+		i.mu.Lock()
+		i.seq++
+		seq := i.seq
+		i.mu.Unlock()
+		status := i.post(i.message(seq))
+		i.record.add("heartbeat of %s (%s), seq %d: %d", i.id, i.service, seq, status)
+		if status == 200 {
+			select {
+			case i.beaten <- struct{}{}:
+			default:
+			}
+		}
+		select {
+		case <-i.stopBeat:
+			return
+		case <-time.After(1500 * time.Millisecond):
+		}
+	}
+}
+
+func (i *instance) load() string {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	return fmt.Sprintf("%d,0,%d", i.running, i.slots)
+}
+
+// serve answers requests as PROTOCOL.md says.
+func (i *instance) serve(w http.ResponseWriter, r *http.Request) {
+	w.Header().Set("X-Zinniafall-Instance-Load", i.load())
+	if r.URL.Path == "/health" && r.Header.Get("X-Zinniafall-Request-Id") == "" {
+		w.Header().Set("X-Zinniafall-Served-By", i.id)
+		w.WriteHeader(200)
+		return
+	}
+	id := r.Header.Get("X-Zinniafall-Request-Id")
+	if id == "" {
+		w.Header().Set("X-Zinniafall-Not-Executed", "1")
+		w.WriteHeader(400)
+		return
+	}
+	w.Header().Set("X-Zinniafall-Request-Id", id)
+	if named := r.Header.Get("X-Zinniafall-Target-Instance"); named != "" && named != i.id {
+		i.mu.Lock()
+		i.others++
+		i.mu.Unlock()
+		i.record.add("instance %s of %s answers 421 to request %s, which names %s", i.id, i.service, id, named)
+		w.Header().Set("X-Zinniafall-Served-By", i.id)
+		w.WriteHeader(421)
+		return
+	}
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		return
+	}
+	i.mu.Lock()
+	if i.running >= i.slots {
+		i.mu.Unlock()
+		w.Header().Set("X-Zinniafall-Not-Executed", "1")
+		w.WriteHeader(503)
+		return
+	}
+	i.running++
+	i.runs = append(i.runs, run{time.Now(), id, r.Method, r.RequestURI, r.Host, string(body), i.id, i.service, r.Header.Get("X-Zinniafall-Caller-Service")})
+	i.mu.Unlock()
+	i.record.add("instance %s of %s runs request %s: %s %s%s", i.id, i.service, id, r.Method, r.Host, r.RequestURI)
+	time.Sleep(i.work)
+	i.mu.Lock()
+	i.running--
+	spoil := i.spoilEach > 0 && len(i.runs)%i.spoilEach == 0
+	i.mu.Unlock()
+	if spoil {
+		i.sendSpoiled(w, id)
+		return
+	}
+	w.Header().Set("X-Zinniafall-Upstream-Signature", "sig."+i.id)
+	w.Header().Set("X-Zinniafall-Served-By", i.id)
+	w.Header().Set("Keep-Alive", "timeout=10")
+	_, _ = fmt.Fprintf(w, "%s of %s ran %s\n", i.id, i.service, id)
+}
+
+// allRuns returns what the instance has run.
+func (i *instance) allRuns() []run {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	return append([]run(nil), i.runs...)
+}
+
+// nextSeq returns the sequence number of the next heartbeat.
+func (i *instance) nextSeq() int64 {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	return i.seq + 1
+}
+
+// sendSpoiled sends an answer whose status is none, and closes the connection.
+func (i *instance) sendSpoiled(w http.ResponseWriter, id string) {
+	conn, _, err := w.(http.Hijacker).Hijack()
+	if err != nil {
+		return
+	}
+	line := "HTTP/1.1 020 OK"
+	i.record.add("instance %s spoils its answer to request %s: %q", i.id, id, line)
+	_, _ = fmt.Fprintf(conn, "%s\r\nX-Zinniafall-Request-Id: %s\r\nX-Zinniafall-Upstream-Signature: sig.%s\r\nContent-Length: 3\r\n\r\nran", line, id, i.id)
+	_ = conn.Close()
+}
