--- a/review/standins-2/instance.go
+++ b/review/standins-2/instance.go
@@ -37,6 +37,9 @@
 	runs     []run
 	others   int // requests for other instances
 	stopBeat chan struct{}
+	leaving  bool
+	// clock is how far the machine's time of day is ahead.
+	clock time.Duration
 	// spoilEach makes the instance spoil the status line of each such answer; 0 means none.
 	spoilEach int
 	// beaten receives a value after each heartbeat that was acknowledged.
@@ -49,6 +52,7 @@
 
 // start serves requests and begins to send heartbeats.
 func (i *instance) start() error {
+	i.born = time.Now().Add(i.clock).UnixMilli()
 	l, err := net.Listen("tcp", i.m.app)
 	if err != nil {
 		return err
@@ -56,7 +60,7 @@
 	i.server = &http.Server{Handler: http.HandlerFunc(i.serve), IdleTimeout: 10 * time.Second}
 	go func() { _ = i.server.Serve(l) }()
 	go i.beat()
-	i.record.add("instance %s of %s starts at %s, beside %s", i.id, i.service, i.m.app, i.m.name)
+	i.record.add("instance %s of %s starts at %s, beside %s, born %d", i.id, i.service, i.m.app, i.m.name, i.born)
 	return nil
 }
 
@@ -64,7 +68,37 @@
 func (i *instance) crash() {
 	close(i.stopBeat)
 	_ = i.server.Close()
-	i.record.add("instance %s of %s is gone", i.id, i.service)
+	i.record.add("instance %s of %s has ended", i.id, i.service)
+}
+
+// lifecycle returns the state that the instance reports.
+func (i *instance) lifecycle() string {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	if i.leaving {
+		return "draining"
+	}
+	return "ready"
+}
+
+// drain reports that the instance leaves until that is acknowledged, or for 5 s. It returns the
+// time of the acknowledgement, or zero.
+func (i *instance) drain() time.Time {
+	i.mu.Lock()
+	i.leaving = true
+	i.mu.Unlock()
+	for end := time.Now().Add(5 * time.Second); time.Now().Before(end); time.Sleep(300 * time.Millisecond) {
+		seq := i.nextSeq()
+		i.mu.Lock()
+		i.seq = seq
+		i.mu.Unlock()
+		status := i.post(i.message(seq))
+		i.record.add("heartbeat of %s, draining, seq %d: %d", i.id, seq, status)
+		if status == 200 {
+			return time.Now()
+		}
+	}
+	return time.Time{}
 }
 
 // message returns the body of a heartbeat.
@@ -72,7 +106,7 @@
 	raw, _ := json.Marshal(map[string]any{
 		"address": i.m.app, "born": i.born,
 		"info":   map[string]any{"service": i.service, "version": "v1", "zone": i.m.zone, "capacity": i.slots},
-		"status": map[string]any{"lifecycle": "ready", "seq": seq, "warmup_left_ms": 0},
+		"status": map[string]any{"lifecycle": i.lifecycle(), "seq": seq, "warmup_left_ms": 0},
 	})
 	return raw
 }
@@ -123,6 +157,10 @@
 	w.Header().Set("X-Zinniafall-Instance-Load", i.load())
 	if r.URL.Path == "/health" && r.Header.Get("X-Zinniafall-Request-Id") == "" {
 		w.Header().Set("X-Zinniafall-Served-By", i.id)
+		if i.lifecycle() == "draining" {
+			w.WriteHeader(503)
+			return
+		}
 		w.WriteHeader(200)
 		return
 	}
@@ -166,6 +204,9 @@
 		i.sendSpoiled(w, id)
 		return
 	}
+	if i.lifecycle() == "draining" {
+		w.Header().Set("Connection", "close")
+	}
 	w.Header().Set("X-Zinniafall-Upstream-Signature", "sig."+i.id)
 	w.Header().Set("X-Zinniafall-Served-By", i.id)
 	w.Header().Set("Keep-Alive", "timeout=10")
