--- a/review/standins-2/status.go
+++ b/review/standins-2/status.go
@@ -13,7 +13,7 @@
 // statusLine is the status line of an answer in HTTP/1.1.
 var statusLine = regexp.MustCompile(`^HTTP/1\.1 [1-5][0-9][0-9] [^\r\n]*\r\n$`)
 
-// playStatus: an instance spoils the status of each 33rd answer.
+// playStatus: one of two instances spoils the status of each 50th answer.
 func playStatus(e *env) (verdict, error) {
 	store, err := e.store()
 	if err != nil {
@@ -26,21 +26,25 @@
 	if err != nil {
 		return verdict{}, err
 	}
+	m2, err := e.machine("side-a-2", "z-a", "permits", store)
+	if err != nil {
+		return verdict{}, err
+	}
 	p1 := newInstance(m1, "i-1aaaaaaa", "permits", 5*time.Millisecond, e.record)
+	p2 := newInstance(m2, "i-2bbbbbbb", "permits", 5*time.Millisecond, e.record)
 	if e.trouble {
-		p1.spoilEach = 33
+		p1.spoilEach = 50
 	}
-	if err := m1.start(); err != nil {
-		return verdict{}, err
-	}
-	if err := p1.start(); err != nil {
-		return verdict{}, err
+	for _, start := range []func() error{m1.start, m2.start, p1.start, p2.start} {
+		if err := start(); err != nil {
+			return verdict{}, err
+		}
 	}
-	if err := awaitReady(15*time.Second, m1); err != nil {
+	if err := awaitReady(15*time.Second, m1, m2); err != nil {
 		return verdict{}, err
 	}
 	time.Sleep(4 * time.Second)
-	const requests = 200
+	const requests = 400
 	lines, bad, first := map[string]int{}, 0, ""
 	for range requests {
 		id := newID()
