--- a/review/standins-2/smuggled.go
+++ b/review/standins-2/smuggled.go
@@ -8,27 +8,33 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"time"
 )
 
 func init() { cases["smuggled"] = playSmuggled }
 
 const (
-	// partBytes is what the client sends of a body before it pauses.
+	// partBytes is what arrives of a body before the machine is cut off.
 	partBytes = 300_000
-	// pause is how long it sends nothing. Its deadline is later.
-	pause = 11 * time.Second
+	// cutTime is how long the machine is cut off from its clients.
+	cutTime = 11 * time.Second
+	// uploadDeadline is how long a client waits for its answer.
+	uploadDeadline = 8 * time.Second
+	// segmentBytes and roundTrip are how bytes arrive that a partition held up.
+	segmentBytes = 1460
+	roundTrip    = 16 * time.Millisecond
 )
 
-// playSmuggled: a client uploads a file whose content looks like a request from some byte on,
-// and sends nothing for a while before that byte.
+// playSmuggled: clients upload files whose content looks like a request from some byte on. The
+// machine is cut off from them as that byte is due. They give up at their deadline.
 func playSmuggled(e *env) (verdict, error) {
 	store, err := e.store()
 	if err != nil {
 		return verdict{}, err
 	}
 	store.put("op/config", configDocument(7, []routeSpec{
-		{"upload", "documents.example", "/up/", "upload", "documents", 40_000, 2500, 1},
+		{"upload", "documents.example", "/up/", "upload", "documents", 8000, 2500, 2},
 	}, "documents"))
 	m1, err := e.machine("side-a-1", "z-a", "documents", store)
 	if err != nil {
@@ -46,32 +52,28 @@
 	}
 	time.Sleep(4 * time.Second)
 	const uploads = 3
-	answers := make(chan []string, uploads)
 	sent := map[string]bool{}
-	for n := range uploads {
+	var wg sync.WaitGroup
+	for range uploads {
 		id := newID()
 		sent[id] = true
+		wg.Add(1)
 		go func() {
-			time.Sleep(time.Duration(n) * 300 * time.Millisecond)
-			answers <- upload(e, m1, id)
+			defer wg.Done()
+			upload(e, m1, id)
 		}()
 	}
-	for range uploads {
-		for _, line := range <-answers {
-			e.record.add("%s", line)
-		}
-	}
+	wg.Wait()
 	time.Sleep(500 * time.Millisecond)
 	whole, foreign, first := 0, 0, ""
 	for _, r := range docs.allRuns() {
-		switch {
-		case sent[r.id]:
+		if sent[r.id] {
 			whole++
-		default:
-			foreign++
-			if first == "" {
-				first = fmt.Sprintf("the first: %s %s with the id %s", r.method, r.uri, r.id)
-			}
+			continue
+		}
+		foreign++
+		if first == "" {
+			first = fmt.Sprintf("the first: %s %s with the id %s", r.method, r.uri, r.id)
 		}
 	}
 	if foreign > 0 {
@@ -83,39 +85,104 @@
 	return verdict{false, fmt.Sprintf("%d uploads ran and nothing else", whole)}, nil
 }
 
-// upload sends one upload and returns what the client saw.
-func upload(e *env, m *machine, id string) []string {
-	var seen []string
-	say := func(format string, args ...any) { seen = append(seen, "upload "+id+": "+fmt.Sprintf(format, args...)) }
-	conn, err := net.Dial("tcp", m.outbound)
-	if err != nil {
-		say("%v", err)
-		return seen
-	}
-	defer func() { _ = conn.Close() }()
-	_ = conn.SetDeadline(time.Now().Add(30 * time.Second))
+// upload sends one upload through a link that is cut after partBytes of its body, and returns
+// when all of it has arrived.
+func upload(e *env, m *machine, id string) {
 	inner := "POST /up/inner HTTP/1.1\r\nHost: documents.example\r\nX-Zinniafall-Request-Id: inner-" + id + "\r\nX-Zinniafall-Deadline-Ms: 5000\r\nContent-Length: 5\r\n\r\ninner"
 	body := append(bytes.Repeat([]byte("a line of a plan\n"), partBytes/17+1)[:partBytes], (inner + strings.Repeat("\r\nthe rest of the plan", 100))...)
-	_, _ = fmt.Fprintf(conn, "POST /up/plan HTTP/1.1\r\nHost: documents.example\r\nX-Zinniafall-Request-Id: %s\r\nX-Zinniafall-Deadline-Ms: 30000\r\nContent-Length: %d\r\n\r\n", id, len(body))
-	if _, err = conn.Write(body[:partBytes]); err != nil {
-		say("%v", err)
-		return seen
-	}
-	e.record.add("upload %s: client has sent %d of %d bytes", id, partBytes, len(body))
+	head := fmt.Sprintf("POST /up/plan HTTP/1.1\r\nHost: documents.example\r\nX-Zinniafall-Request-Id: %s\r\nX-Zinniafall-Deadline-Ms: %d\r\nContent-Length: %d\r\n\r\n", id, uploadDeadline.Milliseconds(), len(body))
+	cutAt := -1
 	if e.trouble {
-		time.Sleep(pause)
+		cutAt = len(head) + partBytes
 	}
-	_, err = conn.Write(body[partBytes:])
-	e.record.add("upload %s: client has sent the rest (error: %v)", id, err)
-	reader := bufio.NewReader(conn)
-	for {
-		_ = conn.SetReadDeadline(time.Now().Add(3 * time.Second))
-		r, err := http.ReadResponse(reader, nil)
-		if err != nil {
-			say("no further answer (%v)", err)
-			return seen
-		}
+	link, arrived, err := startLink(e, m.outbound, cutAt)
+	if err != nil {
+		e.record.add("upload %s: %v", id, err)
+		return
+	}
+	conn, err := net.Dial("tcp", link)
+	if err != nil {
+		e.record.add("upload %s: %v", id, err)
+		return
+	}
+	_ = conn.SetDeadline(time.Now().Add(uploadDeadline))
+	e.record.add("upload %s: client sends %d bytes of body", id, len(body))
+	_, err = io.WriteString(conn, head+string(body))
+	e.record.add("upload %s: client has sent all (error: %v)", id, err)
+	r, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	if err == nil {
 		text, err := io.ReadAll(r.Body)
-		say("answer %d for request %q: %q (%v)", r.StatusCode, r.Header.Get("X-Zinniafall-Request-Id"), text, err)
+		e.record.add("upload %s: answer %d: %q (%v)", id, r.StatusCode, text, err)
+	} else {
+		e.record.add("upload %s: client gives up at its deadline and closes its connection (%v)", id, err)
 	}
+	_ = conn.Close()
+	<-arrived
+	e.record.add("upload %s: all bytes and the close have arrived at %s", id, m.name)
+}
+
+// startLink carries one connection to an address and returns its own. After cutAt bytes nothing
+// passes in either direction for cutTime; then what was held up arrives by and by. arrived is
+// closed when the close of the connection has passed.
+func startLink(e *env, to string, cutAt int) (addr string, arrived chan struct{}, err error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", nil, err
+	}
+	arrived = make(chan struct{})
+	go func() {
+		defer close(arrived)
+		in, err := l.Accept()
+		_ = l.Close()
+		if err != nil {
+			return
+		}
+		out, err := net.Dial("tcp", to)
+		if err != nil {
+			_ = in.Close()
+			return
+		}
+		healed := make(chan struct{})
+		if cutAt < 0 {
+			close(healed)
+		}
+		go func() { // answers
+			buffer := make([]byte, 32<<10)
+			for {
+				n, err := out.Read(buffer)
+				<-healed
+				if n > 0 {
+					if _, werr := in.Write(buffer[:n]); werr != nil {
+						return
+					}
+				}
+				if err != nil {
+					_ = in.Close()
+					return
+				}
+			}
+		}()
+		if cutAt < 0 {
+			_, _ = io.Copy(out, in)
+		} else {
+			_, _ = io.CopyN(out, in, int64(cutAt))
+			e.record.add("link: the machine is cut off from the client for %v", cutTime)
+			time.Sleep(cutTime)
+			e.record.add("link: the cut has healed")
+			close(healed)
+			segment := make([]byte, segmentBytes)
+			for {
+				n, err := io.ReadFull(in, segment)
+				if n > 0 {
+					_, _ = out.Write(segment[:n])
+				}
+				if err != nil {
+					break
+				}
+				time.Sleep(roundTrip)
+			}
+		}
+		_ = out.Close()
+	}()
+	return l.Addr().String(), arrived, nil
 }
