End the scripts of the second review cleanly on a signal

Cause: after SIGTERM a script left its temporary folder behind. Change: the program ends its nodes, removes the folder and exits with 2.

--- a/review/standins-2/main.go
+++ b/review/standins-2/main.go
@@ -7,7 +7,9 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
 	"path/filepath"
+	"syscall"
 	"time"
 )
 
@@ -19,7 +21,7 @@
 	machines           []*machine
 }
 
-// errBroken is the verdict of a case whose rule was broken.
+// verdict is the result of a case.
 type verdict struct {
 	broken bool
 	text   string
@@ -56,8 +58,18 @@
 	watchdog := time.AfterFunc(110*time.Second, func() {
 		rec.add("case could not run: it took over 110 s")
 		e.end()
+		_ = os.RemoveAll(dir)
 		os.Exit(2)
 	})
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	go func() {
+		s := <-signals
+		rec.add("case could not run: it was ended by %v", s)
+		e.end()
+		_ = os.RemoveAll(dir)
+		os.Exit(2)
+	}()
 	v, err := play(e)
 	watchdog.Stop()
 	e.end()
