--- a/review/standins-2/client.go
+++ b/review/standins-2/client.go
@@ -26,7 +26,8 @@
 	took   time.Duration
 }
 
-// client sends requests to the outbound address of a machine on kept connections.
+// client sends requests to the outbound address of a machine, each on a connection of its own:
+// on a kept one the library may repeat a request.
 type client struct {
 	m      *machine
 	http   *http.Client
@@ -34,7 +35,7 @@
 }
 
 func newClient(m *machine, rec *record) *client {
-	return &client{m: m, record: rec, http: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64, DisableCompression: true}}}
+	return &client{m: m, record: rec, http: &http.Client{Transport: &http.Transport{DisableKeepAlives: true, DisableCompression: true}}}
 }
 
 // send sends one request and records its answer.
--- a/review/standins-2/instance.go
+++ b/review/standins-2/instance.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"sync"
 	"time"
 )
@@ -20,6 +21,14 @@
 	caller                string
 }
 
+const (
+	// warmUp is warmup_s and coldFactor how much longer work takes meanwhile.
+	warmUp     = 3 * time.Second
+	coldFactor = 2
+	// maxWaiting is how many requests wait for a slot.
+	maxWaiting = 24
+)
+
 // instance is an application instance beside a node.
 type instance struct {
 	m       *machine
@@ -39,7 +48,10 @@
 	stopBeat chan struct{}
 	leaving  bool
 	// clock is how far the machine's time of day is ahead.
-	clock time.Duration
+	clock   time.Duration
+	started time.Time
+	slot    chan struct{}
+	waiting int
 	// spoilEach makes the instance spoil the status line of each such answer; 0 means none.
 	spoilEach int
 	// beaten receives a value after each heartbeat that was acknowledged.
@@ -47,11 +59,14 @@
 }
 
 func newInstance(m *machine, id, service string, work time.Duration, rec *record) *instance {
-	return &instance{m: m, id: id, service: service, born: time.Now().UnixMilli(), slots: 12, work: work, record: rec, stopBeat: make(chan struct{}), beaten: make(chan struct{}, 1)}
+	return &instance{m: m, id: id, service: service, born: time.Now().UnixMilli(), slots: 12, slot: make(chan struct{}, 12), work: work, record: rec, stopBeat: make(chan struct{}), beaten: make(chan struct{}, 1)}
 }
 
 // start serves requests and begins to send heartbeats.
 func (i *instance) start() error {
+	i.mu.Lock()
+	i.started = time.Now()
+	i.mu.Unlock()
 	i.born = time.Now().Add(i.clock).UnixMilli()
 	l, err := net.Listen("tcp", i.m.app)
 	if err != nil {
@@ -71,6 +86,13 @@
 	i.record.add("instance %s of %s has ended", i.id, i.service)
 }
 
+// coldLeft returns how much longer the instance is cold.
+func (i *instance) coldLeft() time.Duration {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	return max(time.Until(i.started.Add(warmUp)), 0)
+}
+
 // lifecycle returns the state that the instance reports.
 func (i *instance) lifecycle() string {
 	i.mu.Lock()
@@ -106,7 +128,7 @@
 	raw, _ := json.Marshal(map[string]any{
 		"address": i.m.app, "born": i.born,
 		"info":   map[string]any{"service": i.service, "version": "v1", "zone": i.m.zone, "capacity": i.slots},
-		"status": map[string]any{"lifecycle": i.lifecycle(), "seq": seq, "warmup_left_ms": 0},
+		"status": map[string]any{"lifecycle": i.lifecycle(), "seq": seq, "warmup_left_ms": i.coldLeft().Milliseconds()},
 	})
 	return raw
 }
@@ -149,7 +171,7 @@
 func (i *instance) load() string {
 	i.mu.Lock()
 	defer i.mu.Unlock()
-	return fmt.Sprintf("%d,0,%d", i.running, i.slots)
+	return fmt.Sprintf("%d,%d,%d", i.running, i.waiting, i.slots)
 }
 
 // serve answers requests as PROTOCOL.md says.
@@ -157,6 +179,9 @@
 	w.Header().Set("X-Zinniafall-Instance-Load", i.load())
 	if r.URL.Path == "/health" && r.Header.Get("X-Zinniafall-Request-Id") == "" {
 		w.Header().Set("X-Zinniafall-Served-By", i.id)
+		if left := i.coldLeft(); left > 0 {
+			w.Header().Set("X-Zinniafall-Warmup-Ms", strconv.FormatInt(left.Milliseconds(), 10))
+		}
 		if i.lifecycle() == "draining" {
 			w.WriteHeader(503)
 			return
@@ -180,22 +205,30 @@
 		w.WriteHeader(421)
 		return
 	}
+	arrived := time.Now()
 	body, err := io.ReadAll(r.Body)
 	if err != nil {
 		return
 	}
-	i.mu.Lock()
-	if i.running >= i.slots {
-		i.mu.Unlock()
+	if !i.takeSlot(r) {
 		w.Header().Set("X-Zinniafall-Not-Executed", "1")
 		w.WriteHeader(503)
 		return
 	}
+	defer func() { <-i.slot }()
+	i.mu.Lock()
 	i.running++
 	i.runs = append(i.runs, run{time.Now(), id, r.Method, r.RequestURI, r.Host, string(body), i.id, i.service, r.Header.Get("X-Zinniafall-Caller-Service")})
 	i.mu.Unlock()
 	i.record.add("instance %s of %s runs request %s: %s %s%s", i.id, i.service, id, r.Method, r.Host, r.RequestURI)
-	time.Sleep(i.work)
+	work, inTime := i.work, true
+	if i.coldLeft() > 0 {
+		work *= coldFactor
+	}
+	if left := time.Until(arrived.Add(deadlineOf(r))); left < work {
+		work, inTime = max(left, 0), false
+	}
+	time.Sleep(work)
 	i.mu.Lock()
 	i.running--
 	spoil := i.spoilEach > 0 && len(i.runs)%i.spoilEach == 0
@@ -207,6 +240,11 @@
 	if i.lifecycle() == "draining" {
 		w.Header().Set("Connection", "close")
 	}
+	if !inTime {
+		w.Header().Set("X-Zinniafall-Upstream-Signature", "sig."+i.id)
+		w.WriteHeader(504)
+		return
+	}
 	w.Header().Set("X-Zinniafall-Upstream-Signature", "sig."+i.id)
 	w.Header().Set("X-Zinniafall-Served-By", i.id)
 	w.Header().Set("Keep-Alive", "timeout=10")
@@ -227,6 +265,45 @@
 	return i.seq + 1
 }
 
+// takeSlot waits for a slot, in a short queue and up to the deadline of the request.
+func (i *instance) takeSlot(r *http.Request) bool {
+	select {
+	case i.slot <- struct{}{}:
+		return true
+	default:
+	}
+	i.mu.Lock()
+	full := i.waiting >= maxWaiting
+	if !full {
+		i.waiting++
+	}
+	i.mu.Unlock()
+	if full {
+		return false
+	}
+	defer func() {
+		i.mu.Lock()
+		i.waiting--
+		i.mu.Unlock()
+	}()
+	select {
+	case i.slot <- struct{}{}:
+		return true
+	case <-time.After(deadlineOf(r)):
+	case <-r.Context().Done():
+	}
+	return false
+}
+
+// deadlineOf returns the time that a request states for its answer.
+func deadlineOf(r *http.Request) time.Duration {
+	ms, err := strconv.Atoi(r.Header.Get("X-Zinniafall-Deadline-Ms"))
+	if err != nil {
+		ms = 30_000
+	}
+	return time.Duration(ms) * time.Millisecond
+}
+
 // sendSpoiled sends an answer whose status is none, and closes the connection.
 func (i *instance) sendSpoiled(w http.ResponseWriter, id string) {
 	conn, _, err := w.(http.Hijacker).Hijack()
