--- a/review/standins-2/smuggled.go
+++ b/review/standins-2/smuggled.go
@@ -41,13 +41,29 @@
 		return verdict{}, err
 	}
 	docs := newInstance(m1, "i-1aaaaaaa", "documents", 10*time.Millisecond, e.record)
+	instances := []*instance{docs}
 	if err := m1.start(); err != nil {
 		return verdict{}, err
 	}
 	if err := docs.start(); err != nil {
 		return verdict{}, err
 	}
-	if err := awaitReady(15*time.Second, m1); err != nil {
+	// Two more machines, so that the one that is cut off is at most 0.35 of all.
+	for n, zone := range []string{"z-a", "z-b"} {
+		m, err := e.machine(fmt.Sprintf("side-%d", n+2), zone, "documents", store)
+		if err != nil {
+			return verdict{}, err
+		}
+		i := newInstance(m, fmt.Sprintf("i-%dbbbbbbb", n+2), "documents", 10*time.Millisecond, e.record)
+		if err := m.start(); err != nil {
+			return verdict{}, err
+		}
+		if err := i.start(); err != nil {
+			return verdict{}, err
+		}
+		instances = append(instances, i)
+	}
+	if err := awaitReady(15*time.Second, e.machines...); err != nil {
 		return verdict{}, err
 	}
 	time.Sleep(4 * time.Second)
@@ -66,18 +82,20 @@
 	wg.Wait()
 	time.Sleep(500 * time.Millisecond)
 	whole, foreign, first := 0, 0, ""
-	for _, r := range docs.allRuns() {
-		if sent[r.id] {
-			whole++
-			continue
-		}
-		foreign++
-		if first == "" {
-			first = fmt.Sprintf("the first: %s %s with the id %s", r.method, r.uri, r.id)
+	for _, i := range instances {
+		for _, r := range i.allRuns() {
+			if sent[r.id] {
+				whole++
+				continue
+			}
+			foreign++
+			if first == "" {
+				first = fmt.Sprintf("the first: %s %s with the id %s", r.method, r.uri, r.id)
+			}
 		}
 	}
 	if foreign > 0 {
-		return verdict{true, fmt.Sprintf("UNASKED: the instance ran %d requests that were bytes of the body of an upload; %s", foreign, first)}, nil
+		return verdict{true, fmt.Sprintf("UNASKED: instances ran %d requests that were bytes of the body of an upload; %s", foreign, first)}, nil
 	}
 	if !e.trouble && whole != uploads {
 		return verdict{}, fmt.Errorf("%d of %d uploads ran", whole, uploads)
