Run an upload once its entry has sent the end of its body

Cause: the owner of an upload waits for its body before it takes a slot, and read as many bytes as the call states. For no bytes that is nothing to wait for, so it had all that it needs as soon as it had sent that the call is admitted. The entry reports a call as not run until it begins to send the body, also when it has left before it read that message, and may then offer the call to another owner.

Change: the owner also awaits the end of the body, which the entry sends after it has given up the right to say that the call did not run. A body that goes on beyond the stated length is refused as well.

Evidence: TestUploadRunsOnceItsEntryHasSentTheEndOfItsBody fails before and passes.

--- a/node/sidecar/execute.go
+++ b/node/sidecar/execute.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"runtime/debug"
@@ -139,7 +140,9 @@
 	return r.Bulk && !n.owner.startsLimited() && !r.Inline && r.Length >= 0 && r.Length <= maxAwaitedBody && n.bodies.Reserve(r.Length)
 }
 
-// receiveBody asks for the body of a call that awaits it, and then waits for a slot.
+// receiveBody asks for the body of a call that awaits it, and then waits for a slot. Until the
+// entry has sent the end of the body, it may report the call as not run, also if the body
+// has no bytes.
 func (n *Node) receiveBody(ctx context.Context, j job, ticket dispatch.Ticket) *problem.Error {
 	arrived := false
 	defer func() {
@@ -154,14 +157,29 @@
 	// deadline. The memory is released when the read ends.
 	stop := context.AfterFunc(ctx, func() { n.owner.withdraw(ticket) })
 	defer stop()
-	body := make([]byte, j.request.Length)
-	if _, err := io.ReadFull(j.body, body); err != nil {
+	body, err := readWhole(j.body, j.request.Length)
+	if err != nil {
 		return problem.New(problem.Canceled, model.RunNo, "the entry left before the call was sent")
 	}
 	j.request.Body, j.request.Inline, arrived = body, true, true
 	return n.owner.admitArrived(ctx, ticket)
 }
 
+// readWhole reads a body of the length, and its end.
+func readWhole(body io.Reader, length int64) ([]byte, error) {
+	whole := make([]byte, length)
+	if _, err := io.ReadFull(body, whole); err != nil {
+		return nil, err
+	}
+	switch n, err := io.ReadFull(body, make([]byte, 1)); {
+	case n > 0:
+		return nil, fmt.Errorf("the body has more than the %d bytes that its call states", length)
+	case err != io.EOF:
+		return nil, err
+	}
+	return whole, nil
+}
+
 // agreeOnRevision ensures that this node and the entry decide by the same configuration, and
 // that it may still be used. If the entry's is newer, it waits for it as long as
 // distribution.CallWait allows.
--- a/node/sidecar/upload_test.go
+++ b/node/sidecar/upload_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -11,6 +12,7 @@
 	"strings"
 	"sync/atomic"
 	"testing"
+	"testing/iotest"
 	"time"
 
 	qt "github.com/frankban/quicktest"
@@ -136,6 +138,47 @@
 	eventually(t, "the place of the upload", func() bool { return n.owner.report().Queued == 0 })
 	_, err := caller.Write([]byte("abc"))
 	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, caller.Close(), qt.IsNil) // the end of the body
 	p = <-ended
 	qt.Assert(t, p != nil && p.Run == model.RunNo, qt.IsTrue)
 }
+
+// Guards against an upload without a body that runs although its entry has left, and has
+// reported it as not run: such a call has all of its bytes before the entry sends the end.
+func TestUploadRunsOnceItsEntryHasSentTheEndOfItsBody(t *testing.T) {
+	store := newMemoryStore()
+	store.configure(t, 1, "back")
+	n := startNode(t, store, "a", "back", newTestTarget(t, "t0"))
+	n.waitForOwnTarget()
+	for _, test := range []struct {
+		name, sent string
+		length     int64
+		end        error
+		run        model.Run
+	}{
+		{"no body, the entry leaves", "", 0, errors.New("the entry closed the exchange"), model.RunNo},
+		{"no body", "", 0, io.EOF, model.RunYes},
+		{"whole body, the entry leaves", "abc", 3, errors.New("the entry closed the exchange"), model.RunNo},
+		{"whole body", "abc", 3, io.EOF, model.RunYes},
+		{"body beyond its length", "abcd", 3, io.EOF, model.RunNo},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			before := len(n.target.requests())
+			r := n.execute(t.Context(), job{
+				request: &peer.Request{
+					Kind: peer.KindCall, Revision: 1, Service: "back", Class: "unsafe", Bulk: true, ID: test.name,
+					Method: http.MethodPost, URI: "/unsafe/x", Host: "back", Length: test.length,
+					Timeout: time.Minute, Objective: time.Minute,
+				},
+				body:        io.MultiReader(strings.NewReader(test.sent), iotest.ErrReader(test.end)),
+				requestBody: func() error { return nil },
+			})
+			qt.Check(t, r.answer.Run, qt.Equals, test.run, qt.Commentf("%v", r.answer.Problem))
+			want := before
+			if test.run == model.RunYes {
+				want++
+			}
+			qt.Check(t, n.target.requests(), qt.HasLen, want)
+		})
+	}
+}
