Report a keyed call as unknown once a copy of it may have arrived

Cause: a call under a request key is sent to its issuer again when its connection is lost. A refusal of a later copy, such as one for want of room, says that this copy did not run. It was passed on to the caller as "not run", although the first copy may still arrive at the issuer and start there.

Change: after a copy whose arrival is unknown, a refusal of the issuer states an unknown outcome. A copy that was not sent changes nothing.

--- a/node/entry/forward.go
+++ b/node/entry/forward.go
@@ -20,6 +20,8 @@
 	key      callkey.ParsedKey
 	deadline time.Time
 	attempts *retry.Attempts
+	// mayHaveArrived is set once the issuer may have a copy of the call that it has not answered.
+	mayHaveArrived bool
 }
 
 // forwardToIssuer sends a keyed call to its issuer and sends it again if the
@@ -51,8 +53,9 @@
 		reply, err := c.entry.exchange(ctx, c.key.Node, &c.request, &body{})
 		if err == nil {
 			c.recordAnswer(reply)
-			return reply
+			return c.coverEarlierCopies(reply)
 		}
+		c.mayHaveArrived = c.mayHaveArrived || !errors.Is(err, peer.ErrNotSent)
 		if ctx.Err() != nil {
 			return execute.ProblemReply(problem.New(problem.DeadlineExceeded, model.RunUnknown, "the issuer of the request key did not answer in time"))
 		}
@@ -67,6 +70,21 @@
 	}
 }
 
+// coverEarlierCopies makes a refusal hold for all copies of the call. It says that the issuer
+// has not run the latest one; an earlier one may start after it, for instance when the
+// issuer has room again.
+func (c *issuerCall) coverEarlierCopies(reply *execute.Reply) *execute.Reply {
+	failure := reply.Answer.Problem
+	if !c.mayHaveArrived || failure == nil || failure.Run != model.RunNo {
+		return reply
+	}
+	unknown := *failure
+	unknown.Run = model.RunUnknown
+	covering := execute.ProblemReply(&unknown)
+	covering.Answer.Report = reply.Answer.Report
+	return covering
+}
+
 // nextStep returns whether the call may be sent again.
 func (c *issuerCall) nextStep(err error) retry.Step {
 	failure := retry.Failure{Run: model.RunUnknown, Kind: problem.OwnerUnreachable}
