Refuse what is no HTTP/1.1 response, wherever responses are read

Cause: responses were read by net/http's parser alone, which takes any three characters that are a number for a status, keeps field lines under names that are none, and ignores the length or coding that such a line states. `run` and the clients of the stores use the same parser.

Change: package strictconn checks the bytes of a connection by the grammar of RFC 9112 and the codes and names of RFC 9110 before the parser gets them, line by line, interim responses, chunks and trailers included. Bytes that follow no request never reach net/http, which writes them to the standard logger. An entry refuses another node's answer without a status from 200 to 599; the operator's client no longer takes a status below 200 for success.

--- a/node/entry/attempt.go
+++ b/node/entry/attempt.go
@@ -71,6 +71,10 @@
 		e.opts.Suspects.RecordNotice(answer.Crash)
 	}
 	reply := &execute.Reply{Answer: answer}
+	if err := answer.CheckResponse(); err != nil {
+		x.Close()
+		return execute.ProblemReply(problem.New(problem.TargetFailed, model.RunUnknown, err.Error())), nil
+	}
 	if answer.Problem != nil {
 		x.Close()
 		return reply, nil
--- a/node/execute/execute.go
+++ b/node/execute/execute.go
@@ -16,9 +16,12 @@
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
+	"golang.org/x/time/rate"
+	"k8s.io/klog/v2"
 
 	"zinniafall/node/owner"
 	"zinniafall/node/peer"
+	"zinniafall/node/strictconn"
 	"zinniafall/node/target"
 	"zinniafall/node/trace"
 	"zinniafall/policy/admission"
@@ -59,6 +62,9 @@
 // program.
 var statementsUnreadable = metrics.GetOrCreateCounter(`zinniafall_target_statements_unreadable_total`)
 
+// refusedAnswerLog limits the log lines about refused answers.
+var refusedAnswerLog = rate.Sometimes{Interval: time.Second}
+
 // Reply is an answer that is being returned to the caller.
 type Reply struct {
 	Answer *peer.Answer
@@ -329,7 +335,9 @@
 		a.finish(admission.Failed)
 		return ProblemReply(problem.New(problem.AnswerCutOff, model.RunYes, result.Err.Error()))
 	}
-	if errors.Is(result.Err, target.ErrStray) {
+	var malformed *strictconn.MalformedError
+	if errors.Is(result.Err, target.ErrStray) || errors.As(result.Err, &malformed) || errors.Is(result.Err, strictconn.ErrTooLong) {
+		refusedAnswerLog.Do(func() { klog.Warningf("target: An answer was refused: %v.", result.Err) })
 		a.finish(admission.Failed)
 		return ProblemReply(problem.New(problem.TargetFailed, model.RunUnknown, result.Err.Error()))
 	}
--- a/node/peer/message.go
+++ b/node/peer/message.go
@@ -146,6 +146,20 @@
 	Alternatives []model.NodeAddr `cbor:"13,keyasint,omitempty"`
 }
 
+// CheckResponse returns an error if a final answer without a problem holds no response that a
+// caller can get. A node of an earlier release passes on any status of its target.
+func (a *Answer) CheckResponse() error {
+	if a.Problem == nil && (a.Status < http.StatusOK || a.Status > maxStatus) {
+		return errMalformedResponse
+	}
+	return nil
+}
+
+// maxStatus is the greatest status code of RFC 9110.
+const maxStatus = 599
+
+var errMalformedResponse = errors.New("the other node's answer has no status from 200 to 599")
+
 var (
 	encodeMode = mustEncodeMode()
 	decodeMode = strictcbor.Decoder(strictcbor.Limits{Elements: maxHeadFields, Pairs: maxHeadFields})
--- a/node/peer/peer_test.go
+++ b/node/peer/peer_test.go
@@ -275,3 +275,11 @@
 	qt.Assert(t, readFrame(&wire, got), qt.IsNil)
 	qt.Assert(t, got, qt.DeepEquals, sent)
 }
+
+// Guards against a status of a faulty target that a node of an earlier release passes on.
+func TestAnswerWithoutAStatusHoldsNoResponse(t *testing.T) {
+	for status, ok := range map[int]bool{0: false, 20: false, 103: false, 199: false, 200: true, 599: true, 600: false, 999: false} {
+		qt.Check(t, (&Answer{Status: status}).CheckResponse() == nil, qt.Equals, ok, qt.Commentf("%d", status))
+	}
+	qt.Check(t, (&Answer{Problem: problem.New(problem.Draining, model.RunNo, "")}).CheckResponse(), qt.IsNil)
+}
--- a/node/platform/client.go
+++ b/node/platform/client.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"strings"
 	"sync"
@@ -11,6 +12,8 @@
 
 	"github.com/dghubble/sling"
 	"golang.org/x/time/rate"
+
+	"zinniafall/node/strictconn"
 )
 
 // Options configures a Client; a zero field selects the default.
@@ -52,7 +55,10 @@
 
 func (o *Options) setDefaults() {
 	if o.Transport == nil {
-		o.Transport = &http.Transport{MaxConnsPerHost: maxConnections, MaxIdleConnsPerHost: maxConnections, MaxResponseHeaderBytes: maxResponseHeader}
+		o.Transport = strictconn.NewTransport(&http.Transport{
+			DialContext: new(net.Dialer).DialContext, MaxConnsPerHost: maxConnections, MaxIdleConnsPerHost: maxConnections,
+			MaxResponseHeaderBytes: maxResponseHeader,
+		}, "store")
 	}
 	if o.Timeout == 0 {
 		o.Timeout = defaultTimeout
--- a/node/platform/client_test.go
+++ b/node/platform/client_test.go
@@ -196,3 +196,20 @@
 	_, err := New(Options{URL: server.URL, Attempts: 1}).Get(t.Context(), "k")
 	qt.Assert(t, err, qt.ErrorMatches, ".*header.*")
 }
+
+// TestMalformedResponseIsNone guards against a value that is read from a response which is none
+// by the grammar of HTTP/1.1.
+func TestMalformedResponseIsNone(t *testing.T) {
+	for head, ok := range map[string]bool{"": true, "X A: b\r\n": false, "Content-Length : 9\r\n": false} {
+		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			conn, _, err := w.(http.Hijacker).Hijack()
+			if err == nil {
+				_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\n"+head+"\r\n[]")
+				_ = conn.Close()
+			}
+		}))
+		_, err := New(Options{URL: server.URL, Attempts: 1}).Get(t.Context(), "k")
+		server.Close()
+		qt.Check(t, err == nil, qt.Equals, ok, qt.Commentf("%q: %v", head, err))
+	}
+}
--- a/node/sidecar/execute.go
+++ b/node/sidecar/execute.go
@@ -422,7 +422,7 @@
 // can have received the call.
 func (a *attempt) classifyFailure(ctx context.Context, result upstream.Result) reply {
 	n := a.node
-	n.target.reportOversized(a.job.request.ID, result.Err)
+	n.target.reportRefused(a.job.request.ID, result.Err)
 	switch {
 	case !result.Sent && ctx.Err() == nil:
 		if result.Refused {
--- a/node/sidecar/offer.go
+++ b/node/sidecar/offer.go
@@ -178,6 +178,10 @@
 		}
 		return refusedReply(ownerUnreachable(err, run))
 	}
+	if err := answer.CheckResponse(); err != nil {
+		exchange.Close()
+		return refusedReply(problem.New(problem.TargetFailed, model.RunUnknown, err.Error()))
+	}
 	if answer.Inline || answer.Problem != nil {
 		exchange.Close()
 		return reply{answer: answer}
--- a/node/sidecar/probe.go
+++ b/node/sidecar/probe.go
@@ -150,7 +150,7 @@
 
 // recordNoAnswer records an unanswered health request.
 func (t *target) recordNoAnswer(result upstream.Result, pool *upstream.Pool) {
-	t.reportOversized("health", result.Err)
+	t.reportRefused("health", result.Err)
 	t.mu.Lock()
 	t.unanswered++
 	tried := t.unanswered >= unansweredBeforeTrial && t.id != "" && pool == t.health
--- a/node/sidecar/statement.go
+++ b/node/sidecar/statement.go
@@ -8,6 +8,7 @@
 
 	"github.com/VictoriaMetrics/metrics"
 
+	"zinniafall/node/strictconn"
 	"zinniafall/node/upstream"
 	"zinniafall/policy/dispatch"
 	"zinniafall/policy/statedlimit"
@@ -100,9 +101,11 @@
 	}
 }
 
-// reportOversized logs that the head of an answer was given up.
-func (t *target) reportOversized(request string, err error) {
-	if !errors.Is(err, upstream.ErrOversizedHead) {
+// reportRefused logs that bytes of the target were not taken for an answer: they do not follow
+// the grammar, or exceed its limits.
+func (t *target) reportRefused(request string, err error) {
+	var malformed *strictconn.MalformedError
+	if !errors.Is(err, upstream.ErrOversizedHead) && !errors.As(err, &malformed) {
 		return
 	}
 	id, _, _ := t.identity()
--- a/node/target/runner.go
+++ b/node/target/runner.go
@@ -13,6 +13,8 @@
 	"strings"
 	"sync/atomic"
 	"time"
+
+	"zinniafall/node/strictconn"
 )
 
 const (
@@ -37,7 +39,7 @@
 // Runner sends requests to one target address.
 type Runner struct {
 	dialer    *dialer
-	transport *http.Transport
+	transport *strictconn.Transport
 	address   string
 	exchanges atomic.Uint64
 	// names is set once the target has named an exchange in a response.
@@ -51,14 +53,14 @@
 	return &Runner{
 		dialer:  d,
 		address: address,
-		transport: &http.Transport{
+		transport: strictconn.NewTransport(&http.Transport{
 			DialContext:            d.dial,
 			MaxConnsPerHost:        connections - maxSpares,
 			MaxIdleConnsPerHost:    connections - maxSpares,
 			IdleConnTimeout:        idleTimeout,
 			DisableCompression:     true,
 			MaxResponseHeaderBytes: maxResponseHeader,
-		},
+		}, "target"),
 	}
 }
 
--- a/node/upstream/conn.go
+++ b/node/upstream/conn.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"zinniafall/node/sockets"
+	"zinniafall/node/strictconn"
 )
 
 // conn is one connection to the target. Its readLoop reads at all times, so that
@@ -21,7 +22,8 @@
 type conn struct {
 	pool   *Pool
 	net    net.Conn
-	reader *bufio.Reader
+	strict *strictconn.Conn
+	reader *bufio.Reader // of strict
 	once   sync.Once
 
 	mu               sync.Mutex
@@ -44,7 +46,8 @@
 }
 
 func newConn(p *Pool, nc net.Conn) *conn {
-	c := &conn{pool: p, net: nc, reader: bufio.NewReaderSize(nc, maxHeadBytes), keepAlive: maxIdle}
+	strict := strictconn.New(nc, "target", strictconn.Limits{Bytes: maxHeadBytes, Lines: maxHeadLines})
+	c := &conn{pool: p, net: nc, strict: strict, reader: bufio.NewReader(strict), keepAlive: maxIdle}
 	go c.readLoop()
 	return c
 }
@@ -115,6 +118,7 @@
 		return false
 	}
 	c.exchange = x
+	c.strict.Expect(x.request.Method)
 	return true
 }
 
@@ -223,13 +227,13 @@
 		x := c.pendingExchange()
 		if x == nil {
 			c.pool.removeIdle(c)
-			if err == nil {
+			if err == nil || errors.Is(err, strictconn.ErrUnasked) {
 				strayBytes.Inc()
 			}
 			return
 		}
 		if err != nil {
-			x.result <- Result{Err: err, Sent: true}
+			c.fail(x, err)
 			return
 		}
 		if !c.readResponse(x) {
@@ -255,20 +259,18 @@
 func (c *conn) readResponse(x *exchange) bool {
 	response, err := c.readHead(x)
 	if err != nil {
-		if errors.Is(err, ErrOversizedHead) {
-			oversizedHeads.Inc()
-		}
-		x.result <- Result{Err: err, Sent: true}
+		c.fail(x, err)
 		return false
 	}
 	if c.belongsToOtherRequest(x, response) {
 		lateResponses.Inc()
 		c.skippedResponses++
-		_, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxBufferedBody))
-		if err != nil || c.skippedResponses > maxSkippedResponses || response.Close {
+		n, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxBufferedBody+1))
+		if err != nil || n > maxBufferedBody || c.skippedResponses > maxSkippedResponses || response.Close {
 			x.result <- Result{Err: errors.Join(ErrStray, err), Sent: true}
 			return false
 		}
+		c.strict.Expect(x.request.Method)
 		return true
 	}
 	if c.answered && x.request.ID != "" && response.Header.Get(c.pool.fields.RequestID) == "" {
@@ -283,14 +285,22 @@
 	return c.deliver(x, response)
 }
 
+// fail ends the exchange without a response.
+func (c *conn) fail(x *exchange, err error) {
+	if errors.Is(err, strictconn.ErrTooLong) {
+		err = errors.Join(ErrOversizedHead, err)
+	}
+	if errors.Is(err, ErrOversizedHead) {
+		oversizedHeads.Inc()
+	}
+	x.result <- Result{Err: err, Sent: true}
+}
+
 // readHead reads the head of the next final response.
 func (c *conn) readHead(x *exchange) (*http.Response, error) {
 	for range maxInterimResponses + 1 {
-		if err := c.awaitHead(); err != nil {
-			return nil, err
-		}
 		response, err := http.ReadResponse(c.reader, &http.Request{Method: x.request.Method})
-		if err != nil || response.StatusCode < 100 || response.StatusCode >= http.StatusOK {
+		if err != nil || response.StatusCode >= http.StatusOK {
 			return response, err
 		}
 	}
@@ -375,7 +385,7 @@
 	c.exchange, c.answered = nil, true
 	c.idleSince = time.Now()
 	c.keepAlive = keepAliveOf(response.Header)
-	stray := c.reader.Buffered() > 0
+	stray := c.strict.Buffered() > 0
 	if stray {
 		strayBytes.Inc()
 	}
--- a/node/upstream/upstream.go
+++ b/node/upstream/upstream.go
@@ -2,7 +2,8 @@
 // connections and reports for each failure whether the target can have received
 // the request. Each request is sent exactly once.
 //
-// Every connection is read at all times. It is closed when the target closes it
+// A response counts only if it is one by the grammar of HTTP/1.1, which package strictconn
+// checks. Every connection is read at all times. It is closed when the target closes it
 // or sends bytes while no request is pending. A response that names another
 // request is a late duplicate and is skipped. One that names none is not used on a
 // connection that has had a response, since it may be a copy of that: the request may
--- a/operator/cli_test.go
+++ b/operator/cli_test.go
@@ -283,6 +283,20 @@
 	qt.Assert(t, output, qt.Not(qt.Contains), "shown this once")
 }
 
+// Guards against a command that reports success by an answer whose status is none.
+func TestAnswerWithoutAStatusIsNoSuccess(t *testing.T) {
+	h := newHarness(t)
+	h.server.Config.Handler = http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		conn, _, err := w.(http.Hijacker).Hijack()
+		if err == nil {
+			_, _ = io.WriteString(conn, "HTTP/1.1 000 OK\r\nContent-Length: 2\r\n\r\n{}")
+			_ = conn.Close()
+		}
+	})
+	code, output := h.run("status")
+	qt.Assert(t, code, qt.Equals, ExitUnreachable, qt.Commentf("%s", output))
+}
+
 func TestCommandsWhileStoreIsDown(t *testing.T) {
 	h := newEmptyHarness(t, 2*time.Second)
 	h.applySample()
--- a/operator/client.go
+++ b/operator/client.go
@@ -62,7 +62,7 @@
 	if err != nil {
 		return unreachableError(err)
 	}
-	if response.StatusCode < http.StatusMultipleChoices {
+	if response.StatusCode >= http.StatusOK && response.StatusCode < http.StatusMultipleChoices {
 		return nil
 	}
 	return refusalError(response, &failed)
