Tell a reset from the end of a response without a length

Cause: the kernel reports the reset of a connection once. While the upload is still written, the write may be told of it; the read that follows finds an end, as after a regular close, which ends a response without a length.

Change: at the end of such a response the state of the socket decides: it is whole if the target has closed its direction in order and nothing has failed since (CLOSE_WAIT). The package that reads all responses asks for it.

--- a/node/sidecar/statement.go
+++ b/node/sidecar/statement.go
@@ -102,10 +102,10 @@
 }
 
 // reportRefused logs that bytes of the target were not taken for an answer: they do not follow
-// the grammar, or exceed its limits.
+// the grammar, exceed its limits, or were cut off by a reset.
 func (t *target) reportRefused(request string, err error) {
 	var malformed *strictconn.MalformedError
-	if !errors.Is(err, upstream.ErrOversizedHead) && !errors.As(err, &malformed) {
+	if !errors.Is(err, upstream.ErrOversizedHead) && !errors.Is(err, strictconn.ErrReset) && !errors.As(err, &malformed) {
 		return
 	}
 	id, _, _ := t.identity()
--- a/node/sockets/sockets.go
+++ b/node/sockets/sockets.go
@@ -10,6 +10,8 @@
 	"net"
 	"syscall"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
 const (
@@ -23,6 +25,9 @@
 	keepAliveCount    = 2
 	// tcpUserTimeout is the socket option TCP_USER_TIMEOUT of linux/tcp.h.
 	tcpUserTimeout = 18
+	// tcpCloseWait is the state TCP_CLOSE_WAIT of linux/tcp.h: the peer has ended its
+	// direction of the connection, and nothing has failed since.
+	tcpCloseWait = 8
 )
 
 var keepAlive = net.KeepAliveConfig{Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: keepAliveCount}
@@ -93,3 +98,24 @@
 	})
 	return alive && err == nil
 }
+
+// ClosedInOrder reports whether a connection that has been read to its end was closed by its
+// peer in order. A reset ends the reads in the same way once a write has been told of it:
+// the kernel reports the reset once. It returns true for a connection that is not a TCP
+// connection.
+func ClosedInOrder(conn net.Conn) bool {
+	c, ok := conn.(syscall.Conn)
+	if !ok {
+		return true
+	}
+	raw, err := c.SyscallConn()
+	if err != nil {
+		return false
+	}
+	inOrder := false
+	err = raw.Control(func(fd uintptr) {
+		info, err := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO)
+		inOrder = err == nil && info.State == tcpCloseWait
+	})
+	return err == nil && inOrder
+}
--- a/node/strictconn/strictconn.go
+++ b/node/strictconn/strictconn.go
@@ -21,6 +21,8 @@
 	"sync"
 
 	"github.com/VictoriaMetrics/metrics"
+
+	"zinniafall/node/sockets"
 )
 
 // Limits bounds the heads of responses, the trailers of chunked bodies and the size lines of
@@ -38,6 +40,9 @@
 // ErrUnasked reports bytes that arrived while no response was expected.
 var ErrUnasked = errors.New("the server sent bytes that follow no request")
 
+// ErrReset reports a response without a length whose connection was reset.
+var ErrReset = errors.New("the connection was reset before the end of the response")
+
 // Reason says which part of the grammar a response breaks.
 type Reason string
 
@@ -171,6 +176,8 @@
 		reason = "too_long"
 	case errors.Is(err, ErrUnasked):
 		reason = "unasked"
+	case errors.Is(err, ErrReset):
+		reason = "reset"
 	default:
 		return
 	}
@@ -192,10 +199,17 @@
 	return n, nil
 }
 
-// readUntilClose reads a body that ends with its connection.
+// readUntilClose reads a body that ends with its connection. A reset ends it, too, as far as
+// a read shows, if a write of the request was told of the reset: the kernel reports it once.
 func (c *Conn) readUntilClose(p []byte) (int, error) {
 	n, err := c.reader.Read(p)
-	c.err = err
+	if err == io.EOF && !sockets.ClosedInOrder(c.Conn) {
+		err = ErrReset
+	}
+	if err != nil {
+		c.err = err
+		c.count(err)
+	}
 	return n, err
 }
 
--- a/node/strictconn/strictconn_test.go
+++ b/node/strictconn/strictconn_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"strings"
 	"testing"
+	"time"
 
 	qt "github.com/frankban/quicktest"
 )
@@ -233,3 +234,41 @@
 	qt.Check(t, n, qt.Equals, 0)
 	qt.Check(t, errors.Is(err, ErrUnasked), qt.IsTrue)
 }
+
+// TestResetResponseWithoutLengthIsIncomplete guards against a reset that a write of the
+// request is told of: the read that follows finds a regular end.
+func TestResetResponseWithoutLengthIsIncomplete(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	qt.Assert(t, err, qt.IsNil)
+	defer func() { _ = l.Close() }()
+	for _, reset := range []bool{true, false} {
+		client, err := net.Dial("tcp", l.Addr().String())
+		qt.Assert(t, err, qt.IsNil)
+		server, err := l.Accept()
+		qt.Assert(t, err, qt.IsNil)
+		c := New(client, "test", testLimits)
+		c.Expect("POST")
+		const sent = okLine + "\r\npart"
+		_, _ = io.WriteString(server, sent)
+		got := make([]byte, len(sent))
+		_, err = io.ReadFull(c, got)
+		qt.Assert(t, err, qt.IsNil)
+		if reset {
+			qt.Assert(t, server.(*net.TCPConn).SetLinger(0), qt.IsNil)
+		}
+		qt.Assert(t, server.Close(), qt.IsNil)
+		if reset {
+			for err == nil { // until the write is told of the reset
+				_, err = io.WriteString(client, "upload")
+				time.Sleep(time.Millisecond)
+			}
+		}
+		_, err = c.Read(got)
+		if reset {
+			qt.Check(t, errors.Is(err, ErrReset), qt.IsTrue, qt.Commentf("%v", err))
+		} else {
+			qt.Check(t, err, qt.Equals, io.EOF)
+		}
+		_ = client.Close()
+	}
+}
--- a/node/upstream/malformed_test.go
+++ b/node/upstream/malformed_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"bufio"
+	"bytes"
 	"errors"
 	"fmt"
 	"io"
 	"net"
+	"net/http"
 	"strings"
 	"testing"
 
@@ -71,3 +73,55 @@
 	qt.Assert(t, malformed.Reason, qt.Equals, strictconn.FieldName)
 	qt.Assert(t, strings.Contains(result.Err.Error(), "secret"), qt.IsFalse)
 }
+
+// TestResetAnswerToAnUploadIsIncomplete guards against a target that answers a long upload at
+// once without a length, and resets the connection while the upload is still written: a
+// write that is told of the reset makes the read that follows find a regular end.
+func TestResetAnswerToAnUploadIsIncomplete(t *testing.T) {
+	const tries = 60
+	for _, sent := range []int{5, 2 * MaxSmallBody} {
+		p, _ := startTarget(t, func(_ int, conn net.Conn, r *bufio.Reader) {
+			request, err := http.ReadRequest(r)
+			if err != nil {
+				return
+			}
+			_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nX-Id: %s\r\nX-Mark: m\r\n\r\n%s", request.Header.Get("X-Id"), strings.Repeat("x", sent))
+			_, _ = io.CopyN(io.Discard, r, 64<<10)
+			_ = conn.(*net.TCPConn).SetLinger(0)
+		})
+		for try := range tries {
+			request := newRequest(fmt.Sprint(try))
+			request.Method, request.Length = http.MethodPost, 8<<20
+			request.RemainingBody = bytes.NewReader(make([]byte, request.Length))
+			result := p.Do(t.Context(), request)
+			if result.Response == nil {
+				continue
+			}
+			qt.Assert(t, result.Response.Stream, qt.IsNotNil, qt.Commentf("try %d of %d bytes: %d bytes look complete", try, sent, len(result.Response.Body)))
+			qt.Check(t, result.Response.Complete, qt.IsFalse)
+			_, err := io.Copy(io.Discard, result.Response.Stream)
+			qt.Check(t, err, qt.IsNotNil, qt.Commentf("try %d of %d bytes", try, sent))
+			_ = result.Response.Stream.Close()
+		}
+	}
+}
+
+// TestEarlyAnswerWithoutLengthIsDelivered guards against an answer that is refused although its
+// target has closed the connection in order, before it read the whole upload.
+func TestEarlyAnswerWithoutLengthIsDelivered(t *testing.T) {
+	p, _ := startTarget(t, func(_ int, conn net.Conn, r *bufio.Reader) {
+		request, err := http.ReadRequest(r)
+		if err != nil {
+			return
+		}
+		_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nX-Id: %s\r\nX-Mark: m\r\n\r\nearly", request.Header.Get("X-Id"))
+		_ = conn.(*net.TCPConn).CloseWrite()
+		_, _ = io.Copy(io.Discard, request.Body)
+	})
+	request := newRequest("1")
+	request.Method, request.Length = http.MethodPost, 8<<20
+	request.RemainingBody = bytes.NewReader(make([]byte, request.Length))
+	result := p.Do(t.Context(), request)
+	qt.Assert(t, result.Err, qt.IsNil)
+	qt.Assert(t, string(result.Response.Body), qt.Equals, "early")
+}
