Reset the connection of an HTTP/1.0 caller whose answer breaks off

Cause: a body of unknown length has no framing in HTTP/1.0, so the end of the connection ends it. Both front ends closed the connection of an answer that broke off in order, as after a whole one.

Change: they close it with a reset.

--- a/node/entry/answer.go
+++ b/node/entry/answer.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"io"
 	"math"
+	"net"
 	"net/http"
 	"strconv"
 	"sync"
@@ -22,7 +23,7 @@
 // aborts the connection or stream, so that the caller cannot mistake a
 // partial answer for a complete one. A body of unknown length is flushed after
 // each read. It does not close the reply.
-func writeReply(w http.ResponseWriter, reply *execute.Reply) {
+func writeReply(w http.ResponseWriter, r *http.Request, reply *execute.Reply) {
 	if reply.Answer.Problem != nil {
 		writeProblem(w, reply.Answer.Problem)
 		return
@@ -38,10 +39,26 @@
 		return
 	}
 	if err := copyBody(w, reply.Body, reply.Answer.Length < 0); err != nil {
+		if !r.ProtoAtLeast(1, 1) && reply.Answer.Length < 0 {
+			reset(w)
+		}
 		panic(http.ErrAbortHandler)
 	}
 }
 
+// reset closes the connection with a reset. A caller with HTTP/1.0 takes a regular end for that
+// of a body without a length.
+func reset(w http.ResponseWriter) {
+	conn, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		return
+	}
+	if tcp, ok := conn.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0)
+	}
+	_ = conn.Close()
+}
+
 // copyBody copies until io.EOF. If flush is set, it flushes after each read:
 // an answer of unknown length may be a stream that the target sends piece by
 // piece.
--- a/node/entry/ingress.go
+++ b/node/entry/ingress.go
@@ -79,7 +79,7 @@
 	if p := reply.Answer.Problem; p != nil {
 		span.Fail(string(p.Kind))
 	}
-	writeReply(w, reply)
+	writeReply(w, r, reply)
 }
 
 // coverEarlierRequests makes the refusal hold for every request that was sent
--- a/node/front/front_test.go
+++ b/node/front/front_test.go
@@ -11,6 +11,7 @@
 	"slices"
 	"strings"
 	"testing"
+	"testing/iotest"
 	"time"
 
 	qt "github.com/frankban/quicktest"
@@ -74,6 +75,32 @@
 	qt.Assert(c.t, errors.Is(err, io.EOF), qt.IsTrue, qt.Commentf("%v", err))
 }
 
+// brokenStream is a body that breaks off after its first part.
+type brokenStream struct{ io.Reader }
+
+func newBrokenStream() io.ReadCloser {
+	return brokenStream{io.MultiReader(strings.NewReader("part"), iotest.ErrReader(errors.New("the target broke off its answer")))}
+}
+
+func (brokenStream) Close() error { return nil }
+
+// Guards against a response that breaks off and looks whole to a caller with HTTP/1.0, which
+// takes the end of the connection for that of a body without a length.
+func TestBrokenResponseIsNotWhole(t *testing.T) {
+	_, addr := startServer(t, testLimits, func(context.Context, *Request) *Response {
+		return &Response{Status: 200, Stream: newBrokenStream(), Length: -1}
+	})
+	for _, version := range []string{"HTTP/1.0", "HTTP/1.1"} {
+		c := dial(t, addr)
+		c.send("GET / " + version + "\r\nHost: h\r\n\r\n")
+		response, err := http.ReadResponse(c.r, nil)
+		if err == nil {
+			_, err = io.ReadAll(response.Body)
+		}
+		qt.Check(t, err, qt.IsNotNil, qt.Commentf("%s", version))
+	}
+}
+
 func get(path string) string { return "GET " + path + " HTTP/1.1\r\nHost: h\r\n\r\n" }
 
 func echo(_ context.Context, r *Request) *Response {
--- a/node/front/write.go
+++ b/node/front/write.go
@@ -73,11 +73,22 @@
 	_ = c.net.SetWriteDeadline(time.Now().Add(WriteTimeout))
 	writeHead(w, r, last, bodiless, chunked)
 	if !bodiless && !c.writeBody(w, r, chunked) {
+		if unframed := r.Stream != nil && r.Length < 0 && !chunked; unframed {
+			c.reset()
+		}
 		return false
 	}
 	return w.Flush() == nil && !last
 }
 
+// reset closes the connection with a reset, since a regular end would also end the body.
+func (c *conn) reset() {
+	if tcp, ok := c.net.(interface{ SetLinger(seconds int) error }); ok {
+		_ = tcp.SetLinger(0)
+	}
+	_ = c.net.Close()
+}
+
 // writeHead writes the status line and the header. It replaces the handler's
 // message framing and connection fields by those that apply to this connection.
 // A response without a body keeps the handler's Content-Length: the answer to
