--- a/node/front/write.go
+++ b/node/front/write.go
@@ -156,17 +156,20 @@
 }
 
 // chunkWriter writes each part as one chunk of the chunked transfer coding.
-type chunkWriter struct{ w io.Writer }
+type chunkWriter struct {
+	w     io.Writer
+	frame []byte // reused, since a long body has many parts
+}
 
 func (c *chunkWriter) Write(b []byte) (int, error) {
 	if len(b) == 0 {
 		return 0, nil
 	}
-	frame := strconv.AppendInt(make([]byte, 0, len(b)+12), int64(len(b)), 16)
-	frame = append(frame, "\r\n"...)
-	frame = append(frame, b...)
-	frame = append(frame, "\r\n"...)
-	if _, err := c.w.Write(frame); err != nil {
+	c.frame = strconv.AppendInt(c.frame[:0], int64(len(b)), 16)
+	c.frame = append(c.frame, "\r\n"...)
+	c.frame = append(c.frame, b...)
+	c.frame = append(c.frame, "\r\n"...)
+	if _, err := c.w.Write(c.frame); err != nil {
 		return 0, err
 	}
 	return len(b), nil
