Close a connection whose request body was not read to its end

Cause: after the handler of a streamed body the server read one byte to see whether the body had ended, and took every error for its end, a timeout as well. The answer went out without Connection: close. The byte was also taken from a handler that still read the body while its answer was sent, so that a target would have got an upload without it.

Change: the body itself records that it was read to its end; only then may another request follow, and otherwise the answer says Connection: close. Nothing else reads from the connection before the reading of the body has ended or the answer is written.

--- a/node/front/body.go
+++ b/node/front/body.go
@@ -6,6 +6,8 @@
 	"io"
 	"net"
 	"net/http"
+	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -14,7 +16,7 @@
 // rejected or, after any other read error, the requests in flight canceled.
 func (c *conn) readBody(r *Request, limits Limits) bool {
 	c.limited.N = unlimited
-	c.setReadDeadline(time.Now().Add(bodyTimeout))
+	c.setReadDeadline(time.Now().Add(c.server.opts.BodyTimeout))
 	limited := http.MaxBytesReader(nil, r.Request.Body, limits.BodyBytes)
 	var head bytes.Buffer
 	if r.Length > 0 && r.Length <= maxBufferedBody {
@@ -39,19 +41,64 @@
 	}
 	r.Body = head.Bytes()
 	if head.Len() > maxBufferedBody {
-		r.Rest = &deadlineReader{conn: c.net, reader: limited}
+		r.Rest = c.newStreamedBody(limited)
 	}
 	return true
 }
 
-// deadlineReader renews the read deadline before each read of a streamed
-// body.
-type deadlineReader struct {
-	conn   net.Conn
-	reader io.Reader
+// errBodyStopped reports a body that is read after its request was answered.
+var errBodyStopped = errors.New("the request was answered before its body was read")
+
+// streamedBody is a body that is read while its request is served. It renews the read deadline
+// before each read.
+type streamedBody struct {
+	conn    net.Conn
+	timeout time.Duration
+	reader  io.Reader
+	stopped atomic.Bool
+	// done is closed when nothing more can be read: at the end or after an error.
+	done chan struct{}
+
+	mu  sync.Mutex // held by the goroutine that reads
+	err error
+}
+
+func (c *conn) newStreamedBody(reader io.Reader) *streamedBody {
+	return &streamedBody{conn: c.net, timeout: c.server.opts.BodyTimeout, reader: reader, done: make(chan struct{})}
+}
+
+func (b *streamedBody) Read(p []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.err != nil {
+		return 0, b.err
+	}
+	_ = b.conn.SetReadDeadline(time.Now().Add(b.timeout))
+	if b.stopped.Load() { // after the deadline was set, which stop would miss otherwise
+		return 0, errBodyStopped
+	}
+	n, err := b.reader.Read(p)
+	if err != nil {
+		b.err = err
+		close(b.done)
+	}
+	return n, err
+}
+
+// complete reports whether the body was read to its end.
+func (b *streamedBody) complete() bool {
+	select {
+	case <-b.done:
+		return b.err == io.EOF
+	default:
+		return false
+	}
 }
 
-func (r *deadlineReader) Read(b []byte) (int, error) {
-	_ = r.conn.SetReadDeadline(time.Now().Add(bodyTimeout))
-	return r.reader.Read(b)
+// stop ends a read in progress and all further ones.
+func (b *streamedBody) stop() {
+	b.stopped.Store(true)
+	_ = b.conn.SetReadDeadline(time.Now())
+	b.mu.Lock()
+	defer b.mu.Unlock()
 }
--- a/node/front/front.go
+++ b/node/front/front.go
@@ -26,8 +26,8 @@
 	// maxBufferedBody is the length in bytes up to which a body is read before
 	// the handler is called. Longer bodies are streamed.
 	maxBufferedBody = 256 << 10
-	// bodyTimeout limits the time between reads of a body.
-	bodyTimeout = 10 * time.Second
+	// defaultBodyTimeout limits the time between reads of a body.
+	defaultBodyTimeout = 10 * time.Second
 	// WriteTimeout limits the time for a caller to accept one part of a response.
 	WriteTimeout = 10 * time.Second
 	// lingerTimeout limits the wait for a caller to read the last response.
@@ -100,6 +100,8 @@
 	Panicked func(value any, stack []byte)
 	// MaxConnections limits the open connections.
 	MaxConnections int
+	// BodyTimeout limits the time between reads of a body; 0 means 10 s.
+	BodyTimeout time.Duration
 }
 
 // Server serves the connections of callers.
@@ -120,6 +122,9 @@
 
 // New returns a server.
 func New(opts Options) *Server {
+	if opts.BodyTimeout == 0 {
+		opts.BodyTimeout = defaultBodyTimeout
+	}
 	return &Server{opts: opts, conns: make(map[*conn]struct{})}
 }
 
@@ -178,13 +183,14 @@
 // pendingResponse is the position of one response in the order of its
 // connection.
 type pendingResponse struct {
-	ready    chan *Response // receives the response of the handler
-	method   string
-	last     bool // the connection is closed after this response
-	http10   bool
-	refusal  bool          // it refuses a request that began after CloseIdle
-	interim  bool          // a 100 Continue instead of a final response
-	bodyDone chan struct{} // closed when the handler is done with a streamed body; nil without one
+	ready   chan *Response // receives the response of the handler
+	method  string
+	last    bool // the connection is closed after this response
+	http10  bool
+	refusal bool // it refuses a request that began after CloseIdle
+	interim bool // a 100 Continue instead of a final response
+	// written is closed when the response to a streamed body was written or discarded.
+	written chan struct{}
 }
 
 // open registers a new connection.
@@ -404,20 +410,14 @@
 	if !c.readBody(r, limits) {
 		return false
 	}
-	if r.Rest != nil {
-		p.bodyDone = make(chan struct{})
+	if body, streamed := r.Rest.(*streamedBody); streamed {
+		p.written = make(chan struct{})
+		c.enqueue(p)
+		return c.handleStreamed(r, p, body)
 	}
 	c.enqueue(p)
-	go func() {
-		p.ready <- c.handle(r)
-		if p.bodyDone != nil {
-			close(p.bodyDone)
-		}
-	}()
-	if p.bodyDone == nil {
-		return !p.last
-	}
-	return c.awaitStreamedBody(r, p)
+	go func() { p.ready <- c.handle(r) }()
+	return !p.last
 }
 
 // handle runs the handler. A panic ends the connection only.
@@ -431,13 +431,24 @@
 	return c.server.opts.Handle(c.ctx, r)
 }
 
-// awaitStreamedBody waits until the handler is done with a streamed body. A
-// connection whose body was not read to its end cannot serve another request.
-// It reports whether the connection accepts further requests.
-func (c *conn) awaitStreamedBody(r *Request, p *pendingResponse) bool {
-	<-p.bodyDone
-	n, _ := r.Request.Body.Read(make([]byte, 1))
-	return n == 0 && !p.last
+// handleStreamed runs the handler of a request with a streamed body. A connection whose body
+// was not read to its end cannot serve another request: what follows may be the rest of the
+// body, also after an error such as a timeout. Nothing else reads from the connection until
+// the handler, and what it has left to read the body, is done with it or the response is
+// written. It reports whether the connection accepts further requests.
+func (c *conn) handleStreamed(r *Request, p *pendingResponse, body *streamedBody) bool {
+	response := c.handle(r)
+	p.last = p.last || !body.complete()
+	p.ready <- response
+	if !p.last {
+		return true
+	}
+	select {
+	case <-body.done:
+	case <-p.written:
+	}
+	body.stop()
+	return false
 }
 
 // headerBytes returns the approximate size of a request's header on the wire.
--- a/node/front/write.go
+++ b/node/front/write.go
@@ -29,10 +29,13 @@
 			// canceled, and nobody reads their responses.
 			go discard(p)
 			c.responseDone()
+			p.recordWritten()
 			continue
 		}
 		response := <-p.ready
-		if !c.writeResponse(w, p, response) {
+		written := c.writeResponse(w, p, response)
+		p.recordWritten()
+		if !written {
 			ended = true
 			c.cancel()
 			// Unblocks the reading goroutine, also if it is about to set a deadline of its own.
@@ -43,6 +46,13 @@
 	}
 }
 
+// recordWritten tells the goroutine that serves a streamed body that the response is done with.
+func (p *pendingResponse) recordWritten() {
+	if p.written != nil {
+		close(p.written)
+	}
+}
+
 // discard waits for the response of the handler and closes its stream.
 func discard(p *pendingResponse) {
 	if r := <-p.ready; r != nil && r.Stream != nil {
--- a/node/server/path_test.go
+++ b/node/server/path_test.go
@@ -1,10 +1,12 @@
 package server
 
 import (
+	"bufio"
 	"bytes"
 	"context"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"strconv"
 	"strings"
@@ -460,3 +462,34 @@
 	qt.Assert(t, g.err != nil || g.status == http.StatusBadRequest, qt.IsTrue, qt.Commentf("%+v", g))
 	qt.Assert(t, runs.Load(), qt.Equals, int64(0))
 }
+
+// Guards against the rest of a body that is served as a request: a caller pauses amid an upload
+// for longer than the body may take, and then sends on.
+func TestRestOfAPausedBodyIsNoRequest(t *testing.T) {
+	t.Parallel()
+	var inner atomic.Int64
+	f := newTestFleet(t)
+	node := f.add("a", func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/inner" {
+			inner.Add(1)
+		}
+		echo(w, r)
+	})
+	f.ready()
+	const size, first = 100 << 10, 80 << 10
+	fields := "Host: " + testService + "\r\n" + entry.HeaderAccountKey + ": " + testKey + "\r\n"
+	conn, err := net.Dial("tcp", strings.TrimPrefix(node.url, "http://"))
+	qt.Assert(t, err, qt.IsNil)
+	defer func() { _ = conn.Close() }()
+	_, err = fmt.Fprintf(conn, "POST /up HTTP/1.1\r\n%s%s: 50\r\nContent-Length: %d\r\n\r\n%s", fields, execute.HeaderTimeout, size, strings.Repeat("x", first))
+	qt.Assert(t, err, qt.IsNil)
+	reader := bufio.NewReader(conn)
+	response, err := http.ReadResponse(reader, nil)
+	if err == nil {
+		qt.Check(t, response.StatusCode >= http.StatusInternalServerError, qt.IsTrue, qt.Commentf("%d", response.StatusCode))
+		_, _ = io.Copy(io.Discard, response.Body)
+		_, _ = io.WriteString(conn, "POST /inner HTTP/1.1\r\n"+fields+"Content-Length: 0\r\n\r\n"+strings.Repeat("x", size-first))
+		_, _ = io.Copy(io.Discard, reader) // until the node closes the connection
+	}
+	qt.Check(t, inner.Load(), qt.Equals, int64(0))
+}
