Decide who the target is from its health answers and announcements together

Cause: an announcement named the target, with its service and start, and the health answer proved an ID; each was adopted without the other. So an ID that the health answer showed kept the service and the start of somebody else's announcement: calls of a wrong service carried the right ID, and the target's own announcements counted as old.

Change: the service is that of the settings. While a health answer shows which ID has the address, an announcement of another ID is kept until one shows it, and is then applied whatever start it states; the start of a target that is known by its health alone is unknown, not its predecessor's. A departure under the present ID that states an earlier start takes effect if the next health answer is a refusal as well. Departures that are not applied are kept and stored before they are acknowledged.

--- a/node/sidecar/announce.go
+++ b/node/sidecar/announce.go
@@ -39,13 +39,17 @@
 	Born int64
 }
 
-// unhealthyAnswer identifies the last health answer in which a target was not
-// ready.
-type unhealthyAnswer struct {
+// healthAnswer identifies the target that a health answer came from.
+type healthAnswer struct {
 	id string
 	at time.Time
 }
 
+// isRecent reports whether the answer is that of a target and no older than maxUnhealthyAge.
+func (h healthAnswer) isRecent(id string) bool {
+	return id != "" && h.id == id && time.Since(h.at) < maxUnhealthyAge
+}
+
 // recordAnnouncement applies an announcement. It returns an error if the announcement is
 // invalid, and ErrDepartureNotStored if it is that of a departure and the store does not have
 // it yet. Stale announcements are ignored without an error.
@@ -67,10 +71,11 @@
 func (t *target) applyAnnouncement(a Announcement) {
 	t.mu.Lock()
 	if t.isStale(a) {
-		newestStartMs, newestSequence := t.startedMs, t.sequence
+		newestStartMs, newestSequence, shown := t.newestStartMs, t.sequence, t.shown.id
+		t.keepUnconfirmed(a)
 		t.mu.Unlock()
-		t.node.log.Info("old announcement ignored", "part", "target", "target", a.ID, "born", a.Born, "sequence", a.Sequence,
-			"newest_born", newestStartMs, "newest_sequence", newestSequence)
+		t.node.log.Info("announcement not applied", "part", "target", "target", a.ID, "born", a.Born, "sequence", a.Sequence,
+			"draining", a.Draining, "newest_born", newestStartMs, "newest_sequence", newestSequence, "health_shows", shown)
 		return
 	}
 	if a.Draining && !t.withdrawn(a.ID, a.Born) {
@@ -82,7 +87,7 @@
 	restarted := t.id != "" && isNew && !foundBefore
 	wasLeaving := t.leaving
 	t.foundByHealth = false
-	t.id, t.startedMs, t.sequence = a.ID, a.Born, a.Sequence
+	t.id, t.startedMs, t.newestStartMs, t.sequence = a.ID, a.Born, a.Born, a.Sequence
 	t.service, t.version, t.slots = a.Service, a.Version, a.Slots
 	t.leaving = a.Draining
 	if t.addr != a.Address {
@@ -126,18 +131,59 @@
 	return false
 }
 
-// isStale reports whether an announcement was superseded by a later one or by a
-// later target at the same address. The caller must hold t.mu.
+// isStale reports whether an announcement is that of another process than the target. The
+// health answers show which process has the address. The starts that announcements state
+// decide only between processes of one ID, and where no health answer is recent: they are
+// times of day, which may jump. The caller must hold t.mu.
 func (t *target) isStale(a Announcement) bool {
 	switch {
-	case a.ID == t.id && t.foundByHealth:
-		return a.Born < t.startedMs
-	case a.Born == t.startedMs && a.ID == t.id:
+	case a.ID == t.id && a.Born == t.startedMs && !t.foundByHealth:
 		return a.Sequence <= t.sequence
+	case a.ID == t.id:
+		return a.Born < t.startedMs
+	case t.shown.isRecent(a.ID):
+		return false
+	case t.shown.isRecent(t.id):
+		return true
 	case t.foundByHealth:
-		return a.Born <= t.startedMs
+		return a.Born <= t.newestStartMs
 	}
-	return a.Born < t.startedMs
+	return a.Born < t.newestStartMs
+}
+
+// keepUnconfirmed keeps an announcement that was not applied, since the next health answer may
+// show that it is the target's. A departure binds whether the target is known or not. The
+// caller must hold t.mu.
+func (t *target) keepUnconfirmed(a Announcement) {
+	if a.ID == t.id && !a.Draining {
+		return // an earlier state of the target
+	}
+	if a.Draining && a.ID != t.id && !t.withdrawn(a.ID, a.Born) {
+		t.keepWithdrawal(a.ID, a.Born)
+	}
+	t.unconfirmed = a
+	t.probeNow()
+}
+
+// confirm returns the announcement that a health answer of a target shows to be that of the
+// process which answers, if there is one. departs is true if it is one of the ID that the
+// target has, which states an earlier start and that it drains, as the answer does: the start
+// is wrong then. The caller must hold t.mu.
+func (t *target) confirm(id string, healthy bool) (a Announcement, confirmed, departs bool) {
+	if a = t.unconfirmed; a.ID != id || id == "" {
+		return a, false, false
+	}
+	t.unconfirmed = Announcement{}
+	if id != t.id {
+		return a, true, false
+	}
+	if healthy || a.Born >= t.startedMs {
+		return a, false, false
+	}
+	t.leaving = true
+	t.keepWithdrawal(id, a.Born)
+	t.node.owner.setGate(dispatch.GateDraining, true)
+	return a, false, true
 }
 
 // validate returns an error if the announcement cannot come from a target on
@@ -159,6 +205,8 @@
 		return fmt.Errorf("the version has %d bytes; state at most %d", len(a.Version), maxVersionBytes)
 	case a.Slots < 1 || a.Slots > maxSlots:
 		return fmt.Errorf("%d slots are stated; state 1 to %d", a.Slots, maxSlots)
+	case a.Service != t.ownService():
+		return fmt.Errorf("service %q is not that of this VM, %q", a.Service, t.ownService())
 	}
 	if table := t.node.configuration.current(); table != nil {
 		if _, ok := table.Services[a.Service]; !ok {
@@ -179,6 +227,10 @@
 		t.leaving = true
 		t.node.owner.setGate(dispatch.GateDraining, true)
 	}
+	if id == t.id && !isCurrent { // or its clock was ahead when the target stated its start
+		t.unconfirmed = Announcement{ID: id, Born: startedMs, Draining: true}
+		t.probeNow()
+	}
 	latestStartMs = startedMs
 	if latestStartMs == 0 && isCurrent && !t.foundByHealth {
 		latestStartMs = t.startedMs
--- a/node/sidecar/probe.go
+++ b/node/sidecar/probe.go
@@ -216,13 +216,18 @@
 	leaving := t.statesLeaving(r.Header)
 	t.mu.Lock()
 	isNew := id != t.id
-	if r.Status != http.StatusOK && r.Header.Get(t.node.dialect.NotRun) == "" { // a full target rejects it
-		t.lastUnhealthy = unhealthyAnswer{id: id, at: time.Now()}
+	healthy := r.Status == http.StatusOK || r.Header.Get(t.node.dialect.NotRun) != "" // a full target rejects it
+	if !healthy {
+		t.lastUnhealthy = healthAnswer{id: id, at: time.Now()}
 	}
+	if pool == t.health {
+		t.shown = healthAnswer{id: id, at: time.Now()}
+	}
+	announcement, confirmed, departs := t.confirm(id, healthy)
 	closed := t.closeIfMayHaveLeft()
 	adopt := isNew && r.Status == http.StatusOK && (hasLoad && load.Slots > 0)
 	if adopt {
-		t.id, t.slots, t.sequence, t.foundByHealth = id, load.Slots, 0, true
+		t.id, t.service, t.slots, t.startedMs, t.sequence, t.foundByHealth = id, t.ownService(), load.Slots, 0, 0, true
 		t.leaving = leaving || t.hasLeft()
 		t.version = "" // the announcement states it
 		t.replacePools()
@@ -232,6 +237,13 @@
 		t.node.log.Info("unhealthy target not used until the store answers", "part", "target", "target", id)
 		t.publishState()
 	}
+	if departs {
+		t.node.log.Info("target drains by its health and an announcement", "part", "target", "target", id, "born", announcement.Born)
+		t.publishState()
+	}
+	if confirmed {
+		defer t.applyAnnouncement(announcement)
+	}
 	if isNew && !adopt {
 		if leaving {
 			t.recordLeaving(id)
--- a/node/sidecar/target.go
+++ b/node/sidecar/target.go
@@ -26,17 +26,25 @@
 	// published after a later one. It is taken before mu.
 	publishing sync.Mutex
 
-	mu        sync.Mutex
-	id        string
-	service   model.Service
-	version   string
-	slots     int
+	mu      sync.Mutex
+	id      string
+	service model.Service
+	version string
+	slots   int
+	// startedMs is the start that the target stated, or 0 while foundByHealth is set.
 	startedMs int64
 	sequence  int64
+	// newestStartMs is the start that was stated in the announcement that was applied last.
+	newestStartMs int64
 	// foundByHealth is true while the target is known by its health answers
-	// only. Its process then started later than startedMs.
+	// only. Its process is another one than that which stated newestStartMs.
 	foundByHealth bool
-	leaving       bool // the target announced that it leaves
+	// shown is the last health answer that named a target, whatever its status.
+	shown healthAnswer
+	// unconfirmed is the last announcement that was not applied since the health answers
+	// show another target, or none of them that it drains. Its ID is empty if there is none.
+	unconfirmed Announcement
+	leaving     bool // the target announced that it leaves
 	// saidLeaving is true once an answer of the present process stated that it
 	// leaves.
 	saidLeaving bool
@@ -53,7 +61,7 @@
 	// suspectSince is the time of the first ready announcement that a health
 	// answer contradicts; zero if there is no contradiction.
 	suspectSince  time.Time
-	lastUnhealthy unhealthyAnswer
+	lastUnhealthy healthAnswer
 	addr          string
 	pool          *upstream.Pool
 	health        *upstream.Pool
@@ -115,6 +123,9 @@
 	t.health.Close()
 }
 
+// ownService returns the service of the targets of this VM.
+func (t *target) ownService() model.Service { return t.node.live.Load().Service }
+
 // identity returns the properties of the target that a call needs.
 func (t *target) identity() (id string, service model.Service, pool *upstream.Pool) {
 	t.mu.Lock()
