Carry header fields of any bytes and number between nodes

Cause: the messages between nodes are CBOR, whose texts must be UTF-8, and were limited to 256 elements in a list. The receiver could not decode the message and closed the connection, so its node looked unreachable.

Change: the decoder of these messages takes texts of any bytes, and lists of up to 16,384 elements; a message still has at most 256 KiB.

Evidence: TestOddHeaderFieldsReachTheTarget and TestHeaderFieldsOfAnyBytesAndNumber fail before and pass.

--- a/node/peer/message.go
+++ b/node/peer/message.go
@@ -45,8 +45,11 @@
 	// maxHeadBytes bounds the frame of a request or an answer in bytes,
 	// including an inline body.
 	maxHeadBytes = 256 << 10
-	// maxHeadFields bounds the number of header fields of a call.
-	maxHeadFields = 256
+	// maxHeadFields bounds the number of header fields of a call: as many of the shortest
+	// as fit the longest header that a node accepts from callers.
+	maxHeadFields = 16 << 10
+	// maxPairs bounds the fields of a message.
+	maxPairs = 256
 	// lengthBytes is the size in bytes of the length prefix of a frame.
 	lengthBytes = 4
 )
@@ -162,7 +165,7 @@
 
 var (
 	encodeMode = mustEncodeMode()
-	decodeMode = strictcbor.Decoder(strictcbor.Limits{Elements: maxHeadFields, Pairs: maxHeadFields})
+	decodeMode = strictcbor.Decoder(strictcbor.Limits{Elements: maxHeadFields, Pairs: maxPairs, AnyBytes: true})
 
 	// framePool holds buffers for messages being written or read.
 	framePool = sync.Pool{New: func() any { return new(bytes.Buffer) }}
--- a/node/peer/peer_test.go
+++ b/node/peer/peer_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"sync"
@@ -283,3 +284,18 @@
 	}
 	qt.Check(t, (&Answer{Problem: problem.New(problem.Draining, model.RunNo, "")}).CheckResponse(), qt.IsNil)
 }
+
+// Guards against header fields that callers may send and that end the connection between two
+// nodes, with the calls beside them: values in Latin-1, and more fields than 256.
+func TestHeaderFieldsOfAnyBytesAndNumber(t *testing.T) {
+	request := Request{Kind: KindCall, URI: "/caf\xe9", Header: []Field{{"X-Name", "Sch\xf6n"}}}
+	for i := range 6000 {
+		request.Header = append(request.Header, Field{fmt.Sprintf("X-%d", i), "v"})
+	}
+	var frame bytes.Buffer
+	qt.Assert(t, Encode(&frame, &request), qt.IsNil)
+	var got Request
+	qt.Assert(t, Decode(&frame, &got), qt.IsNil)
+	qt.Assert(t, got.URI, qt.Equals, request.URI)
+	qt.Assert(t, got.Header, qt.DeepEquals, request.Header)
+}
--- a/node/sidecar/call_test.go
+++ b/node/sidecar/call_test.go
@@ -1,11 +1,13 @@
 package sidecar
 
 import (
+	"bufio"
 	"context"
 	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"slices"
 	"strconv"
@@ -434,3 +436,25 @@
 	n.Stop(context.Background())
 	qt.Assert(t, grace.Err(), qt.IsNil)
 }
+
+// Guards against a call whose header the connection to its owner does not carry: the call fails,
+// and those beside it are refused since the owner looks unreachable.
+func TestOddHeaderFieldsReachTheTarget(t *testing.T) {
+	entry, ownerA, ownerB := startEntryAndOwners(t)
+	conn, err := net.Dial("tcp", entry.settings.Callers)
+	qt.Assert(t, err, qt.IsNil)
+	defer func() { _ = conn.Close() }()
+	var fields strings.Builder
+	for i := range 300 {
+		_, _ = fmt.Fprintf(&fields, "X-%d: v\r\n", i)
+	}
+	_, err = fmt.Fprintf(conn, "POST /unsafe/x HTTP/1.1\r\nHost: back\r\nX-Id: 1\r\nX-Name: Sch\xf6n\r\n%sContent-Length: 0\r\n\r\n", fields.String())
+	qt.Assert(t, err, qt.IsNil)
+	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, response.StatusCode, qt.Equals, http.StatusOK)
+	ran := append(ownerA.target.requests(), ownerB.target.requests()...)
+	qt.Assert(t, ran, qt.HasLen, 1)
+	qt.Assert(t, ran[0].Header.Get("X-Name"), qt.Equals, "Sch\xf6n")
+	qt.Assert(t, ran[0].Header.Get("X-299"), qt.Equals, "v")
+}
--- a/policy/strictcbor/strictcbor.go
+++ b/policy/strictcbor/strictcbor.go
@@ -19,6 +19,8 @@
 	Pairs int
 	// KnownFields rejects fields that the destination type does not have.
 	KnownFields bool
+	// AnyBytes accepts text that is not UTF-8, such as header values in Latin-1.
+	AnyBytes bool
 }
 
 // Decoder returns a decoder with the given limits. It panics if a limit is
@@ -38,6 +40,9 @@
 	if limits.KnownFields {
 		options.ExtraReturnErrors = cbor.ExtraDecErrorUnknownField
 	}
+	if limits.AnyBytes {
+		options.UTF8 = cbor.UTF8DecodeInvalid
+	}
 	mode, err := options.DecMode()
 	if err != nil {
 		panic(err)
