Fuzz the framing of responses against the parser of net/http

Cause: where the check of the grammar and the parser end a response differently, a part of it would be read as the next one. Change: FuzzFraming compares both, for GET and HEAD.

--- a/node/strictconn/strictconn_test.go
+++ b/node/strictconn/strictconn_test.go
@@ -272,3 +272,49 @@
 		_ = client.Close()
 	}
 }
+
+// FuzzFraming requires that the parser of net/http ends a response where the Conn does: where
+// they differ, a part of the response would be read as the next one.
+func FuzzFraming(f *testing.F) {
+	for _, seed := range []string{
+		okLine + "Content-Length: 2\r\n\r\nok" + okLine,
+		okLine + "Transfer-Encoding: chunked\r\n\r\n3;a=b\r\nhel\r\n2\r\nlo\r\n0\r\nX-A: b\r\n\r\n",
+		"HTTP/1.1 103 Hints\r\nX-A: b\r\n\r\nHTTP/1.1 204 No Content\r\n\r\n" + okLine,
+		"HTTP/1.0 404\r\n\r\nbody", okLine + "Content-Length: 1\r\nContent-Length: 1\r\n\r\nx", "HTTP/1.1 304 \r\nContent-Length: 9\r\n\r\n",
+		"HTTP/1.1 205 Reset\r\nContent-Length: 1\r\n\r\nx", okLine + "Connection: close\r\nTrailer: X-A\r\n\r\nx",
+	} {
+		f.Add([]byte(seed), false)
+		f.Add([]byte(seed), true)
+	}
+	f.Fuzz(func(t *testing.T, sent []byte, isHead bool) {
+		method := http.MethodGet
+		if isHead {
+			method = http.MethodHead
+		}
+		client, server := net.Pipe()
+		go func() {
+			_, _ = server.Write(sent)
+			_ = server.Close()
+		}()
+		defer func() { _ = client.Close() }()
+		c := New(client, "test", testLimits)
+		c.Expect(method)
+		reader := bufio.NewReader(c)
+		for {
+			response, err := http.ReadResponse(reader, &http.Request{Method: method})
+			if err != nil {
+				return
+			}
+			if response.StatusCode < http.StatusOK {
+				continue
+			}
+			if _, err := io.Copy(io.Discard, response.Body); err != nil {
+				return
+			}
+			if c.state != stateStatusLine && c.err != io.EOF || reader.Buffered() > 0 {
+				t.Fatalf("the parser ends a response in state %d, with %d bytes left", c.state, reader.Buffered())
+			}
+			return
+		}
+	})
+}
