Let an announcement wait for health answers that show any other target

Cause: while a health answer showed a target that was not adopted yet, for instance one that is not well, a late announcement of a third one was applied. Its calls would have been answered 421. Change: while a health answer is less than a second old, only announcements of the ID that it shows are applied. A constant and a log line have clearer names. Result: the tests of targets, announcements and departures pass.

--- a/node/sidecar/announce.go
+++ b/node/sidecar/announce.go
@@ -10,11 +10,11 @@
 )
 
 const (
-	// maxUnhealthyAge is the age up to which an unhealthy answer makes an
-	// announcement suspect, and suspectPeriod is how long it stays suspect:
-	// announcements come every second or two, and delayed ones arrive together.
-	maxUnhealthyAge = time.Second
-	suspectPeriod   = time.Second
+	// maxHealthAge is the age up to which a health answer shows which target has the address,
+	// and an unhealthy one makes an announcement suspect. suspectPeriod is how long it stays
+	// suspect: announcements come every second or two, and delayed ones arrive together.
+	maxHealthAge  = time.Second
+	suspectPeriod = time.Second
 	// maxVersionBytes bounds the length of the version that a target may announce.
 	maxVersionBytes = 256
 	// maxSlots bounds the number of slots that a target may announce.
@@ -45,10 +45,8 @@
 	at time.Time
 }
 
-// isRecent reports whether the answer is that of a target and no older than maxUnhealthyAge.
-func (h healthAnswer) isRecent(id string) bool {
-	return id != "" && h.id == id && time.Since(h.at) < maxUnhealthyAge
-}
+// isRecent reports whether there is an answer that is no older than maxHealthAge.
+func (h healthAnswer) isRecent() bool { return h.id != "" && time.Since(h.at) < maxHealthAge }
 
 // recordAnnouncement applies an announcement. It returns an error if the announcement is
 // invalid, and ErrDepartureNotStored if it is that of a departure and the store does not have
@@ -116,7 +114,7 @@
 	}
 	now := time.Now()
 	switch {
-	case isNew && t.lastUnhealthy.id == a.ID && now.Sub(t.lastUnhealthy.at) < maxUnhealthyAge:
+	case isNew && t.lastUnhealthy.id == a.ID && now.Sub(t.lastUnhealthy.at) < maxHealthAge:
 		t.suspectSince = now
 	case isNew:
 		t.suspectSince = time.Time{}
@@ -141,10 +139,8 @@
 		return a.Sequence <= t.sequence
 	case a.ID == t.id:
 		return a.Born < t.startedMs
-	case t.shown.isRecent(a.ID):
-		return false
-	case t.shown.isRecent(t.id):
-		return true
+	case t.shown.isRecent():
+		return a.ID != t.shown.id
 	case t.foundByHealth:
 		return a.Born <= t.newestStartMs
 	}
--- a/node/sidecar/departures.go
+++ b/node/sidecar/departures.go
@@ -246,7 +246,7 @@
 // predecessor of this node has acknowledged: an announcement that says otherwise may be late.
 // The caller must hold t.mu.
 func (t *target) mayHaveLeft(id string) bool {
-	return !t.departuresKnown && t.lastUnhealthy.isRecent(id)
+	return !t.departuresKnown && t.lastUnhealthy.id == id && t.lastUnhealthy.isRecent()
 }
 
 // closeIfMayHaveLeft closes the gate of the present target if it may have left. It reports
--- a/node/sidecar/identity_test.go
+++ b/node/sidecar/identity_test.go
@@ -29,7 +29,7 @@
 	eventually(n.t, "a health answer of "+id, func() bool {
 		n.Node.target.mu.Lock()
 		defer n.Node.target.mu.Unlock()
-		return n.Node.target.shown.isRecent(id)
+		return n.Node.target.shown.id == id
 	})
 }
 
--- a/node/sidecar/probe.go
+++ b/node/sidecar/probe.go
@@ -238,7 +238,7 @@
 		t.publishState()
 	}
 	if departs {
-		t.node.log.Info("target drains by its health and an announcement", "part", "target", "target", id, "born", announcement.Born)
+		t.node.log.Info("departure confirmed by a health answer", "part", "target", "target", id, "born", announcement.Born)
 		t.publishState()
 	}
 	if confirmed {
