--- /dev/null
+++ b/review/build-3.sh
@@ -0,0 +1,5 @@
+#!/bin/sh
+# Builds the stand-ins of the scripted cases of the third review. It needs no network.
+set -e
+cd "$(dirname "$0")/standins-3"
+GOWORK=off GOFLAGS=-mod=mod GOPROXY=off go build -o bin/standins .
--- /dev/null
+++ b/review/standins-3/instance.go
@@ -0,0 +1,130 @@
+package main
+
+import (
+	"bytes"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// instance is a stand-in of an application instance.
+type instance struct {
+	id, service, zone, addr, control string
+	slots, queue                     int
+	work                             time.Duration
+	born                             int64
+	rec                              *recorder
+
+	running, waiting atomic.Int64
+	tokens           chan struct{}
+	seq              atomic.Int64
+	stop             chan struct{}
+	listener         net.Listener
+
+	mu        sync.Mutex
+	lifecycle string
+}
+
+func startInstance(i *instance) error {
+	l, err := net.Listen("tcp4", i.addr)
+	if err != nil {
+		return err
+	}
+	i.listener, i.tokens, i.stop, i.lifecycle = l, make(chan struct{}, i.slots), make(chan struct{}), "ready"
+	i.born = time.Now().UnixMilli()
+	server := &http.Server{Handler: http.HandlerFunc(i.serve)}
+	go func() { _ = server.Serve(l) }()
+	go i.heartbeats()
+	return nil
+}
+
+func (i *instance) heartbeats() {
+	client := &http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
+	for {
+		i.mu.Lock()
+		state := i.lifecycle
+		i.mu.Unlock()
+		body, _ := json.Marshal(map[string]any{
+			"address": i.addr, "born": i.born,
+			"info":   map[string]any{"service": i.service, "version": "v1", "zone": i.zone, "capacity": i.slots},
+			"status": map[string]any{"lifecycle": state, "seq": i.seq.Add(1), "warmup_left_ms": 0},
+		})
+		if r, err := client.Post("http://"+i.control+"/v1/Instances.Heartbeat/"+i.id, "application/json", bytes.NewReader(body)); err == nil {
+			_ = r.Body.Close()
+		}
+		select {
+		case <-time.After(1500 * time.Millisecond):
+		case <-i.stop:
+			return
+		}
+	}
+}
+
+func (i *instance) load() string {
+	return fmt.Sprintf("%d,%d,%d,100", i.running.Load(), i.waiting.Load(), i.slots)
+}
+
+func (i *instance) serve(w http.ResponseWriter, r *http.Request) {
+	w.Header().Set("X-Zinniafall-Served-By", i.id)
+	w.Header().Set("X-Zinniafall-Instance-Load", i.load())
+	if r.URL.Path == "/health" {
+		w.Header().Set("X-Zinniafall-Warmup-Ms", "0")
+		return
+	}
+	id := r.Header.Get("X-Zinniafall-Request-Id")
+	w.Header().Set("X-Zinniafall-Request-Id", id)
+	if expected := r.Header.Get("X-Zinniafall-Target-Instance"); expected != "" && expected != i.id {
+		w.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		panic(http.ErrAbortHandler) // the connection broke before the request was whole: it has not run
+	}
+	if !i.take(r) {
+		w.Header().Set("X-Zinniafall-Not-Executed", "1")
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	defer func() { i.running.Add(-1); <-i.tokens }()
+	sum := sha256.Sum256(body)
+	i.rec.run(id, i.id, r.Method, r.RequestURI, len(body), hex.EncodeToString(sum[:]))
+	select {
+	case <-time.After(i.work):
+	case <-r.Context().Done():
+		panic(http.ErrAbortHandler)
+	}
+	w.Header().Set("X-Zinniafall-Instance-Load", i.load())
+	w.Header().Set("X-Zinniafall-Upstream-Signature", hex.EncodeToString(sum[:8]))
+	_, _ = io.WriteString(w, "stored "+strings.Repeat(".", 200))
+}
+
+// take waits for a slot. It returns false if the queue is full or the caller left.
+func (i *instance) take(r *http.Request) bool {
+	select {
+	case i.tokens <- struct{}{}:
+		i.running.Add(1)
+		return true
+	default:
+	}
+	if i.waiting.Add(1) > int64(i.queue) {
+		i.waiting.Add(-1)
+		return false
+	}
+	defer i.waiting.Add(-1)
+	select {
+	case i.tokens <- struct{}{}:
+		i.running.Add(1)
+		return true
+	case <-r.Context().Done():
+		return false
+	}
+}
