--- a/review/standins-3/fleet.go
+++ b/review/standins-3/fleet.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"cmp"
 	"fmt"
 	"math/rand/v2"
 	"net/http"
@@ -81,7 +82,10 @@
 // machine is one machine with its node and instance.
 type machine struct {
 	name, zone, service, ip string
+	zones, bounds           []string
 	instance                *instance
+	slots                   int
+	work                    time.Duration
 	settings                string
 	log                     string
 	cmd                     *exec.Cmd
@@ -109,7 +113,7 @@
 	if err != nil {
 		return nil, err
 	}
-	binary, err := filepath.Abs("target/zinniafalld")
+	binary, err := filepath.Abs(cmp.Or(os.Getenv("NODE_PROGRAM"), "target/zinniafalld"))
 	if err != nil {
 		return nil, err
 	}
@@ -131,12 +135,33 @@
 	n := len(f.machines) + 1
 	m := &machine{name: fmt.Sprintf("sidecar-%s-%d", zone, n), zone: zone, service: service, ip: fmt.Sprintf("%s%d", f.prefix, n)}
 	m.settings, m.log = filepath.Join(f.dir, m.name+".toml"), filepath.Join(f.dir, m.name+".log")
+	m.zones, m.bounds = zones, bounds
+	if err := f.writeSettings(m); err != nil {
+		return nil, err
+	}
+	m.slots, m.work = slots, work
+	if err := f.startInstance(m); err != nil {
+		return nil, err
+	}
+	f.machines = append(f.machines, m)
+	return m, f.start(m)
+}
+
+// startInstance starts an instance of the machine's service, with a new id.
+func (f *fleet) startInstance(m *machine) error {
+	m.instance = &instance{id: fmt.Sprintf("i-%08x", rand.Uint32()), service: m.service, zone: m.zone, addr: m.app(), control: m.control(), slots: m.slots, queue: 2 * m.slots, work: m.work, rec: f.rec}
+	f.rec.logf("instance %s of %s starts beside %s", m.instance.id, m.service, m.name)
+	return startInstance(m.instance)
+}
+
+// writeSettings writes the settings file of the machine, in one step.
+func (f *fleet) writeSettings(m *machine) error {
 	var zoneLines strings.Builder
-	for _, z := range zones {
+	for _, z := range m.zones {
 		fmt.Fprintf(&zoneLines, "%s = \"region-1\"\n", z)
 	}
-	quoted := make([]string, len(bounds))
-	for i, b := range bounds {
+	quoted := make([]string, len(m.bounds))
+	for i, b := range m.bounds {
 		quoted[i] = fmt.Sprintf("%q", b)
 	}
 	text := fmt.Sprintf(`node = "%s"
@@ -181,16 +206,12 @@
 history_s = 20
 value_bytes = 1048576
 ttl_min_ms = 1000
-`, m.name, m.ip, zone, strings.Join(quoted, ","), m.app(), service, zoneLines.String(), m.ip, m.outbound(), m.readiness(), m.control(), f.store.addr)
-	if err := os.WriteFile(m.settings, []byte(text), 0o600); err != nil {
-		return nil, err
-	}
-	m.instance = &instance{id: fmt.Sprintf("i-%04x%04x", rand.IntN(1<<16), n), service: service, zone: zone, addr: m.app(), control: m.control(), slots: slots, queue: 2 * slots, work: work, rec: f.rec}
-	if err := startInstance(m.instance); err != nil {
-		return nil, err
+`, m.name, m.ip, m.zone, strings.Join(quoted, ","), m.app(), m.service, zoneLines.String(), m.ip, m.outbound(), m.readiness(), m.control(), f.store.addr)
+	next := m.settings + ".next"
+	if err := os.WriteFile(next, []byte(text), 0o600); err != nil {
+		return err
 	}
-	f.machines = append(f.machines, m)
-	return m, f.start(m)
+	return os.Rename(next, m.settings)
 }
 
 // start starts the node's program with the command of the deploy file.
--- a/review/standins-3/instance.go
+++ b/review/standins-3/instance.go
@@ -27,7 +27,7 @@
 	tokens           chan struct{}
 	seq              atomic.Int64
 	stop             chan struct{}
-	listener         net.Listener
+	server           *http.Server
 
 	mu        sync.Mutex
 	lifecycle string
@@ -38,14 +38,20 @@
 	if err != nil {
 		return err
 	}
-	i.listener, i.tokens, i.stop, i.lifecycle = l, make(chan struct{}, i.slots), make(chan struct{}), "ready"
+	i.tokens, i.stop, i.lifecycle = make(chan struct{}, i.slots), make(chan struct{}), "ready"
 	i.born = time.Now().UnixMilli()
-	server := &http.Server{Handler: http.HandlerFunc(i.serve)}
-	go func() { _ = server.Serve(l) }()
+	i.server = &http.Server{Handler: http.HandlerFunc(i.serve)}
+	go func() { _ = i.server.Serve(l) }()
 	go i.heartbeats()
 	return nil
 }
 
+// crash ends the instance at once: its connections break and it sends nothing more.
+func (i *instance) crash() {
+	close(i.stop)
+	_ = i.server.Close()
+}
+
 func (i *instance) heartbeats() {
 	client := &http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
 	for {
--- a/review/standins-3/upload.go
+++ b/review/standins-3/upload.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"context"
 	"crypto/sha256"
 	"encoding/hex"
 	"fmt"
@@ -179,3 +180,25 @@
 	}
 	rec.answer(id, response.StatusCode, detail)
 }
+
+// emptySum is the SHA-256 sum of an empty body.
+const emptySum = "e3b0c44298fc1c149afbf4c8996fb92427ae41e4649b934ca495991b7852b855"
+
+// fetch sends a request and returns the status of the whole answer, or 0.
+func fetch(client *http.Client, request *http.Request, deadline time.Duration) (int, string) {
+	ctx, cancel := context.WithTimeout(request.Context(), deadline)
+	defer cancel()
+	response, err := client.Do(request.WithContext(ctx))
+	if err != nil {
+		return 0, err.Error()
+	}
+	defer response.Body.Close()
+	text, err := io.ReadAll(response.Body)
+	if err != nil {
+		return 0, err.Error()
+	}
+	if response.StatusCode == http.StatusOK {
+		return response.StatusCode, ""
+	}
+	return response.StatusCode, string(bytes.TrimSpace(text[:min(len(text), 150)]))
+}
