--- a/review/standins-3/fleet.go
+++ b/review/standins-3/fleet.go
@@ -1,7 +1,6 @@
 package main
 
 import (
-	"cmp"
 	"fmt"
 	"math/rand/v2"
 	"net/http"
@@ -113,7 +112,7 @@
 	if err != nil {
 		return nil, err
 	}
-	binary, err := filepath.Abs(cmp.Or(os.Getenv("NODE_PROGRAM"), "target/zinniafalld"))
+	binary, err := filepath.Abs("target/zinniafalld")
 	if err != nil {
 		return nil, err
 	}
