--- a/review/standins-3/main.go
+++ b/review/standins-3/main.go
@@ -20,6 +20,7 @@
 )
 
 var cases = map[string]func(f *fleet, trouble bool) int{
+	"mark":   runMark,
 	"reuse":  runReuse,
 	"upload": runUpload,
 }
--- a/review/standins-3/reuse.go
+++ b/review/standins-3/reuse.go
@@ -113,6 +113,11 @@
 
 // call sends one request without a body and reads the answer.
 func call(rec *recorder, client *http.Client, m *machine, method, uri string) {
+	callWith(rec, client, m, method, uri, "")
+}
+
+// callWith is call with the key of a tenant, if it is not empty.
+func callWith(rec *recorder, client *http.Client, m *machine, method, uri, key string) {
 	id := fmt.Sprintf("%016x", rand.Uint64())
 	request, err := http.NewRequest(method, "http://"+m.outbound()+uri, nil)
 	if err != nil {
@@ -121,6 +126,9 @@
 	request.Host = reuseHost
 	request.Header.Set("X-Zinniafall-Request-Id", id)
 	request.Header.Set("X-Zinniafall-Deadline-Ms", "800")
+	if key != "" {
+		request.Header.Set("Authorization", "Bearer "+key)
+	}
 	rec.send(id, m.name, method, uri, 0, emptySum)
 	status, detail := fetch(client, request, 800*time.Millisecond)
 	rec.answer(id, status, detail)
--- a/review/standins-3/store.go
+++ b/review/standins-3/store.go
@@ -3,8 +3,10 @@
 import (
 	"encoding/json"
 	"fmt"
+	"maps"
 	"net"
 	"net/http"
+	"slices"
 	"sort"
 	"strconv"
 	"strings"
@@ -14,7 +16,9 @@
 
 // store is a stand-in of the platform's key-value store. It speaks what PROTOCOL.md says.
 type store struct {
-	mu       sync.Mutex
+	mu sync.Mutex
+	// era states how often the store has returned from a copy.
+	era      uint64
 	revision uint64
 	items    map[string]item
 	events   []item
@@ -45,7 +49,7 @@
 	if err != nil {
 		return nil, err
 	}
-	s := &store{revision: 10, items: map[string]item{}, leases: map[uint64]lease{}, nextID: 100, changed: make(chan struct{}), addr: addr}
+	s := &store{era: 1, revision: 10, items: map[string]item{}, leases: map[uint64]lease{}, nextID: 100, changed: make(chan struct{}), addr: addr}
 	go func() { _ = http.Serve(l, http.HandlerFunc(s.serve)) }()
 	go func() {
 		for range time.Tick(50 * time.Millisecond) {
@@ -132,13 +136,42 @@
 	s.put(key, value, 0)
 }
 
+func (s *store) currentEra() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return strconv.FormatUint(s.era, 10)
+}
+
+// storeCopy is what a copy of the store holds.
+type storeCopy struct {
+	revision uint64
+	items    map[string]item
+	events   []item
+	leases   map[uint64]lease
+}
+
+func (s *store) copy() storeCopy {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return storeCopy{s.revision, maps.Clone(s.items), slices.Clone(s.events), maps.Clone(s.leases)}
+}
+
+// returnFrom lets a store that is down come back from a copy, in a new era.
+func (s *store) returnFrom(c storeCopy) {
+	s.mu.Lock()
+	s.revision, s.items, s.events, s.leases = c.revision, c.items, c.events, c.leases
+	s.era++
+	s.mu.Unlock()
+	s.setBusy(false)
+}
+
 func (s *store) serve(w http.ResponseWriter, r *http.Request) {
 	if s.isBusy() {
-		w.Header().Set("Store-Era", "1")
+		w.Header().Set("Store-Era", s.currentEra())
 		reply(w, 503, map[string]any{})
 		return
 	}
-	w.Header().Set("Store-Era", "1")
+	w.Header().Set("Store-Era", s.currentEra())
 	w.Header().Set("Content-Type", "application/json")
 	q := r.URL.Query()
 	switch {
@@ -243,6 +276,10 @@
 		}
 		rev, changed := s.revision, s.changed
 		s.mu.Unlock()
+		if after > rev {
+			reply(w, 410, map[string]any{"current_rev": rev})
+			return
+		}
 		if len(events) > 0 || expired {
 			reply(w, 200, map[string]any{"events": events, "current_rev": rev})
 			return
