--- a/review/standins-3/store.go
+++ b/review/standins-3/store.go
@@ -25,9 +25,10 @@
 	leases   map[uint64]lease
 	nextID   uint64
 	changed  chan struct{}
-	// busy is set while the store answers each call with 503.
-	busy bool
-	addr string
+	// busy is set while the store answers each call with 503, since busySince.
+	busy      bool
+	busySince time.Time
+	addr      string
 }
 
 type item struct {
@@ -63,13 +64,16 @@
 func (s *store) setBusy(busy bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.busy = busy
-	if !busy {
+	if busy && !s.busy {
+		s.busySince = time.Now()
+	}
+	if !busy && s.busy {
 		for id, l := range s.leases {
-			l.ends = time.Now().Add(l.ttl)
+			l.ends = l.ends.Add(time.Since(s.busySince))
 			s.leases[id] = l
 		}
 	}
+	s.busy = busy
 	s.notify()
 }
 
@@ -144,6 +148,7 @@
 
 // storeCopy is what a copy of the store holds.
 type storeCopy struct {
+	madeAt   time.Time
 	revision uint64
 	items    map[string]item
 	events   []item
@@ -153,16 +158,21 @@
 func (s *store) copy() storeCopy {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return storeCopy{s.revision, maps.Clone(s.items), slices.Clone(s.events), maps.Clone(s.leases)}
+	return storeCopy{time.Now(), s.revision, maps.Clone(s.items), slices.Clone(s.events), maps.Clone(s.leases)}
 }
 
 // returnFrom lets a store that is down come back from a copy, in a new era.
 func (s *store) returnFrom(c storeCopy) {
 	s.mu.Lock()
 	s.revision, s.items, s.events, s.leases = c.revision, c.items, c.events, c.leases
+	for id, l := range s.leases { // they had as long to go in the copy
+		l.ends = l.ends.Add(time.Since(c.madeAt))
+		s.leases[id] = l
+	}
+	s.busy = false
 	s.era++
+	s.notify()
 	s.mu.Unlock()
-	s.setBusy(false)
 }
 
 func (s *store) serve(w http.ResponseWriter, r *http.Request) {
