--- a/review/standins-3/mark.go
+++ b/review/standins-3/mark.go
@@ -13,7 +13,7 @@
 const (
 	keptKey, withdrawnKey = "key-that-stays", "key-that-goes"
 	// storeAway is how long the store is away, from half a second after the key was taken away.
-	storeAway = 4700 * time.Millisecond
+	storeAway = 4400 * time.Millisecond
 	// writtenAgain is the time from the store's return until the operator has written again.
 	writtenAgain = 1500 * time.Millisecond
 	revokeTime   = 5 * time.Second // revoke_ms
