Refuse to send a body again of which a part was streamed

Cause: the rest of a body beyond what the front keeps in memory can be read once. Each way to a further attempt had to look at a flag of the call, and the one that routes a call again after a configuration lag did not. The second attempt read the part in memory and the end of the consumed rest; the length of a body in chunks is not known, so nothing downstream noticed.

Change: package callbody holds the body. A body whose rest has been read is not opened again, and a reader that a later attempt has replaced fails; neither ends in io.EOF. sendUntilFinal looks once, after every attempt without an answer, whatever its kind. A body counts as read when its rest is, not when an owner asks for it, so that a call that was refused at this node before that may go to another one.

--- a/node/sidecar/call.go
+++ b/node/sidecar/call.go
@@ -2,12 +2,12 @@
 
 import (
 	"context"
-	"io"
 	"math/rand/v2"
 	"net/http"
 	"slices"
 	"time"
 
+	"zinniafall/node/callbody"
 	"zinniafall/node/front"
 	"zinniafall/node/peer"
 	"zinniafall/policy/distribution"
@@ -45,17 +45,16 @@
 
 // call is a caller's request in progress at its entry.
 type call struct {
-	node             *Node
-	id               string
-	received         time.Time
-	route            *routing.Route
-	table            *routing.Table
-	service          model.Service
-	account          model.Account // empty if the caller sent no key
-	deadline         time.Time     // the caller's, or the route's if that is earlier
-	request          peer.Request
-	bodyRest         io.Reader
-	bodyRestConsumed bool
+	node     *Node
+	id       string
+	received time.Time
+	route    *routing.Route
+	table    *routing.Table
+	service  model.Service
+	account  model.Account // empty if the caller sent no key
+	deadline time.Time     // the caller's, or the route's if that is earlier
+	request  peer.Request
+	body     *callbody.Body
 
 	stage        stage
 	failed       []model.NodeAddr // owners that cannot serve the call
@@ -87,7 +86,7 @@
 
 // handleCallerRequest serves one request of a caller.
 func (n *Node) handleCallerRequest(ctx context.Context, r *front.Request) *front.Response {
-	c := &call{node: n, received: r.Received, id: r.Header.Get(n.dialect.RequestID)}
+	c := &call{node: n, received: r.Received, id: r.Header.Get(n.dialect.RequestID), body: callbody.New(r.Body, r.Rest)}
 	response, p := c.forward(ctx, r)
 	if p != nil {
 		response = n.refusalResponse(ctx, p, c)
@@ -220,7 +219,6 @@
 	if r.Rest == nil {
 		c.request.Length = int64(len(r.Body))
 	}
-	c.bodyRest = r.Rest
 	if end := n.stopEnd.Load(); end != nil && c.deadline.After(*end) {
 		return problem.New(problem.Draining, model.RunNo, "the node stops before the call's time is over")
 	}
@@ -286,6 +284,10 @@
 		if ctx.Err() != nil {
 			return nil, c.contextProblem(ctx, p)
 		}
+		c.recordFailure(p, rep.answer.Reached)
+		if !c.body.Resendable() {
+			return nil, c.finalProblem(p)
+		}
 		if p.Kind == problem.ConfigurationLag && p.Run == model.RunNo && reroutes < maxReroutes {
 			reroutes++
 			if q := c.reroute(ctx, node, rep, r); q != nil {
@@ -330,7 +332,7 @@
 // takes the retry from the budget. If so, it excludes the last owner and returns
 // from stageAnyWait to stageOtherDomains.
 func (c *call) reserveRetry() bool {
-	if c.targetAttempts >= c.route.MaxAttempts || c.bodyRestConsumed || time.Until(c.deadline) < minAttemptTime {
+	if c.targetAttempts >= c.route.MaxAttempts || !c.body.Resendable() || time.Until(c.deadline) < minAttemptTime {
 		return false
 	}
 	e := c.node.entry
@@ -353,14 +355,18 @@
 
 func (c *call) lastNode() model.NodeAddr { return c.attemptRecords[len(c.attemptRecords)-1].Node }
 
-// handleProblem decides how to continue after an attempt without an answer. It
-// returns the problem to fail with, or nil to ask another owner. reached reports
-// whether the request was sent to the target, even if it did not run there.
-func (c *call) handleProblem(p *problem.Error, reached bool) *problem.Error {
+// recordFailure records an attempt without an answer. reached reports whether the request
+// was sent to the target, even if it did not run there.
+func (c *call) recordFailure(p *problem.Error, reached bool) {
 	if reached || p.Run != model.RunNo {
 		c.targetAttempts++
 	}
 	c.mayHaveRun = c.mayHaveRun || p.Run != model.RunNo
+}
+
+// handleProblem decides how to continue after an attempt without an answer. It
+// returns the problem to fail with, or nil to ask another owner.
+func (c *call) handleProblem(p *problem.Error, reached bool) *problem.Error {
 	switch {
 	case p.Run != model.RunNo && !c.route.Idempotent, p.Kind == problem.Quarantined:
 		return p
@@ -369,7 +375,7 @@
 			return p
 		}
 		return nil
-	case c.offers >= maxOffers+min(len(c.closed), maxRolloutOffers) || c.bodyRestConsumed:
+	case c.offers >= maxOffers+min(len(c.closed), maxRolloutOffers):
 		return p
 	case p.Kind == problem.Overloaded || p.Kind == problem.AccountShare || p.Kind == problem.DeadlineExceeded:
 		return c.handleDecline(p)
--- a/node/sidecar/offer.go
+++ b/node/sidecar/offer.go
@@ -1,7 +1,6 @@
 package sidecar
 
 import (
-	"bytes"
 	"context"
 	"errors"
 	"io"
@@ -9,6 +8,7 @@
 	"slices"
 	"time"
 
+	"zinniafall/node/hop"
 	"zinniafall/node/peer"
 	"zinniafall/policy/model"
 	"zinniafall/policy/placement"
@@ -130,19 +130,12 @@
 
 // sendLocal runs the call at this node's own target.
 func (c *call) sendLocal(ctx context.Context, request *peer.Request) reply {
-	request.Inline = c.bodyRest == nil
-	body := io.MultiReader(bytes.NewReader(request.Body), readerOrEmpty(c.bodyRest))
-	return c.node.execute(ctx, job{request: request, body: body, requestBody: func() error {
-		c.bodyRestConsumed = c.bodyRest != nil
-		return nil
-	}})
-}
-
-func readerOrEmpty(r io.Reader) io.Reader {
-	if r == nil {
-		return bytes.NewReader(nil)
+	request.Inline = !c.body.Streamed()
+	body, err := c.body.Open()
+	if err != nil {
+		return refusedReply(problem.New(problem.Internal, model.RunNo, err.Error()))
 	}
-	return r
+	return c.node.execute(ctx, job{request: request, body: body, requestBody: func() error { return nil }})
 }
 
 // sendRemote sends the call to another node. The body of a non-idempotent call
@@ -150,8 +143,7 @@
 // another owner whatever happens to this one. If the exchange fails after the
 // body may have been sent, it is unknown whether the call ran.
 func (c *call) sendRemote(ctx context.Context, node model.NodeAddr, request *peer.Request) reply {
-	request.Inline = c.bodyRest == nil && request.Idempotent && len(request.Body) <= maxInlineAnswer
-	body := request.Body
+	request.Inline = !c.body.Streamed() && request.Idempotent && len(request.Body) <= maxInlineAnswer
 	if !request.Inline {
 		request.Body = nil
 	}
@@ -161,10 +153,7 @@
 	}
 	answer, err := exchange.Receive()
 	if err == nil && answer.Admitted {
-		c.bodyRestConsumed = c.bodyRest != nil
-		if err = exchange.SendBody(io.MultiReader(bytes.NewReader(body), readerOrEmpty(c.bodyRest))); err == nil {
-			answer, err = exchange.Receive()
-		}
+		answer, err = c.sendBody(exchange)
 		if err != nil {
 			exchange.Close()
 			return refusedReply(ownerUnreachable(err, model.RunUnknown))
@@ -189,6 +178,18 @@
 	return reply{answer: answer, body: &exchangeBody{exchange}}
 }
 
+// sendBody sends the body to an owner that has asked for it, and returns its answer.
+func (c *call) sendBody(exchange *hop.Exchange) (*peer.Answer, error) {
+	body, err := c.body.Open()
+	if err != nil {
+		return nil, err
+	}
+	if err := exchange.SendBody(body); err != nil {
+		return nil, err
+	}
+	return exchange.Receive()
+}
+
 // exchangeBody closes the exchange when the body is closed.
 type exchangeBody struct {
 	exchange interface {
--- a/node/sidecar/upload_test.go
+++ b/node/sidecar/upload_test.go
@@ -182,3 +182,78 @@
 		})
 	}
 }
+
+// upload sends a body in chunks under testKey.
+func (n *testNode) upload(path, body string) (answer, error) {
+	r, err := http.NewRequestWithContext(n.t.Context(), http.MethodPost, "http://"+n.settings.Callers+path, io.MultiReader(strings.NewReader(body)))
+	if err != nil {
+		return answer{}, err
+	}
+	r.Host = "s"
+	r.Header = http.Header{"X-Id": {path}, "X-Deadline": {"15000"}, "Authorization": {"Bearer " + testKey}}
+	response, err := http.DefaultClient.Do(r)
+	if err != nil {
+		return answer{}, err
+	}
+	defer func() { _ = response.Body.Close() }()
+	text, err := io.ReadAll(response.Body)
+	return answer{response.StatusCode, string(text), response.Header}, err
+}
+
+// Guards against an upload that runs with a part of its body because its configuration was
+// replaced while it waited for its slot: the owner refused it after it had asked for the body,
+// which the entry could not send again.
+func TestUploadThatOutwaitsItsConfigurationRunsWholeOrNotAtAll(t *testing.T) {
+	body := strings.Repeat("0123456789abcdef", 22_500)
+	for _, test := range []struct {
+		name          string
+		before, after []string
+	}{
+		{"keys kept", []string{testKey}, []string{testKey}},
+		{"other key withdrawn", []string{testKey, "other-key"}, []string{testKey}},
+		{"key withdrawn", []string{testKey}, []string{"other-key"}},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			s := newMemoryStore()
+			s.configureAccounts(t, 1, map[model.Account][]string{"gold": test.before})
+			target := newTestTarget(t, "t1")
+			target.slots = 1
+			entry, owner := startStrictNode(t, s, "nobody", newTestTarget(t, "t2")), startStrictNode(t, s, "s", target)
+			owner.waitForOwnTarget()
+			entry.waitForTargets("s", 1)
+			eventually(t, "keys are accepted", func() bool { return entry.keyedStatus() == http.StatusOK })
+			release, received := make(chan struct{}), make(chan string, 1)
+			target.onRequest(func(w http.ResponseWriter, r *http.Request) {
+				if r.Method == http.MethodGet {
+					<-release
+					return
+				}
+				got, _ := io.ReadAll(r.Body)
+				received <- string(got)
+			})
+			ran := len(target.requests())
+			go owner.keyedStatus()
+			eventually(t, "the slot is taken", func() bool { return len(target.requests()) == ran+1 })
+			answered := make(chan answer, 1)
+			go func() {
+				a, err := entry.upload("/unsafe/upload", body)
+				qt.Check(t, err, qt.IsNil)
+				answered <- a
+			}()
+			eventually(t, "the upload waits", func() bool { return owner.owner.report().Queued == 1 })
+			s.configureAccounts(t, 2, map[model.Account][]string{"gold": test.after})
+			for _, n := range []*strictNode{entry, owner} {
+				eventually(t, "the configuration is replaced", func() bool { return n.configuration.revision() == 2 })
+				n.elapsed.Add(int64(10 * time.Second))
+				eventually(t, "a new proof", func() bool { age, ok := n.proofs.age(); return ok && age < 2*time.Second })
+			}
+			close(release)
+			a := <-answered
+			if a.status == http.StatusOK {
+				qt.Assert(t, len(<-received), qt.Equals, len(body))
+			} else {
+				qt.Assert(t, target.requests(), qt.HasLen, ran+1)
+			}
+		})
+	}
+}
