Check calls before their body is asked for, and keep those whose key stays

What callers saw: an upload that waited for its slot across an outage of the store and a change of the configuration was refused after its body had been sent, and could not be sent again by its entry.

Cause: the owner asked for the body and then repeated its checks. It refused a call whose configuration was replaced meanwhile once its proof was too old, whatever the change was.

Change: the owner repeats the checks before it asks for a body, for both ways in which it gets one, so that the entry can route the call again. A replaced configuration refuses a call only if it withdrew a key of the call's account: the owner does not know which of them the caller sent. A call whose body has arrived waits for a proof that ended meanwhile, for at most 1.6 s and a third of its time (proof.BodyWait). A counter tells how many calls are refused after their body was read.

TestBodyWaitOutlastsARenewal replays the outage.

--- a/node/sidecar/call.go
+++ b/node/sidecar/call.go
@@ -286,6 +286,9 @@
 		}
 		c.recordFailure(p, rep.answer.Reached)
 		if !c.body.Resendable() {
+			if p.Run == model.RunNo {
+				bodiesLost.Inc()
+			}
 			return nil, c.finalProblem(p)
 		}
 		if p.Kind == problem.ConfigurationLag && p.Run == model.RunNo && reroutes < maxReroutes {
--- a/node/sidecar/execute.go
+++ b/node/sidecar/execute.go
@@ -18,6 +18,7 @@
 	"zinniafall/policy/model"
 	"zinniafall/policy/problem"
 	"zinniafall/policy/proof"
+	"zinniafall/policy/routing"
 )
 
 const (
@@ -96,7 +97,7 @@
 	if p := n.crashes.check(j.request.Fingerprint); p != nil {
 		return refusedReply(p), 0
 	}
-	provenAt := n.proofs.provenAt()
+	a := &attempt{node: n, job: j, deadline: deadline, provenAt: n.proofs.provenAt(), agreed: n.configuration.current()}
 	requestedAt := time.Now()
 	n.target.refreshPace(ctx)
 	call := dispatch.Call{
@@ -107,15 +108,15 @@
 		defer n.bodies.Release(j.request.Length)
 	}
 	ticket, p := n.owner.admit(ctx, call)
+	a.ticket = ticket
 	if p == nil && call.AwaitsBody {
-		p = n.receiveBody(ctx, j, ticket)
+		p = a.receiveBody(ctx)
 	}
 	waited := time.Since(requestedAt)
 	admissionWait.Update(waited.Seconds())
 	if p != nil {
 		return refusedReply(p), waited
 	}
-	a := &attempt{node: n, job: j, ticket: ticket, deadline: deadline, provenAt: provenAt}
 	ended := false
 	defer func() {
 		if !ended { // a panic: the slot must not stay taken
@@ -146,7 +147,7 @@
 	return nil
 }
 
-// attempt is a call that holds a slot.
+// attempt is a call that holds a slot, or the place of one whose body is received first.
 type attempt struct {
 	node     *Node
 	job      job
@@ -156,8 +157,12 @@
 	pool     *upstream.Pool
 	begun    begunCall
 	// provenAt is the latest time at which the configuration of the call was known to be
-	// current when the call arrived.
+	// current when the call arrived, and agreed the configuration in force then.
 	provenAt proof.Instant
+	agreed   *routing.Table
+	// bodyTaken is set once the body has been asked for: the entry may be unable to send it
+	// again.
+	bodyTaken bool
 }
 
 // run sends the call to the target. It releases the slot before it returns or, if
@@ -165,20 +170,8 @@
 // caller costs its target a slot for as long as it lasts.
 func (a *attempt) run(ctx context.Context) reply {
 	n := a.node
-	var body io.Reader
-	if !a.job.request.Inline {
-		if err := a.job.requestBody(); err != nil {
-			n.owner.finish(a.ticket, false)
-			return refusedReply(problem.New(problem.Canceled, model.RunNo, "the entry left before the call was sent"))
-		}
-		head, rest, err := readHead(a.job.body)
-		if err != nil {
-			n.owner.finish(a.ticket, false)
-			return refusedReply(problem.New(problem.Canceled, model.RunNo, "the entry left before the call was sent"))
-		}
-		a.job.request.Body, body = head, rest
-	}
-	if p := a.recheck(); p != nil {
+	body, p := a.prepare(ctx)
+	if p != nil {
 		n.owner.finish(a.ticket, false)
 		return refusedReply(p)
 	}
@@ -200,6 +193,53 @@
 	return r
 }
 
+// prepare gets the body and repeats the checks whose results may have changed while the call
+// waited. It returns the part of the body that has not arrived, if any. What can be checked
+// before the body is asked for is, since the entry may be unable to send it again.
+func (a *attempt) prepare(ctx context.Context) (io.Reader, *problem.Error) {
+	if a.job.request.Inline {
+		return nil, a.begin(ctx)
+	}
+	if p := a.recheck(); p != nil {
+		return nil, p
+	}
+	if err := a.requestBody(); err != nil {
+		return nil, entryLeft()
+	}
+	head, rest, err := readHead(a.job.body)
+	if err != nil {
+		return nil, entryLeft()
+	}
+	a.job.request.Body = head
+	return rest, a.begin(ctx)
+}
+
+func (a *attempt) requestBody() error {
+	a.bodyTaken = true
+	return a.job.requestBody()
+}
+
+func entryLeft() *problem.Error {
+	return problem.New(problem.Canceled, model.RunNo, "the entry left before the call was sent")
+}
+
+// begin repeats the checks and counts the start. A call whose body may not be sent again
+// waits for a proof for a while.
+func (a *attempt) begin(ctx context.Context) *problem.Error {
+	end := time.Now().Add(proof.BodyWait(time.Until(a.deadline)))
+	for {
+		p := a.recheck()
+		if p == nil {
+			a.begun, p = a.node.owner.beginCall(a.ticket, a.job.request.Class)
+			return p
+		}
+		if p.Kind != problem.NotFresh || !a.bodyTaken || ctx.Err() != nil || !time.Now().Before(end) {
+			return p
+		}
+		sleep(ctx, proofPollInterval)
+	}
+}
+
 // recordEvidence records the result for the rollout of the target's version. A call that the
 // target did not run, or whose caller left, says nothing about the version. The time until
 // the deadline is the least that a call without an answer would have taken.
@@ -259,8 +299,8 @@
 	return head, body, nil
 }
 
-// recheck repeats the checks whose results may have changed while the call
-// waited for its slot and body. It also sets the target and pool of the attempt.
+// recheck repeats the checks whose results may have changed since the call was
+// admitted. It also sets the target and pool of the attempt.
 func (a *attempt) recheck() *problem.Error {
 	id, service, pool := a.node.target.identity()
 	a.targetID, a.pool = id, pool
@@ -275,13 +315,7 @@
 	if p := a.node.proofs.check(a.job.request.Account); p != nil {
 		return p
 	}
-	if p := a.node.proofs.checkReplaced(a.job.request, a.provenAt); p != nil {
-		return p
-	}
-	// The last check, since it counts the start.
-	begun, p := a.node.owner.beginCall(a.ticket, a.job.request.Class)
-	a.begun = begun
-	return p
+	return a.node.proofs.checkReplaced(a.job.request, a.provenAt, a.agreed)
 }
 
 // request returns the request to the target.
--- a/node/sidecar/report.go
+++ b/node/sidecar/report.go
@@ -21,10 +21,12 @@
 	configurationsRejected = metrics.NewCounter(`zinniafall_configuration_rejected_total`)
 	panics                 = metrics.NewCounter(`zinniafall_panics_total`)
 	retries                = metrics.NewCounter(`zinniafall_call_repeats_total`)
-	requestsRejected       = metrics.NewCounter(`zinniafall_request_rejected_total`)
-	admissionWait          = metrics.NewHistogram(`zinniafall_admission_wait_seconds`)
-	targetTime             = metrics.NewHistogram(`zinniafall_target_seconds`)
-	callTime               = metrics.NewHistogram(`zinniafall_call_seconds`)
+	// bodiesLost counts the calls that were refused after their body had been read.
+	bodiesLost       = metrics.NewCounter(`zinniafall_consumed_bodies_refused_total`)
+	requestsRejected = metrics.NewCounter(`zinniafall_request_rejected_total`)
+	admissionWait    = metrics.NewHistogram(`zinniafall_admission_wait_seconds`)
+	targetTime       = metrics.NewHistogram(`zinniafall_target_seconds`)
+	callTime         = metrics.NewHistogram(`zinniafall_call_seconds`)
 
 	// callsOverdue counts the refusals of calls by nodes that are behind for too long.
 	callsOverdue = metrics.NewCounter(`zinniafall_calls_overdue_total`)
--- a/node/sidecar/upload.go
+++ b/node/sidecar/upload.go
@@ -6,8 +6,6 @@
 	"io"
 
 	"zinniafall/node/peer"
-	"zinniafall/policy/dispatch"
-	"zinniafall/policy/model"
 	"zinniafall/policy/problem"
 )
 
@@ -29,26 +27,30 @@
 // receiveBody asks for the body of a call that awaits it, and then waits for a slot. Until the
 // entry has sent the end of the body, it may report the call as not run, also if the body
 // has no bytes.
-func (n *Node) receiveBody(ctx context.Context, j job, ticket dispatch.Ticket) *problem.Error {
+func (a *attempt) receiveBody(ctx context.Context) *problem.Error {
+	owner := a.node.owner
 	arrived := false
 	defer func() {
 		if !arrived {
-			n.owner.withdraw(ticket)
+			owner.withdraw(a.ticket)
 		}
 	}()
-	if err := j.requestBody(); err != nil {
-		return problem.New(problem.Canceled, model.RunNo, "the entry left before the call was sent")
+	if p := a.recheck(); p != nil {
+		return p
+	}
+	if err := a.requestBody(); err != nil {
+		return entryLeft()
 	}
 	// A caller that sends slowly must not keep the place of another upload beyond its
 	// deadline. The memory is released when the read ends.
-	stop := context.AfterFunc(ctx, func() { n.owner.withdraw(ticket) })
+	stop := context.AfterFunc(ctx, func() { owner.withdraw(a.ticket) })
 	defer stop()
-	body, err := readWhole(j.body, j.request.Length)
+	body, err := readWhole(a.job.body, a.job.request.Length)
 	if err != nil {
-		return problem.New(problem.Canceled, model.RunNo, "the entry left before the call was sent")
+		return entryLeft()
 	}
-	j.request.Body, j.request.Inline, arrived = body, true, true
-	return n.owner.admitArrived(ctx, ticket)
+	a.job.request.Body, a.job.request.Inline, arrived = body, true, true
+	return owner.admitArrived(ctx, a.ticket)
 }
 
 // readWhole reads a body of the length, and its end.
--- a/policy/proof/proof.go
+++ b/policy/proof/proof.go
@@ -43,6 +43,21 @@
 	firstEra = 1
 )
 
+// maxBodyWait bounds how long a call waits for a proof if its body cannot be sent again, and
+// bodyWaitDivisor that part of the caller's remaining time. Two renewals may be due meanwhile,
+// so that a node that has lost its proof for a moment does not lose the uploads that are on
+// their way to it; the caller has the time to send the body once more.
+const (
+	maxBodyWait     = 2 * Interval
+	bodyWaitDivisor = 3
+)
+
+// BodyWait returns how long a call whose body cannot be sent again waits for a proof if its
+// caller waits for the given time longer.
+func BodyWait(left time.Duration) time.Duration {
+	return max(min(maxBodyWait, left/bodyWaitDivisor), 0)
+}
+
 // Instant is a time since the machine's boot that includes the time for which the machine
 // was suspended (CLOCK_BOOTTIME).
 type Instant time.Duration
--- a/policy/proof/proof_test.go
+++ b/policy/proof/proof_test.go
@@ -268,3 +268,29 @@
 	qt.Assert(t, a.TakeStore(Instant(storeInterval-1)), qt.IsFalse)
 	qt.Assert(t, a.TakeStore(Instant(storeInterval)), qt.IsTrue)
 }
+
+// TestBodyWaitOutlastsARenewal replays an outage of the store that ends a proof while uploads
+// travel. Those whose bodies arrive shortly before the next renewal, and have the time, must
+// not be lost.
+func TestBodyWaitOutlastsARenewal(t *testing.T) {
+	const limit, outage = 4400 * time.Millisecond, 5 * time.Second
+	var tracker Tracker
+	tracker.Advance(1)
+	tracker.MarkRead(Mark{Read: true})
+	answer := func(at time.Duration) { tracker.Answered(Instant(at), Instant(at), 0, true) }
+	for at := time.Duration(0); at < 10*time.Second; at += Interval {
+		answer(at)
+	}
+	lost := 10*time.Second - Interval + limit + 400*time.Millisecond
+	renewed := 10*time.Second + outage
+	qt.Assert(t, tracker.Valid(Instant(lost), limit), qt.IsFalse)
+	answer(renewed)
+	qt.Assert(t, tracker.Valid(Instant(renewed), limit), qt.IsTrue)
+	for arrived := lost; arrived < renewed; arrived += 10 * time.Millisecond {
+		served := arrived+BodyWait(8*time.Second) >= renewed
+		qt.Assert(t, served, qt.Equals, renewed-arrived <= 2*Interval, qt.Commentf("%v", arrived))
+	}
+	for left, want := range map[time.Duration]time.Duration{-time.Second: 0, 300 * time.Millisecond: 100 * time.Millisecond, time.Minute: 2 * Interval} {
+		qt.Check(t, BodyWait(left), qt.Equals, want)
+	}
+}
--- a/policy/routing/accounts.go
+++ b/policy/routing/accounts.go
@@ -104,6 +104,22 @@
 	return *holder.account, true
 }
 
+// KeepsKeys reports whether each key that names the account in an earlier table still names it.
+func (t *Table) KeepsKeys(account model.Account, earlier *Table) bool {
+	if t.accounts == nil || earlier.accounts == nil || t.accounts.byName[account] == nil {
+		return false
+	}
+	for sum, holder := range earlier.accounts.byKey {
+		if holder.account == nil || holder.account.Name != account {
+			continue
+		}
+		if now := t.accounts.byKey[sum]; now.account == nil || now.account.Name != account {
+			return false
+		}
+	}
+	return true
+}
+
 // HasQuotas reports whether an account has a rate.
 func (t *Table) HasQuotas() bool {
 	if t.accounts == nil {
--- a/policy/routing/accounts_test.go
+++ b/policy/routing/accounts_test.go
@@ -40,3 +40,40 @@
 	qt.Assert(t, plain.HasAccounts(), qt.IsFalse)
 	qt.Assert(t, plain.Problems, qt.HasLen, 0)
 }
+
+// TestKeepsKeys guards against a call that starts after the key that it came with was withdrawn,
+// or was given to another account: which of its account's keys that is, is not known.
+func TestKeepsKeys(t *testing.T) {
+	table := func(keys map[model.Account][]string) *Table {
+		plain, err := NewTable(1, nil, nil, Limits{})
+		qt.Assert(t, err, qt.IsNil)
+		var list []AccountKeys
+		for name, texts := range keys {
+			account := AccountKeys{Account: Account{Name: name}}
+			for _, text := range texts {
+				account.Keys = append(account.Keys, accountkey.SumOf(text))
+			}
+			list = append(list, account)
+		}
+		return plain.WithAccounts(list)
+	}
+	before := table(map[model.Account][]string{"a": {"k1", "k2"}, "b": {"k3"}})
+	for _, test := range []struct {
+		name  string
+		after map[model.Account][]string
+		kept  bool
+	}{
+		{"unchanged", map[model.Account][]string{"a": {"k1", "k2"}, "b": {"k3"}}, true},
+		{"key added, other account gone", map[model.Account][]string{"a": {"k1", "k2", "k4"}}, true},
+		{"key withdrawn", map[model.Account][]string{"a": {"k1"}, "b": {"k3"}}, false},
+		{"key of another account", map[model.Account][]string{"a": {"k1"}, "b": {"k2", "k3"}}, false},
+		{"key of two accounts", map[model.Account][]string{"a": {"k1", "k2"}, "b": {"k2"}}, false},
+		{"account gone", map[model.Account][]string{"b": {"k3"}}, false},
+	} {
+		qt.Check(t, table(test.after).KeepsKeys("a", before), qt.Equals, test.kept, qt.Commentf("%s", test.name))
+	}
+	plain, err := NewTable(1, nil, nil, Limits{})
+	qt.Assert(t, err, qt.IsNil)
+	qt.Check(t, plain.KeepsKeys("a", before), qt.IsFalse)
+	qt.Check(t, before.KeepsKeys("a", plain), qt.IsFalse)
+}
