Return a refusal before the rest of an upload has been sent

What callers saw: a call that its owner refused after it had asked for the body got the refusal only once the caller had sent its whole upload.

Cause: the entry sent the body to its end before it read the owner's answer.

Change: a streamed body is sent beside the wait for the answer. A refusal ends the exchange at once, and its connection, since part of the body may be on it. An answer of the target still waits for the end of the body, as before: a caller may not read before it has sent everything.

Evidence: TestRefusalDoesNotAwaitTheRestOfAnUpload; with the body sent before the answer is read it does not end, since its caller never ends the upload.

--- a/node/hop/hop.go
+++ b/node/hop/hop.go
@@ -19,6 +19,7 @@
 	"io"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -89,11 +90,18 @@
 	once       sync.Once
 	// complete is true once the answer was read to its end.
 	complete bool
-	// bodyPending is true while the body of the request, or at least its end,
-	// has to be sent.
-	bodyPending bool
+	requestBody atomic.Int32 // a bodyState
 }
 
+// bodyState tells how much of the body of a request has been sent.
+type bodyState = int32
+
+const (
+	bodySent    bodyState = iota // the whole body, or the request has none
+	bodyPending                  // nothing; its end has to be sent before the next request
+	bodyPartial                  // a part, whether or not the rest is on its way
+)
+
 // Open sends the request. Every error wraps peer.ErrNotSent: a request is one
 // frame, and the other node acts on a whole frame only, of which the failed write
 // has not sent the end. The end of the context cancels the exchange. Open returns
@@ -122,7 +130,10 @@
 // send sends the request on the connection and returns the exchange.
 func (c *Client) send(ctx context.Context, to model.NodeAddr, cc *clientConn, request *peer.Request) (*Exchange, error) {
 	exchanges.Inc()
-	x := &Exchange{client: c, node: to, clientConn: cc, bodyPending: !request.Inline}
+	x := &Exchange{client: c, node: to, clientConn: cc}
+	if !request.Inline {
+		x.requestBody.Store(bodyPending)
+	}
 	x.stop = context.AfterFunc(ctx, func() { _ = cc.conn.Close() })
 	if cc.patient {
 		cc.patient = false
@@ -228,14 +239,23 @@
 	return answer, nil
 }
 
-// SendBody sends a body that is not inline.
+// SendBody sends a body that is not inline. It may run beside Receive: after an answer that
+// precedes the end of the body, Close ends both.
 func (x *Exchange) SendBody(body io.Reader) error {
-	x.bodyPending = false
+	x.requestBody.Store(bodyPartial)
 	long, err := writeChunks(x.clientConn.conn, body)
+	if err != nil {
+		return err
+	}
 	x.clientConn.patient = long
-	return err
+	x.requestBody.Store(bodySent)
+	return nil
 }
 
+// Cancel fails the calls of Receive, Read and SendBody that are in progress. Close must still
+// be called.
+func (x *Exchange) Cancel() { _ = x.clientConn.conn.Close() }
+
 // Read reads the body of the final answer. It returns io.EOF only at the end
 // of the body that the other node marked.
 func (x *Exchange) Read(p []byte) (int, error) {
@@ -264,7 +284,13 @@
 // finishBody sends the end of a body that the owner did not request, and
 // reports whether the connection can be reused.
 func (x *Exchange) finishBody() bool {
-	return !x.bodyPending || writeChunk(x.clientConn.conn, make([]byte, chunkHeaderSize)) == nil
+	switch x.requestBody.Load() {
+	case bodyPending:
+		return writeChunk(x.clientConn.conn, make([]byte, chunkHeaderSize)) == nil
+	case bodyPartial:
+		return false
+	}
+	return true
 }
 
 // chunkReader reads a body that is sent in chunks.
--- a/node/sidecar/offer.go
+++ b/node/sidecar/offer.go
@@ -178,16 +178,32 @@
 	return reply{answer: answer, body: &exchangeBody{exchange}}
 }
 
-// sendBody sends the body to an owner that has asked for it, and returns its answer.
+// sendBody sends the body to an owner that has asked for it, and returns its answer. A refusal
+// does not wait for the rest of a body that its caller is still sending.
 func (c *call) sendBody(exchange *hop.Exchange) (*peer.Answer, error) {
 	body, err := c.body.Open()
 	if err != nil {
 		return nil, err
 	}
-	if err := exchange.SendBody(body); err != nil {
-		return nil, err
+	if !c.body.Streamed() {
+		if err := exchange.SendBody(body); err != nil {
+			return nil, err
+		}
+		return exchange.Receive()
+	}
+	sent := make(chan error, 1)
+	go func() {
+		err := exchange.SendBody(body)
+		if err != nil {
+			exchange.Cancel()
+		}
+		sent <- err
+	}()
+	answer, err := exchange.Receive()
+	if err == nil && answer.Problem == nil {
+		err = <-sent
 	}
-	return exchange.Receive()
+	return answer, err
 }
 
 // exchangeBody closes the exchange when the body is closed.
--- a/node/sidecar/upload_test.go
+++ b/node/sidecar/upload_test.go
@@ -17,6 +17,8 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"zinniafall/node/callbody"
+	"zinniafall/node/hop"
 	"zinniafall/node/peer"
 	"zinniafall/policy/dispatch"
 	"zinniafall/policy/model"
@@ -295,3 +297,29 @@
 		})
 	}
 }
+
+// refusingOwner asks for the body of each call and refuses it after the first bytes.
+type refusingOwner struct{}
+
+func (refusingOwner) ServeRequest(_ context.Context, _ string, stream *hop.Stream) {
+	_ = stream.Answer(&peer.Answer{Admitted: true})
+	_, _ = stream.Read(make([]byte, 1))
+	_ = stream.Answer(&peer.Answer{Run: model.RunNo, Problem: problem.New(problem.Draining, model.RunNo, "the target stopped taking calls")})
+}
+
+// Guards against a refusal that reaches its caller only once the whole upload has been sent.
+func TestRefusalDoesNotAwaitTheRestOfAnUpload(t *testing.T) {
+	client := hop.NewClient()
+	defer client.Close()
+	exchange, err := client.Open(t.Context(), serveHolder(t, refusingOwner{}), &peer.Request{Kind: peer.KindCall, Length: -1})
+	qt.Assert(t, err, qt.IsNil)
+	answer, err := exchange.Receive()
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, answer.Admitted, qt.IsTrue)
+	rest, caller := io.Pipe() // stays open
+	defer func() { _ = caller.Close() }()
+	answer, err = (&call{body: callbody.New([]byte("head"), rest)}).sendBody(exchange)
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, answer.Problem, qt.IsNotNil)
+	exchange.Close()
+}
