Use the same body type in run, and ask for a body only if its call may start

Cause: run marked a streamed body as used when an attempt at its own target began, so that a call which was refused there before a byte had been read could not go to another node. Its owners asked for a body before they looked at the deadline, the quarantine and the contact with other nodes. A second reader of a body would have got its end.

Change: run's entry holds its bodies in package callbody, like the sidecar's. The owner repeats its checks before it asks for a body.

--- a/node/entry/attempt.go
+++ b/node/entry/attempt.go
@@ -5,6 +5,7 @@
 	"errors"
 	"time"
 
+	"zinniafall/node/callbody"
 	"zinniafall/node/execute"
 	"zinniafall/node/peer"
 	"zinniafall/node/trace"
@@ -28,9 +29,13 @@
 // attempt sends the call to one owner and waits for the head of the answer. If
 // the owner is this node, it runs the call here. The reply is never nil: an
 // error becomes a problem. It runs in its own goroutine.
-func (e *Entry) attempt(ctx context.Context, node model.NodeAddr, request *peer.Request, b *body) *execute.Reply {
+func (e *Entry) attempt(ctx context.Context, node model.NodeAddr, request *peer.Request, b *callbody.Body) *execute.Reply {
 	if node == e.opts.Self {
-		return e.opts.Executor.Execute(ctx, execute.Job{From: node, Request: request, Body: b.takeRest()})
+		body, err := b.Open()
+		if err != nil {
+			return execute.ProblemReply(problem.New(problem.Internal, model.RunNo, err.Error()))
+		}
+		return e.opts.Executor.Execute(ctx, execute.Job{From: node, Request: request, Body: body})
 	}
 	ctx, span := e.opts.Tracer.Start(ctx, trace.HopPeer)
 	defer span.End()
@@ -53,7 +58,7 @@
 }
 
 // exchange sends the call to another node over QUIC and returns its answer.
-func (e *Entry) exchange(ctx context.Context, node model.NodeAddr, request *peer.Request, b *body) (*execute.Reply, error) {
+func (e *Entry) exchange(ctx context.Context, node model.NodeAddr, request *peer.Request, b *callbody.Body) (*execute.Reply, error) {
 	x, err := e.opts.Peers.Open(ctx, node, request)
 	if err != nil {
 		return nil, err
@@ -85,13 +90,16 @@
 
 // sendBody streams the body while it waits for the answer, because a target
 // may answer before it has read the whole body. Its error is the one of
-// Receive, or peer.ErrOutcomeUnknown if the body was inline.
-func (e *Entry) sendBody(x *peer.Exchange, b *body) (*peer.Answer, error) {
-	rest := b.takeRest()
-	if rest == nil {
+// Receive, or peer.ErrOutcomeUnknown if the body was inline or cannot be sent again.
+func (e *Entry) sendBody(x *peer.Exchange, b *callbody.Body) (*peer.Answer, error) {
+	if !b.Streamed() {
 		return nil, peer.ErrOutcomeUnknown
 	}
-	go func() { _ = x.SendBody(rest) }()
+	body, err := b.Open()
+	if err != nil {
+		return nil, errors.Join(peer.ErrOutcomeUnknown, err)
+	}
+	go func() { _ = x.SendBody(body) }()
 	return x.Receive()
 }
 
--- a/node/entry/body.go
+++ b/node/entry/body.go
@@ -1,32 +1,24 @@
 package entry
 
 import (
-	"bytes"
 	"errors"
 	"io"
 	"net/http"
 
+	"zinniafall/node/callbody"
 	"zinniafall/node/peer"
 	"zinniafall/policy/model"
 	"zinniafall/policy/problem"
 )
 
 // maxInlineBody is the length in bytes up to which a body is sent in the same
-// message as the request head. Only such a body can be sent more than once.
+// message as the request head.
 const maxInlineBody = 64 << 10
 
-// body is the request body of one call.
-type body struct {
-	// rest is nil when the body is inline.
-	rest io.Reader
-	// consumed is set once rest has been read from.
-	consumed bool
-}
-
 // readBody reads the caller's body into the request if it is short enough to
-// be inline; otherwise the returned body streams it. limit is the maximum length
+// be inline; otherwise the returned body streams its rest. limit is the maximum length
 // in bytes.
-func readBody(r *http.Request, request *peer.Request, limit int64) (*body, *problem.Error) {
+func readBody(r *http.Request, request *peer.Request, limit int64) (*callbody.Body, *problem.Error) {
 	if r.ContentLength > limit {
 		return nil, bodyTooLarge()
 	}
@@ -37,10 +29,10 @@
 	}
 	if len(head) <= maxInlineBody {
 		request.Body, request.Inline = head, true
-		return &body{}, nil
+		return callbody.New(head, nil), nil
 	}
 	request.Length = r.ContentLength
-	return &body{rest: io.MultiReader(bytes.NewReader(head), reader)}, nil
+	return callbody.New(head, reader), nil
 }
 
 // bodyReadProblem returns the problem for a body that could not be read.
@@ -55,13 +47,3 @@
 func bodyTooLarge() *problem.Error {
 	return problem.New(problem.BodyTooLarge, model.RunNo, "the body is over the limit")
 }
-
-// takeRest returns the reader of a body that is not inline, and marks it as
-// consumed.
-func (b *body) takeRest() io.Reader {
-	b.consumed = b.rest != nil
-	return b.rest
-}
-
-// canResend reports whether the body can be sent in another attempt.
-func (b *body) canResend() bool { return !b.consumed }
--- a/node/entry/call.go
+++ b/node/entry/call.go
@@ -5,6 +5,7 @@
 	"io"
 	"time"
 
+	"zinniafall/node/callbody"
 	"zinniafall/node/execute"
 	"zinniafall/node/peer"
 	"zinniafall/node/trace"
@@ -22,7 +23,7 @@
 type call struct {
 	entry      *Entry
 	request    *peer.Request
-	body       *body
+	body       *callbody.Body
 	connection uint64 // the number of the caller's connection
 	deadline   time.Time
 	budget     *serviceBudget
@@ -43,7 +44,7 @@
 // place runs a call without a request key, or one whose key was claimed at
 // its issuer. It returns at the head of the answer; closing the body of the
 // reply, if it is not nil, ends the context of the call.
-func (e *Entry) place(ctx context.Context, request *peer.Request, b *body, connection uint64) *execute.Reply {
+func (e *Entry) place(ctx context.Context, request *peer.Request, b *callbody.Body, connection uint64) *execute.Reply {
 	now := time.Now()
 	request.Fingerprint = fingerprintOf(request)
 	c := &call{
@@ -199,7 +200,7 @@
 // its body has been consumed or its caller has left.
 func (c *call) nextStep(ctx context.Context, failure *problem.Error) retry.Step {
 	f := retry.Failure{Run: failure.Run, Kind: failure.Kind, RetryAfter: failure.RetryAfter}
-	if !c.body.canResend() || ctx.Err() != nil {
+	if !c.body.Resendable() || ctx.Err() != nil {
 		f.Kind = problem.Canceled
 	}
 	c.entry.mu.Lock()
@@ -224,7 +225,7 @@
 // scheduleHedge schedules a hedged attempt for an idempotent call that turns
 // out to be slow.
 func (c *call) scheduleHedge(now time.Time) {
-	if c.body.rest != nil {
+	if c.body.Streamed() {
 		return
 	}
 	wait, ok := c.attempts.HedgeAfter(now, c.budget.slowThreshold())
--- a/node/entry/forward.go
+++ b/node/entry/forward.go
@@ -5,6 +5,7 @@
 	"errors"
 	"time"
 
+	"zinniafall/node/callbody"
 	"zinniafall/node/execute"
 	"zinniafall/node/peer"
 	"zinniafall/policy/callkey"
@@ -50,7 +51,7 @@
 // ends, the issuer is no longer a member, or the next step is not RetryNow.
 func (c *issuerCall) run(ctx context.Context) *execute.Reply {
 	for {
-		reply, err := c.entry.exchange(ctx, c.key.Node, &c.request, &body{})
+		reply, err := c.entry.exchange(ctx, c.key.Node, &c.request, callbody.New(nil, nil))
 		if err == nil {
 			c.recordAnswer(reply)
 			return c.coverEarlierCopies(reply)
--- a/node/entry/keyed.go
+++ b/node/entry/keyed.go
@@ -10,6 +10,7 @@
 	"sync"
 	"time"
 
+	"zinniafall/node/callbody"
 	"zinniafall/node/execute"
 	"zinniafall/node/peer"
 	"zinniafall/policy/callkey"
@@ -120,7 +121,7 @@
 	defer cancel()
 	unkeyed := *request
 	unkeyed.Kind, unkeyed.Key = peer.KindCall, ""
-	reply := e.place(ctx, &unkeyed, &body{}, 0)
+	reply := e.place(ctx, &unkeyed, callbody.New(nil, nil), 0)
 	answer, buffered := bufferAnswer(reply)
 	e.issuer.recordOutcome(serial, buffered, answer)
 	return buffered
--- a/node/execute/execute.go
+++ b/node/execute/execute.go
@@ -278,14 +278,25 @@
 	return a.handleResponse(result.Response)
 }
 
-// prepare requests the body and refuses a call whose deadline has passed or
-// whose request is now suspected.
+// prepare requests the body. Unless the body is inline it repeats the checks both before, since
+// the entry cannot send a body again of which a part was read, and after it.
 func (a *attempt) prepare() *problem.Error {
 	if a.job.Admitted != nil && !a.job.Request.Inline {
+		if refusal := a.recheck(); refusal != nil {
+			return refusal
+		}
+		if refusal := a.executor.opts.Node.CheckStart(); refusal != nil {
+			return refusal
+		}
 		if err := a.job.Admitted(); err != nil {
 			return problem.New(problem.Canceled, model.RunNo, "the entry closed the request before it was sent")
 		}
 	}
+	return a.recheck()
+}
+
+// recheck refuses a call whose deadline has passed or whose request is now suspected.
+func (a *attempt) recheck() *problem.Error {
 	if !time.Now().Before(a.deadline) {
 		return problem.New(problem.DeadlineExceeded, model.RunNo, "the deadline passed before the call started")
 	}
--- a/node/execute/slot_test.go
+++ b/node/execute/slot_test.go
@@ -9,8 +9,10 @@
 	qt "github.com/frankban/quicktest"
 
 	"zinniafall/node/owner"
+	"zinniafall/node/peer"
 	"zinniafall/policy/admission"
 	"zinniafall/policy/model"
+	"zinniafall/policy/problem"
 	"zinniafall/policy/quarantine"
 	"zinniafall/policy/settings"
 )
@@ -56,3 +58,40 @@
 		})
 	}
 }
+
+// startGate is a node and its list of suspects, of which only the last check refuses calls.
+type startGate struct {
+	Node
+	Suspects
+	refusal *problem.Error
+}
+
+func (g startGate) CheckStart() *problem.Error                       { return g.refusal }
+func (startGate) Check(quarantine.Fingerprint) (_ quarantine.Status) { return }
+
+// Guards against an upload that is lost because its body was asked for, and cannot be sent
+// again, although it was known that the call may not start here.
+func TestBodyIsRequestedOnlyIfTheCallMayStart(t *testing.T) {
+	notFresh := problem.New(problem.NotFresh, model.RunNo, "no contact")
+	for _, c := range []struct {
+		name      string
+		inline    bool
+		left      time.Duration
+		refusal   *problem.Error
+		requested bool
+	}{
+		{"may start", false, time.Minute, nil, true},
+		{"refused", false, time.Minute, notFresh, false},
+		{"deadline passed", false, -time.Second, nil, false},
+		{"inline", true, time.Minute, notFresh, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			gate, requested := startGate{refusal: c.refusal}, false
+			job := Job{Request: &peer.Request{Inline: c.inline}, Admitted: func() error { requested = true; return nil }}
+			a := &attempt{executor: New(Options{Node: gate, Suspects: gate}), job: job, deadline: time.Now().Add(c.left)}
+			refusal := a.prepare()
+			qt.Check(t, requested, qt.Equals, c.requested)
+			qt.Check(t, refusal == nil, qt.Equals, c.requested || c.inline)
+		})
+	}
+}
