Send a target no more and no fewer body bytes than the call states

What could happen: an entry whose body differs from the length that it states (a faulty process; the front keeps to the lengths of callers) made the owner write the bytes beyond the length to the target, which took them for another request. A short body of one piece was sent with its stated length, and the target waited for the rest until the deadline.

Change: the owner refuses a small body of another length, and writes no byte beyond the length of a longer one.

--- a/node/hop/hop.go
+++ b/node/hop/hop.go
@@ -89,7 +89,7 @@
 	body       io.Reader
 	once       sync.Once
 	// complete is true once the answer was read to its end.
-	complete bool
+	complete    bool
 	requestBody atomic.Int32 // a bodyState
 }
 
--- a/node/sidecar/execute.go
+++ b/node/sidecar/execute.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"runtime/debug"
@@ -210,6 +211,9 @@
 	if err != nil {
 		return nil, entryLeft()
 	}
+	if length := a.job.request.Length; rest == nil && length >= 0 && int64(len(head)) != length {
+		return nil, problem.New(problem.BadRequest, model.RunNo, fmt.Sprintf("the body has %d bytes, and its call states %d", len(head), length))
+	}
 	a.job.request.Body = head
 	return rest, a.begin(ctx)
 }
--- a/node/sidecar/upload_test.go
+++ b/node/sidecar/upload_test.go
@@ -156,23 +156,31 @@
 	store.configure(t, 1, "back")
 	n := startNode(t, store, "a", "back", newTestTarget(t, "t0"))
 	n.waitForOwnTarget()
+	left := errors.New("the entry closed the exchange")
 	for _, test := range []struct {
 		name, sent string
 		length     int64
 		end        error
 		run        model.Run
+		small      bool // the route is not one of uploads
 	}{
-		{"no body, the entry leaves", "", 0, errors.New("the entry closed the exchange"), model.RunNo},
-		{"no body", "", 0, io.EOF, model.RunYes},
-		{"whole body, the entry leaves", "abc", 3, errors.New("the entry closed the exchange"), model.RunNo},
-		{"whole body", "abc", 3, io.EOF, model.RunYes},
-		{"body beyond its length", "abcd", 3, io.EOF, model.RunNo},
+		{"no body, the entry leaves", "", 0, left, model.RunNo, false},
+		{"no body", "", 0, io.EOF, model.RunYes, false},
+		{"whole body, the entry leaves", "abc", 3, left, model.RunNo, false},
+		{"whole body", "abc", 3, io.EOF, model.RunYes, false},
+		{"body beyond its length", "abcd", 3, io.EOF, model.RunNo, false},
+		{"small, whole body, the entry leaves", "abc", 3, left, model.RunNo, true},
+		{"small, body short of its length", "ab", 3, io.EOF, model.RunNo, true},
+		{"small, body beyond its length", "abcd", 3, io.EOF, model.RunNo, true},
+		{"small, whole body", "abc", 3, io.EOF, model.RunYes, true},
+		{"small, chunks", "abc", -1, io.EOF, model.RunYes, true},
+		{"small, chunks, the entry leaves", "abc", -1, left, model.RunNo, true},
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			before := len(n.target.requests())
 			r := n.execute(t.Context(), job{
 				request: &peer.Request{
-					Kind: peer.KindCall, Revision: 1, Service: "back", Class: "unsafe", Bulk: true, ID: test.name,
+					Kind: peer.KindCall, Revision: 1, Service: "back", Class: "unsafe", Bulk: !test.small, ID: test.name,
 					Method: http.MethodPost, URI: "/unsafe/x", Host: "back", Length: test.length,
 					Timeout: time.Minute, Objective: time.Minute,
 				},
--- a/node/upstream/conn.go
+++ b/node/upstream/conn.go
@@ -174,11 +174,7 @@
 func (c *conn) writeStream(r *Request, chunked bool) error {
 	body := io.MultiReader(bytes.NewReader(r.Body), r.RemainingBody)
 	if !chunked {
-		n, err := io.Copy(c.net, body)
-		if err == nil && n != r.Length {
-			err = io.ErrUnexpectedEOF
-		}
-		return err
+		return writeExactly(c.net, body, r.Length)
 	}
 	chunk := make([]byte, maxInlineWrite)
 	for {
@@ -200,6 +196,25 @@
 	}
 }
 
+// writeExactly copies a body of the length. Of one that is longer it writes no more, since the
+// target would take that for another request.
+func writeExactly(w io.Writer, body io.Reader, length int64) error {
+	n, err := io.Copy(w, io.LimitReader(body, length))
+	switch {
+	case err != nil:
+		return err
+	case n != length:
+		return io.ErrUnexpectedEOF
+	}
+	if n, err := io.ReadFull(body, make([]byte, 1)); n > 0 || err != io.EOF {
+		return errors.Join(errBodyTooLong, err)
+	}
+	return nil
+}
+
+// errBodyTooLong reports a request with more bytes than it states.
+var errBodyTooLong = errors.New("the body of the request does not end where it states")
+
 func writeChunk(w *bytes.Buffer, chunk []byte) {
 	if len(chunk) == 0 {
 		return
--- a/node/upstream/upstream_test.go
+++ b/node/upstream/upstream_test.go
@@ -11,6 +11,7 @@
 	"strings"
 	"sync/atomic"
 	"testing"
+	"testing/iotest"
 
 	qt "github.com/frankban/quicktest"
 )
@@ -224,3 +225,43 @@
 	qt.Assert(t, result.Err, qt.IsNil)
 	qt.Assert(t, conns.Load(), qt.Equals, int64(2))
 }
+
+// Guards against a part of a body that reaches the target as a whole one, and against bytes
+// beyond the stated length, which it would take for another request.
+func TestBodyThatDiffersFromItsLengthIsNoWholeRequest(t *testing.T) {
+	body := strings.Repeat("x", 2*maxInlineWrite)
+	second := "GET /smuggled HTTP/1.1\r\nHost: h\r\n\r\n"
+	for _, test := range []struct {
+		name, body string
+		length     int64
+		end        error
+		whole      bool
+	}{
+		{"short", body, int64(len(body)) + 1, io.EOF, false},
+		{"long", body + second, int64(len(body)), io.EOF, true},
+		{"broken off at its length", body, int64(len(body)), io.ErrUnexpectedEOF, true},
+		{"broken off in chunks", body, -1, io.ErrUnexpectedEOF, false},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			requests := make(chan bool, 4) // whether each one was whole
+			p, _ := startTarget(t, func(_ int, _ net.Conn, r *bufio.Reader) {
+				defer close(requests)
+				for {
+					request, err := http.ReadRequest(r)
+					if err != nil {
+						return
+					}
+					_, err = io.Copy(io.Discard, request.Body)
+					requests <- err == nil
+				}
+			})
+			r := newRequest("1")
+			r.Method, r.Length = http.MethodPost, test.length
+			r.RemainingBody = io.MultiReader(strings.NewReader(test.body), iotest.ErrReader(test.end))
+			qt.Check(t, p.Do(t.Context(), r).Err, qt.IsNotNil)
+			qt.Check(t, <-requests, qt.Equals, test.whole)
+			_, more := <-requests
+			qt.Check(t, more, qt.IsFalse)
+		})
+	}
+}
