Read all chunks of a response that have arrived at once

What callers saw: an answer in small chunks cost two writes for each chunk, one at the owner and one at the entry, and took up to six times as long.

Cause: strictconn.Conn.Read returned one line, or the data of one chunk, and each hop passes on in one write what one read gives.

Change: a read goes on over all that has arrived, up to the end of the response. It waits only for its first byte.

TestReadReturnsAllThatHasArrived got 17 bytes, the status line, before.

--- a/node/strictconn/strictconn.go
+++ b/node/strictconn/strictconn.go
@@ -14,6 +14,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"errors"
 	"fmt"
 	"io"
@@ -140,31 +141,49 @@
 // last. The goroutine that reads may call it after the end of a response.
 func (c *Conn) Buffered() int { return c.reader.Buffered() }
 
-// Read reads bytes of responses. It does not read beyond the end of a line of the head, a
-// chunk or the body at once.
+// Read reads bytes of responses: all that have arrived and fit, up to the end of a response.
+// It waits only for the first byte, or the line that it belongs to.
 func (c *Conn) Read(p []byte) (int, error) {
-	if len(p) == 0 {
-		return 0, nil
-	}
-	for len(c.checked) == 0 {
-		if c.err != nil {
-			return 0, c.err
-		}
-		switch c.state {
-		case stateBodyOfLength, stateChunkData:
-			return c.readCounted(p)
-		case stateBodyUntilClose:
-			return c.readUntilClose(p)
-		}
-		if c.err = c.readLine(); c.err != nil {
-			c.count(c.err)
+	n := 0
+	for n < len(p) && (n == 0 || c.hasArrived()) {
+		switch {
+		case len(c.checked) > 0:
+			copied := copy(p[n:], c.checked)
+			c.checked = c.checked[copied:]
+			n += copied
+		case c.err != nil:
+			return n, c.err
+		case c.state == stateBodyOfLength || c.state == stateChunkData:
+			copied, err := c.readCounted(p[n:])
+			if n += copied; err != nil {
+				return n, err
+			}
+		case c.state == stateBodyUntilClose:
+			copied, err := c.readUntilClose(p[n:])
+			return n + copied, err
+		default:
+			if c.err = c.readLine(); c.err != nil {
+				c.count(c.err)
+			}
 		}
 	}
-	n := copy(p, c.checked)
-	c.checked = c.checked[n:]
 	return n, nil
 }
 
+// hasArrived reports whether the next bytes of the response can be read without waiting.
+func (c *Conn) hasArrived() bool {
+	switch {
+	case len(c.checked) > 0:
+		return true
+	case c.err != nil, c.state == stateStatusLine, c.reader.Buffered() == 0:
+		return false
+	case c.state == stateBodyOfLength, c.state == stateChunkData, c.state == stateBodyUntilClose:
+		return true
+	}
+	buffered, _ := c.reader.Peek(c.reader.Buffered())
+	return bytes.IndexByte(buffered, '\n') >= 0
+}
+
 // count counts an error that is the server's fault.
 func (c *Conn) count(err error) {
 	var malformed *MalformedError
--- a/node/strictconn/strictconn_test.go
+++ b/node/strictconn/strictconn_test.go
@@ -235,6 +235,31 @@
 	qt.Check(t, errors.Is(err, ErrUnasked), qt.IsTrue)
 }
 
+// TestReadReturnsAllThatHasArrived guards against a read for each chunk of an answer, of which
+// every one is passed on in a write of its own, and against bytes that wait for later ones.
+func TestReadReturnsAllThatHasArrived(t *testing.T) {
+	chunk := "20\r\n" + strings.Repeat("x", 32) + "\r\n"
+	head := okLine + "Transfer-Encoding: chunked\r\n\r\n"
+	const begun = "20\r\nabc"
+	client, server := net.Pipe()
+	defer func() { _ = client.Close() }()
+	parts := []string{head + strings.Repeat(chunk, 50), begun, strings.Repeat("y", 29) + "\r\n0\r\n\r\n"}
+	go func() {
+		for _, part := range parts {
+			_, _ = io.WriteString(server, part)
+		}
+	}()
+	c := New(client, "test", testLimits)
+	c.Expect("GET")
+	got := make([]byte, 8<<10)
+	for _, part := range parts {
+		n, err := c.Read(got)
+		qt.Assert(t, err, qt.IsNil)
+		qt.Assert(t, string(got[:n]), qt.Equals, part)
+	}
+	qt.Assert(t, c.Buffered(), qt.Equals, 0)
+}
+
 // TestResetResponseWithoutLengthIsIncomplete guards against a reset that a write of the
 // request is told of: the read that follows finds a regular end.
 func TestResetResponseWithoutLengthIsIncomplete(t *testing.T) {
