Apply an answer only to the process of the target that gave it

What callers saw: a process that had not answered yet could get calls, among them one that would have said in its first answer that it leaves.

Cause: recordHealth found that an answer came by a current pool, and then applied what it says in several steps. An announcement of another process between two of them made the successor count as having answered. Cold period, warmth, load and the state of the connection were applied without a check.

Change: what an answer says is applied while the lock is held under which the process is replaced, and only if its pool is still current.

TestLateAnswerOfAFormerProcessStatesNothing takes a late answer by its former pool; the cold period of that was applied before.

--- a/node/sidecar/execute.go
+++ b/node/sidecar/execute.go
@@ -357,14 +357,14 @@
 		// Another process answers: it can add a limit, but not lift one.
 		sentAt = time.Time{}
 	}
-	a.node.target.recordStatement(response.Header, sentAt)
+	a.node.target.recordStatement(a.pool, response.Header, sentAt)
 	if response.Status == http.StatusMisdirectedRequest {
 		return
 	}
 	if a.node.target.statesLeaving(response.Header) {
-		a.node.target.recordLeaving(a.targetID)
+		a.node.target.recordLeaving(a.pool, a.targetID)
 	}
-	a.node.target.openHeard(true)
+	a.node.target.openHeard(a.pool, true)
 }
 
 // classify converts the target's result to a reply. The second result reports
@@ -374,9 +374,9 @@
 	if result.Response == nil {
 		return a.classifyFailure(ctx, result), false
 	}
-	a.node.target.recordAnswer()
+	a.node.target.recordAnswer(a.pool)
 	response := result.Response
-	a.node.target.recordLoad(response.Header)
+	a.node.target.recordLoad(a.pool, response.Header)
 	switch {
 	case response.Status == http.StatusMisdirectedRequest:
 		a.node.target.probeNow()
--- a/node/sidecar/probe.go
+++ b/node/sidecar/probe.go
@@ -152,8 +152,12 @@
 func (t *target) recordNoAnswer(result upstream.Result, pool *upstream.Pool) {
 	t.reportRefused("health", result.Err)
 	t.mu.Lock()
+	if !t.isCurrentLocked(pool) {
+		t.mu.Unlock()
+		return
+	}
 	t.unanswered++
-	tried := t.unanswered >= unansweredBeforeTrial && t.id != "" && pool == t.health
+	tried := t.unanswered >= unansweredBeforeTrial && t.id != ""
 	down := result.Refused || t.unanswered >= maxUnanswered && time.Since(t.answeredAt) > maxUnanswered*probeTimeout
 	id := t.id
 	t.mu.Unlock()
@@ -161,7 +165,7 @@
 	case down:
 		t.markDown(id, result.Err)
 	case tried:
-		t.openHeard(false)
+		t.openHeard(pool, false)
 	}
 }
 
@@ -176,9 +180,13 @@
 	t.publishState()
 }
 
-// recordAnswer records that the target answered.
-func (t *target) recordAnswer() {
+// recordAnswer records that the target answered a request of the pool.
+func (t *target) recordAnswer(pool *upstream.Pool) {
 	t.mu.Lock()
+	if !t.isCurrentLocked(pool) {
+		t.mu.Unlock()
+		return
+	}
 	t.answeredAt, t.unanswered = time.Now(), 0
 	id := t.id
 	t.mu.Unlock()
@@ -196,11 +204,11 @@
 	if id == "" || !t.isCurrent(pool) {
 		return
 	}
-	t.recordStatement(r.Header, sentAt)
+	t.recordStatement(pool, r.Header, sentAt)
 	if t.statesLeaving(r.Header) {
-		t.recordLeaving(id)
+		t.recordLeaving(pool, id)
 	}
-	t.openHeard(true)
+	t.openHeard(pool, true)
 }
 
 // recordHealth applies the answer to a health request. Of an answer without a target
@@ -215,14 +223,16 @@
 	cold, hasCold := milliseconds(r.Header.Get(t.node.dialect.ColdLeft))
 	leaving := t.statesLeaving(r.Header)
 	t.mu.Lock()
+	if !t.isCurrentLocked(pool) {
+		t.mu.Unlock()
+		return // the present process has been asked meanwhile
+	}
 	isNew := id != t.id
 	healthy := r.Status == http.StatusOK || r.Header.Get(t.node.dialect.NotRun) != "" // a full target rejects it
 	if !healthy {
 		t.lastUnhealthy = healthAnswer{id: id, at: time.Now()}
 	}
-	if pool == t.health {
-		t.shown = healthAnswer{id: id, at: time.Now()}
-	}
+	t.shown = healthAnswer{id: id, at: time.Now()}
 	announcement, confirmed, departs := t.confirm(id, healthy)
 	closed := t.closeIfMayHaveLeft()
 	adopt := isNew && r.Status == http.StatusOK && (hasLoad && load.Slots > 0)
@@ -231,6 +241,7 @@
 		t.leaving = leaving || t.hasLeft()
 		t.version = "" // the announcement states it
 		t.replacePools()
+		pool = t.health // the answer is that of the adopted process
 	}
 	t.mu.Unlock()
 	if closed {
@@ -246,7 +257,7 @@
 	}
 	if isNew && !adopt {
 		if leaving {
-			t.recordLeaving(id)
+			t.recordLeaving(pool, id)
 		}
 		return // the target's announcement states the rest
 	}
@@ -254,15 +265,13 @@
 		t.node.log.Info("target found by its health", "part", "target", "target", id, "slots", load.Slots, "cold_left_ms", cold.Milliseconds())
 		t.applyState(cold)
 	}
-	if adopt || t.isCurrent(pool) {
-		t.recordStatement(r.Header, sentAt)
-		if leaving {
-			t.recordLeaving(id)
-		}
-		t.openHeard(true)
+	t.recordStatement(pool, r.Header, sentAt)
+	if leaving {
+		t.recordLeaving(pool, id)
 	}
-	t.recordAnswer()
-	t.node.owner.apply(func(d *dispatch.Owner, now time.Time) []dispatch.Decision {
+	t.openHeard(pool, true)
+	t.recordAnswer(pool)
+	t.applyAnswer(pool, func(d *dispatch.Owner, now time.Time) []dispatch.Decision {
 		if cold == 0 {
 			d.ConfirmWarm(sentAt)
 		}
@@ -276,10 +285,10 @@
 	})
 }
 
-// recordLoad applies the load stated in an answer.
-func (t *target) recordLoad(header http.Header) {
+// recordLoad applies the load stated in an answer to a request of the pool.
+func (t *target) recordLoad(pool *upstream.Pool, header http.Header) {
 	if load, ok := parseLoad(header.Get(t.node.dialect.Load)); ok {
-		t.node.owner.apply(func(d *dispatch.Owner, now time.Time) []dispatch.Decision { return d.RecordPace(now, load) })
+		t.applyAnswer(pool, func(d *dispatch.Owner, now time.Time) []dispatch.Decision { return d.RecordPace(now, load) })
 	}
 }
 
--- a/node/sidecar/statement.go
+++ b/node/sidecar/statement.go
@@ -33,12 +33,27 @@
 func (t *target) isCurrent(pool *upstream.Pool) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return pool == t.pool || pool == t.health
+	return t.isCurrentLocked(pool)
 }
 
-// recordStatement applies what an answer of the present process states about the
+// isCurrentLocked is isCurrent for a caller that holds t.mu.
+func (t *target) isCurrentLocked(pool *upstream.Pool) bool { return pool == t.pool || pool == t.health }
+
+// applyAnswer applies what an answer to a request of the pool says to the owner, unless
+// another process has taken the place of the one that answered. It reports whether it did.
+func (t *target) applyAnswer(pool *upstream.Pool, event func(d *dispatch.Owner, now time.Time) []dispatch.Decision) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if !t.isCurrentLocked(pool) {
+		return false
+	}
+	t.node.owner.apply(event)
+	return true
+}
+
+// recordStatement applies what an answer to a request of the pool states about the
 // target. sentAt is when the request was sent.
-func (t *target) recordStatement(header http.Header, sentAt time.Time) {
+func (t *target) recordStatement(pool *upstream.Pool, header http.Header, sentAt time.Time) {
 	values := header.Values(t.node.dialect.StatedLimit)
 	limit, ok := statedlimit.Parse(values)
 	if !ok {
@@ -47,7 +62,7 @@
 	}
 	var before float64
 	var changed bool
-	t.node.owner.apply(func(d *dispatch.Owner, now time.Time) []dispatch.Decision {
+	t.applyAnswer(pool, func(d *dispatch.Owner, now time.Time) []dispatch.Decision {
 		before = d.StatedLimit()
 		var decisions []dispatch.Decision
 		changed, decisions = d.RecordStatement(now, statedlimit.Statement{Limit: limit, SentAt: sentAt})
@@ -63,10 +78,14 @@
 	return strings.TrimSpace(header.Get(t.node.dialect.Leaving)) == leavingValue
 }
 
-// recordLeaving records that an answer of a target stated that it leaves. Later
-// announcements of the same process do not open it again.
-func (t *target) recordLeaving(id string) {
+// recordLeaving records that an answer of a target to a request of the pool stated that it
+// leaves. Later announcements of the same process do not open it again.
+func (t *target) recordLeaving(pool *upstream.Pool, id string) {
 	t.mu.Lock()
+	if id == t.id && !t.isCurrentLocked(pool) {
+		t.mu.Unlock()
+		return // the present process has the ID of a former one
+	}
 	known := t.saidLeaving
 	if id == t.id {
 		t.saidLeaving = true
@@ -85,11 +104,11 @@
 	}
 }
 
-// openHeard opens the gate of a process that has answered. A process that does not
+// openHeard opens the gate of the process of a pool that has answered. A process that does not
 // answer health requests may answer calls: it is tried with one call at a time.
-func (t *target) openHeard(answered bool) {
+func (t *target) openHeard(pool *upstream.Pool, answered bool) {
 	wasClosed := false
-	t.node.owner.apply(func(d *dispatch.Owner, now time.Time) []dispatch.Decision {
+	t.applyAnswer(pool, func(d *dispatch.Owner, now time.Time) []dispatch.Decision {
 		wasClosed = d.Closed(dispatch.GateUnheard)
 		if !wasClosed && !(answered && d.Unproven()) {
 			return nil
--- a/node/sidecar/statement_test.go
+++ b/node/sidecar/statement_test.go
@@ -8,6 +8,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"zinniafall/node/upstream"
 	"zinniafall/policy/dispatch"
 	"zinniafall/policy/statedlimit"
 )
@@ -52,15 +53,25 @@
 	eventually(t, "the new process has no limit", func() bool { return ownerA.owner.statedLimit() == statedlimit.Unlimited })
 }
 
-// A late answer of a process that has been replaced says nothing about its successor.
+// A late answer of a process that has been replaced says nothing about its successor, also if
+// that has its ID: it must not open the gate of a process that has not answered, nor make a
+// cold one count as warm.
 func TestLateAnswerOfAFormerProcessStatesNothing(t *testing.T) {
 	_, ownerA, _ := startEntryAndOwners(t)
+	ownerA.target.stopHealth(t)
 	_, _, former := ownerA.Node.target.identity()
 	qt.Assert(t, ownerA.Announce(ownerA.announcement(100, 1)), qt.IsNil)
 	qt.Assert(t, ownerA.Announce(ownerA.announcement(200, 1)), qt.IsNil)
 	qt.Assert(t, ownerA.Node.target.isCurrent(former), qt.IsFalse)
 	_, _, current := ownerA.Node.target.identity()
 	qt.Assert(t, ownerA.Node.target.isCurrent(current), qt.IsTrue)
+	late := &upstream.Response{Status: http.StatusOK, Header: http.Header{"X-Target": {ownerA.target.id}, "X-Load": {"0,0,8"}, "X-Cold": {"60000"}, "X-Leaving": {"1"}, "X-Limit": {"3"}}}
+	ownerA.Node.target.recordHealth(late, time.Now(), former)
+	ownerA.Node.target.openHeard(former, true)
+	qt.Check(t, ownerA.owner.gateClosed(dispatch.GateUnheard), qt.IsTrue)
+	qt.Check(t, ownerA.owner.gateClosed(dispatch.GateDraining), qt.IsFalse)
+	qt.Check(t, ownerA.owner.statedLimit(), qt.Equals, statedlimit.Unlimited)
+	qt.Check(t, ownerA.owner.decisionInputs().cold < time.Minute/2, qt.IsTrue)
 }
 
 // Guards against the incident LIMIT: owners ignored the limit that a target stated.
