Count the store's answer to a commit as a confirmation of its revision

What callers saw: a node of run that had just committed the configuration, and lost the store right after it, refused all calls with 503, "no target of permits takes new work", until the store was back.

Cause: only the reads of the watch loop counted as evidence that the node's configuration is current. The node had applied its own commit before the first of them was answered, so it had no evidence at all: traced in a failing run, with no time until which it was fresh and a limit of 0 at its target.

Change: the store's answer to the commit, or to the read that found the change accepted, is passed to OnPoll like that of a read, with the time at which it was sent. The bound is the same: without further evidence, a node that is alone and without the store takes no calls 2.5 s after it.

TestCommitReachesAllNodes checks the confirmation, and failed without it.

--- a/node/configuration/applier.go
+++ b/node/configuration/applier.go
@@ -38,12 +38,12 @@
 	FetchConfiguration(ctx context.Context, node model.NodeAddr, have model.Revision) ([]byte, error)
 }
 
-// Poll is the outcome of one read of the head by the watch loop.
+// Poll is the outcome of one read of the head by the watch loop, or of a commit.
 type Poll struct {
 	// Reachable is false when the store did not answer or returned an outdated
 	// head.
 	Reachable bool
-	// Confirmed is the revision in force here, confirmed by the store to be the
+	// Confirmed is a revision in force here, confirmed by the store to be the
 	// latest. It is set when Reachable is true.
 	Confirmed model.Revision
 	// StartedAt is the time at which the read was sent. The store had the
@@ -60,7 +60,8 @@
 	// OnApply is called with each applied configuration, in order, after Current
 	// returns it and before the next one is applied. It may be nil.
 	OnApply func(*settings.Snapshot)
-	// OnPoll is called after each read by the watch loop. It may be nil.
+	// OnPoll is called after each read by the watch loop and each commit that the store has
+	// accepted. It may be nil.
 	OnPoll func(Poll)
 	// FetchTimeout bounds one fetch from a node; the default is 10 s. Peers end one that
 	// makes no progress sooner.
--- a/node/configuration/applier_test.go
+++ b/node/configuration/applier_test.go
@@ -180,6 +180,9 @@
 		nodes := f.startSample(4)
 		qt.Assert(t, f.revisions(nodes), qt.DeepEquals, []model.Revision{1, 1, 1, 1})
 		f.commit(nodes[2], out("x", 1, true), config.ResultAccepted)
+		// The answer of the store to the commit shows that the revision is its latest.
+		qt.Assert(t, f.poll("node-2").Reachable, qt.IsTrue)
+		qt.Assert(t, f.poll("node-2").Confirmed, qt.Equals, model.Revision(2))
 		f.advance(time.Second)
 		qt.Assert(t, f.revisions(nodes), qt.DeepEquals, []model.Revision{2, 2, 2, 2})
 		qt.Assert(t, nodes[3].Current().Domains["ne-a"].Out, qt.IsTrue)
--- a/node/configuration/commit.go
+++ b/node/configuration/commit.go
@@ -53,8 +53,10 @@
 type runner struct {
 	applier *Applier
 	commit  *config.Commit
-	// head is the latest value of the head that was read or swapped in.
-	head []byte
+	// head is the latest value of the head that was read or swapped in, by a request that was
+	// sent at askedAt.
+	head    []byte
+	askedAt time.Time
 	// contents are the written parts by key.
 	contents map[string][]byte
 }
@@ -79,12 +81,13 @@
 	if action.Attempt > 0 && !sleep(ctx, r.applier.backoff(min(action.Attempt, 3))) {
 		return r.commit.Failed(action, config.FailedWithoutEffect)
 	}
+	askedAt := time.Now()
 	current, raw, err := r.applier.readCurrent(ctx)
 	if err != nil {
 		klog.V(1).Infof("configuration: reading before a commit: %v", err)
 		return r.commit.Failed(action, config.FailedWithoutEffect)
 	}
-	r.head = raw
+	r.head, r.askedAt = raw, askedAt
 	return r.commit.Read(current)
 }
 
@@ -116,6 +119,7 @@
 func (r *runner) swap(ctx context.Context, action config.SwapHead) config.CommitAction {
 	var swapped bool
 	var err error
+	askedAt := time.Now()
 	if action.Index == 0 {
 		swapped, err = r.applier.options.Store.Create(ctx, config.HeadKey, action.Value)
 	} else {
@@ -126,14 +130,15 @@
 		return r.commit.Failed(action, failureOf(err))
 	}
 	if swapped {
-		r.head = action.Value
+		r.head, r.askedAt = action.Value, askedAt
 	}
 	return r.commit.Swapped(swapped)
 }
 
 // finish applies an accepted change and deletes unused parts. If the follower
 // rejects the head with the written parts, the configuration is read from the
-// store. The deletion also runs when ctx has ended, for up to cleanupTimeout.
+// store. The answer to the commit shows the store's head like the answer to a read.
+// The deletion also runs when ctx has ended, for up to cleanupTimeout.
 func (r *runner) finish(ctx context.Context, done config.Finished) {
 	if done.Result == config.ResultAccepted && r.head != nil {
 		contents := make([][]byte, 0, len(r.contents))
@@ -143,12 +148,23 @@
 		if r.applier.apply(r.head, contents) != nil {
 			_, _ = r.applier.readStore(ctx)
 		}
+		r.confirm()
 	}
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), cleanupTimeout)
 	defer cancel()
 	r.applier.deleteParts(ctx, done.Deletes)
 }
 
+// confirm reports the head that the store showed last, if it is in force here. It may be later
+// than the change, which then was accepted before.
+func (r *runner) confirm() {
+	head, err := config.DecodeHead(r.head)
+	if err != nil || r.applier.Current().Revision < head.Revision {
+		return
+	}
+	r.applier.options.OnPoll(Poll{Reachable: true, Confirmed: head.Revision, StartedAt: r.askedAt})
+}
+
 // failureOf classifies a failed write by whether it may have taken effect.
 func failureOf(err error) config.Failure {
 	if platform.IsOutcomeUnknown(err) {
