Mark the era of the store before there are accounts

The store, which counts its returns from 0, came back from a copy of right after the first accounts were configured, and all processes had been killed.

Cause: a process that finds no mark takes era 1 for the first one of a store that counts from 1. The mark was written only once there were accounts, so a copy could have these without it.

Change: where revocation is strict, the era is marked as soon as the store's answers count, whether or not there are accounts. A process that finds no mark in era 1, but an entry of an earlier process of its node, waits until the operators have had the time to write again, like in any later era.

Cost: one write by one node of a fleet whose settings are strict and whose configuration has no accounts. A first start in calm is not delayed: it finds neither mark nor entry. Left is a return from a copy of before the first mark (about a second after the very first start) and before the first entries.

--- a/node/sidecar/account_test.go
+++ b/node/sidecar/account_test.go
@@ -17,6 +17,7 @@
 	"zinniafall/node/peer"
 	"zinniafall/policy/model"
 	"zinniafall/policy/proof"
+	"zinniafall/policy/roster"
 )
 
 // configureAccounts writes a configuration with the routes of newDocument, of which /safe/
@@ -317,3 +318,27 @@
 	s.configureAccounts(t, 3, map[model.Account][]string{"gold": {testKey}})
 	eventually(t, "keys are accepted again", func() bool { return n.keyedStatus() == http.StatusOK })
 }
+
+// A copy of the store from right after the first accounts came must have the mark: a process
+// that starts after the return would take the era for the first one, and a withdrawn key worked.
+func TestEraIsMarkedBeforeThereAreAccounts(t *testing.T) {
+	s := newMemoryStore()
+	s.configure(t, 1, "s")
+	n := startStrictNode(t, s, "s", newTestTarget(t, "t"))
+	eventually(t, "the era is marked", func() bool { return s.has(eraMarkKey) })
+
+	own := n.fleet.entryKey()
+	earlier, err := json.Marshal(roster.Record{Node: n.self, Process: model.ProcessID{1}})
+	qt.Assert(t, err, qt.IsNil)
+	for _, test := range []struct {
+		key, value  string
+		predecessor bool
+	}{
+		{own, string(earlier), true},
+		{own, string(n.fleet.ownEntry), false},
+		{own, "not an entry", false},
+		{nodePrefix + "127.0.0.1:1", string(earlier), false},
+	} {
+		qt.Check(t, n.fleet.isOfPredecessor(Item{Key: test.key, Value: []byte(test.value)}), qt.Equals, test.predecessor, qt.Commentf("%s: %s", test.key, test.value))
+	}
+}
--- a/node/sidecar/eramark.go
+++ b/node/sidecar/eramark.go
@@ -25,6 +25,7 @@
 	for _, item := range items {
 		if item.Key != eraMarkKey {
 			others = append(others, item)
+			mark.Preceded = mark.Preceded || whole && p.node.fleet.isOfPredecessor(item)
 			continue
 		}
 		era, err := strconv.ParseUint(string(item.Value), 10, 64)
@@ -42,8 +43,9 @@
 }
 
 // unmarked returns the era that this node is to mark in the store. ok is false if there is none.
+// The mark does not wait for accounts: a copy of the store that has them should have it too.
 func (p *proofs) unmarked() (era uint64, ok bool) {
-	if !p.required() || !p.node.fleet.isWatcher() {
+	if !p.node.live.Load().StrictRevocation || !p.node.fleet.isWatcher() {
 		return 0, false
 	}
 	p.mu.Lock()
--- a/node/sidecar/fleet.go
+++ b/node/sidecar/fleet.go
@@ -212,6 +212,13 @@
 	}
 }
 
+// isOfPredecessor reports whether a key of the store is the entry of an earlier process of this
+// node.
+func (f *fleet) isOfPredecessor(item Item) bool {
+	var record roster.Record
+	return item.Key == f.entryKey() && json.Unmarshal(item.Value, &record) == nil && record.Process != f.node.process
+}
+
 // greetWatchers exchanges greetings with the watchers of this failure domain, if they are
 // other nodes: they learn of this node before its entry is written, and it learns that they
 // follow the store.
--- a/node/sidecar/proof.go
+++ b/node/sidecar/proof.go
@@ -210,7 +210,9 @@
 				p.renew(ctx)
 			}
 			hadProof = p.logChange(hadProof)
-			p.markEra(ctx)
+		}
+		p.markEra(ctx)
+		if p.required() {
 			sleep(ctx, minProofPause)
 		}
 		p.awaitNext(ctx)
--- a/policy/proof/proof.go
+++ b/policy/proof/proof.go
@@ -40,6 +40,7 @@
 	// of no use, and sums of ages must not overflow.
 	maxStatedAge = time.Hour
 	// firstEra is the highest era that a store that has never returned from a copy may state.
+	// One that counts from 0 states it after its first return.
 	firstEra = 1
 )
 
@@ -99,6 +100,8 @@
 	// Found is false if there is no mark, and Era the marked era otherwise.
 	Found bool
 	Era   uint64
+	// Preceded is set if the store holds something of an earlier process of this node.
+	Preceded bool
 }
 
 type aheadProof struct {
@@ -202,14 +205,19 @@
 
 // markedCurrent reports whether the mark shows that the store has not returned from a copy
 // since its answers counted. Without a mark that is so for the first era that it can state.
+// A store may count its eras from 0 or from 1, so that era 1 may be the first or follow one
+// return; it is taken for the first unless the store remembers an earlier process, which would
+// have left a mark.
 func (t *Tracker) markedCurrent() bool {
 	switch {
 	case !t.mark.Read:
 		return false
 	case t.mark.Found:
 		return t.mark.Era == t.era
+	case t.returned || t.mark.ReadIn != t.era:
+		return false
 	}
-	return !t.returned && t.era <= firstEra && t.mark.ReadIn == t.era
+	return t.era < firstEra || t.era == firstEra && !t.mark.Preceded
 }
 
 // Age returns the age of the proof. It reports false if there is none.
--- a/policy/proof/proof_test.go
+++ b/policy/proof/proof_test.go
@@ -206,7 +206,8 @@
 }
 
 // TestFirstReturnFromCopyIsNoticedByItsMark guards against a process that starts after the first
-// return of a store that counts from 0 and takes that era for the first one.
+// return of a store that counts from 0 and takes that era for the first one, and against a first
+// start that waits although the store is new.
 func TestFirstReturnFromCopyIsNoticedByItsMark(t *testing.T) {
 	for _, test := range []struct {
 		name   string
@@ -216,6 +217,8 @@
 		{"not read", Mark{}, false},
 		{"none, read in the era before", Mark{Read: true, ReadIn: 0}, false},
 		{"none", Mark{Read: true, ReadIn: 1}, true},
+		{"none, but an entry of an earlier process", Mark{Read: true, ReadIn: 1, Preceded: true}, false},
+		{"the same era, and an entry", Mark{Read: true, ReadIn: 1, Found: true, Era: 1, Preceded: true}, true},
 		{"the era before", Mark{Read: true, ReadIn: 1, Found: true, Era: 0}, false},
 		{"the same era", Mark{Read: true, ReadIn: 1, Found: true, Era: 1}, true},
 	} {
