Let a home that is alone in its failure domain hold back no loans

What callers saw: in the first 1.3 s after all nodes had started, an account got half of its quota or less. TestQuotaHoldsOverAllEntries asks for half of it and sat on that edge: 12 or 13 requests in 1.2 s.

A home knows that nobody has lent if it saw all members of its failure domain starting; without members it never did.

Change: a process that has known no other member since it started counts as one that saw all of them start. Its own predecessor's loans end 1.3 s after they were made, and a process is no home in its first 2.25 s.

--- a/policy/quota/home.go
+++ b/policy/quota/home.go
@@ -95,9 +95,10 @@
 
 // unlent returns the part of a share that is in use nowhere else when this node becomes home:
 // the home before may have lent maxLent of it. After a start of all processes at once, the
-// borrowers of most loans are gone as well.
+// borrowers of most loans are gone as well. A process that has known no other member was
+// preceded only by one at its address, whose loans ended before it was ready.
 func (n *Node) unlent(since time.Time) float64 {
-	if n.allStarted && !since.After(n.ready.Add(leaseTime)) {
+	if (n.allStarted || len(n.byNode) == 0) && !since.After(n.ready.Add(leaseTime)) {
 		return startingPart
 	}
 	return 1 - maxLent
--- a/policy/quota/quota_test.go
+++ b/policy/quota/quota_test.go
@@ -324,6 +324,29 @@
 	qt.Assert(t, math.Abs(b.tokens-(2*base+0.8*50)) < 0.01, qt.IsTrue, qt.Commentf("%v", b.tokens))
 }
 
+// Right after all processes have started, a home that is alone in its failure domain must not
+// hold back what no other home can have lent; one that has known another member must.
+func TestLoneHomeHoldsBackNoLoans(t *testing.T) {
+	for _, test := range []struct {
+		name   string
+		known  []Member
+		unlent float64
+	}{
+		{"alone", nil, startingPart},
+		{"a member that has left", []Member{{Node: "m", Domain: "d"}}, 1 - maxLent},
+		{"a node of another failure domain", []Member{{Node: "m", Domain: "e"}}, startingPart},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			limit := Limit{Rate: 200, Burst: 1000}
+			n, _ := lone(limit)
+			n.SetMembers(n.started, test.known)
+			n.SetMembers(n.started, nil)
+			b := n.bucket(n.ready, "a", hashOf("a"), n.since, limit)
+			qt.Assert(t, b.unlent, qt.Equals, test.unlent)
+		})
+	}
+}
+
 // Many requests at a time must not cause as many messages, and tokens must lapse.
 func TestRequestsShareAQuestion(t *testing.T) {
 	n, now := lone(Limit{Rate: 100, Burst: 100})
