--- a/node/sidecar/rolloutwire_test.go
+++ b/node/sidecar/rolloutwire_test.go
@@ -124,7 +124,7 @@
 	}
 	recheck := func(ticket dispatch.Ticket) *problem.Error {
 		a := attempt{node: n.Node, job: job{request: &peer.Request{Service: "shop", Class: "safe"}}, ticket: ticket, deadline: time.Now().Add(time.Minute)}
-		return a.recheck()
+		return a.begin(t.Context())
 	}
 	ok, first := admit()
 	qt.Assert(t, ok, qt.IsTrue)
