Use a target that replaces another one only once its service is known

Cause: a target that only its health answer had shown was adopted with the service of the settings that were read last. Health answers name no service, and the settings file, which had changed without a signal, was read again once a second. Announcements of the new service were rejected until then.

Change: a target that replaces another one waits for its announcement, which names its service, for up to 1.5 s, and is adopted by its health only after that, under the service of the settings as they are then. An announcement that names another service than the settings causes them to be read again.

Cost: none for the first target that a node finds, so that a node that starts again uses its target as soon as before. A target that replaces another one without announcing itself is used 1.5 s later.

Evidence: TestReplacedTargetGetsNoCallsOfTheFormerService, which finds the new instance under the old service without the change; the tests of platform pass.

--- a/cmd/zinniafalld/sidecar.go
+++ b/cmd/zinniafalld/sidecar.go
@@ -74,7 +74,7 @@
 	if code != 0 {
 		return code
 	}
-	node, err := platform.Start(settings, advertised, release())
+	node, err := platform.Start(settings, path, advertised, release())
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return exitFailed
@@ -85,11 +85,11 @@
 	for {
 		select {
 		case <-poll.C:
-			reload(node, path)
+			_ = node.RefreshSettings() // which logs an error
 			continue
 		case s := <-signals:
 			if s == syscall.SIGHUP {
-				reload(node, path)
+				_ = node.RefreshSettings()
 				continue
 			}
 		}
@@ -97,14 +97,3 @@
 		return 0
 	}
 }
-
-// reload applies the current settings file to the running node. Settings that
-// cannot change at run time take effect at the next start.
-func reload(node *sidecar.Node, path string) {
-	settings, err := platform.LoadSettings(path)
-	if err != nil {
-		node.Log().Warn("settings rejected", "part", "node", "error", err.Error())
-		return
-	}
-	node.Reload(settings)
-}
--- a/node/sidecar/announce.go
+++ b/node/sidecar/announce.go
@@ -15,6 +15,9 @@
 	// suspect: announcements come every second or two, and delayed ones arrive together.
 	maxHealthAge  = time.Second
 	suspectPeriod = time.Second
+	// announcementWait is how long a target that replaces another one may be known by its health
+	// answers before it is used without an announcement: its first one names its service.
+	announcementWait = 1500 * time.Millisecond
 	// maxVersionBytes bounds the length of the version that a target may announce.
 	maxVersionBytes = 256
 	// maxSlots bounds the number of slots that a target may announce.
@@ -52,6 +55,9 @@
 // invalid, and ErrDepartureNotStored if it is that of a departure and the store does not have
 // it yet. Stale announcements are ignored without an error.
 func (t *target) recordAnnouncement(a Announcement) error {
+	if a.Service != t.ownService() {
+		_ = t.node.RefreshSettings() // they may name another service since the last read
+	}
 	if err := t.validate(a); err != nil {
 		t.node.log.Warn("announcement rejected", "part", "target", "target", a.ID, "error", err.Error())
 		return err
--- a/node/sidecar/identity_test.go
+++ b/node/sidecar/identity_test.go
@@ -3,12 +3,14 @@
 import (
 	"fmt"
 	"net/http"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	qt "github.com/frankban/quicktest"
 
 	"zinniafall/policy/dispatch"
+	"zinniafall/policy/model"
 )
 
 // becomes makes the target answer under an ID from now on, as a new process at its address does.
@@ -128,3 +130,52 @@
 	})
 	qt.Assert(t, ownerA.owner.gateClosed(dispatch.GateDraining), qt.IsFalse)
 }
+
+// Guards against review case 12: an instance of another service that takes over the address gets
+// calls of the old one, since the node has not read its settings again and health answers name
+// no service.
+func TestReplacedTargetGetsNoCallsOfTheFormerService(t *testing.T) {
+	for _, test := range []struct {
+		name      string
+		lag       time.Duration // from the start of the instance to the change of the settings
+		announces bool
+	}{
+		{"settings first", 0, false},
+		{"settings first, announced", 0, true},
+		{"settings later, announced", 500 * time.Millisecond, true},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			store := newMemoryStore()
+			store.configure(t, 1, "front", "back")
+			var service atomic.Value
+			service.Store(model.Service("back"))
+			entry := startNode(t, store, "a", "front", newTestTarget(t, "t0"))
+			other := startNode(t, store, "a", "back", newTestTarget(t, "t2"))
+			owner := startNodeWith(t, store, "a", "back", newTestTarget(t, "t1"), freeAddr(), func(o *Options) {
+				settings := o.Settings
+				o.ReadSettings = func() (Settings, error) {
+					settings := settings
+					settings.Service = service.Load().(model.Service)
+					return settings, nil
+				}
+			})
+			owner.waitForOwnTarget()
+			other.waitForOwnTarget()
+			entry.waitForTargets("back", 2)
+			owner.target.becomes("next")
+			time.AfterFunc(test.lag, func() { service.Store(model.Service("front")) })
+			next := owner.announcement(time.Now().UnixMilli(), 1)
+			next.ID, next.Service = "next", "front"
+			eventually(t, "the instance is one of the new service", func() bool {
+				a := entry.call(http.MethodPost, "back", "/unsafe/x")
+				qt.Check(t, a.body != "from next", qt.IsTrue)
+				if test.announces {
+					_ = owner.Announce(next)
+				}
+				id, service, _ := owner.Node.target.identity()
+				qt.Check(t, id != "next" || service == "front", qt.IsTrue, qt.Commentf("%s of %s", id, service))
+				return id == "next" && service == "front"
+			})
+		})
+	}
+}
--- a/node/sidecar/node.go
+++ b/node/sidecar/node.go
@@ -86,6 +86,9 @@
 	// ControlHandlers returns the handlers of the target's announcements and of
 	// the platform's readiness checks, in the platform's formats.
 	ControlHandlers func(*Node) (announcements, readiness http.Handler)
+	// ReadSettings returns the present settings for RefreshSettings. If it is nil, they only
+	// change by Reload.
+	ReadSettings func() (Settings, error)
 	// Log receives the structured log.
 	Log io.Writer
 	// BootTime is the clock of proofs of currency and quotas; nil means CLOCK_BOOTTIME.
@@ -97,6 +100,8 @@
 	// settings are those at the start; live holds the settings after a reload.
 	settings     Settings
 	live         atomic.Pointer[Settings]
+	readSettings func() (Settings, error)
+	refreshing   sync.Mutex // held while the settings are read and applied
 	dialect      Dialect
 	store        Store
 	operatorKeys OperatorKeys
@@ -152,7 +157,7 @@
 	n := &Node{
 		settings: s, dialect: opts.Dialect, store: countedStore{opts.Store}, operatorKeys: opts.OperatorKeys,
 		log: events.New(opts.Log, s.Name), self: model.NodeAddr(cmp.Or(opts.AdvertisedAddr, s.Peers)), client: hop.NewClient(), metrics: metrics.NewSet(),
-		bodies: upstream.NewBuffers(bodyBuffers),
+		bodies: upstream.NewBuffers(bodyBuffers), readSettings: opts.ReadSettings,
 	}
 	n.live.Store(&s)
 	if _, err := rand.Read(n.process[:]); err != nil {
@@ -434,6 +439,23 @@
 	n.log.Close()
 }
 
+// RefreshSettings reads the settings and applies them. After an error, which is logged, those
+// before stay in force.
+func (n *Node) RefreshSettings() error {
+	if n.readSettings == nil {
+		return nil
+	}
+	n.refreshing.Lock()
+	defer n.refreshing.Unlock()
+	settings, err := n.readSettings()
+	if err != nil {
+		n.log.Warn("settings rejected", "part", "node", "error", err.Error())
+		return err
+	}
+	n.Reload(settings)
+	return nil
+}
+
 // Reload applies changed settings. The limits and the target's service take
 // effect at once; changed addresses need a restart.
 func (n *Node) Reload(s Settings) {
--- a/node/sidecar/probe.go
+++ b/node/sidecar/probe.go
@@ -211,6 +211,29 @@
 	t.openHeard(pool, true)
 }
 
+// mayAdopt reports whether a target that is not the present one is used without an announcement.
+// Its health answers do not name its service. The first target that a node finds is one of the
+// service in the settings; one that replaces another may be of another service, which its
+// announcement names, and the settings may be about to change. The caller must hold t.mu.
+func (t *target) mayAdopt(id string) bool {
+	if t.id == "" {
+		return true
+	}
+	if t.newcomer.id != id {
+		t.newcomer = healthAnswer{id: id, at: time.Now()}
+	}
+	return time.Since(t.newcomer.at) >= announcementWait
+}
+
+// refreshService makes sure that the settings name the service of a target that is about to be
+// adopted. It returns false if they cannot be read.
+func (t *target) refreshService(id string) bool {
+	t.mu.Lock()
+	adopts := id != t.id && t.mayAdopt(id)
+	t.mu.Unlock()
+	return !adopts || t.node.RefreshSettings() == nil
+}
+
 // recordHealth applies the answer to a health request. Of an answer without a target
 // ID only the statements count. A new target is adopted only if it is ready and states slots.
 func (t *target) recordHealth(r *upstream.Response, sentAt time.Time, pool *upstream.Pool) {
@@ -222,6 +245,10 @@
 	load, hasLoad := parseLoad(r.Header.Get(t.node.dialect.Load))
 	cold, hasCold := milliseconds(r.Header.Get(t.node.dialect.ColdLeft))
 	leaving := t.statesLeaving(r.Header)
+	usable := r.Status == http.StatusOK && hasLoad && load.Slots > 0
+	if usable && !t.refreshService(id) {
+		return
+	}
 	t.mu.Lock()
 	if !t.isCurrentLocked(pool) {
 		t.mu.Unlock()
@@ -235,7 +262,7 @@
 	t.shown = healthAnswer{id: id, at: time.Now()}
 	announcement, confirmed, departs := t.confirm(id, healthy)
 	closed := t.closeIfMayHaveLeft()
-	adopt := isNew && r.Status == http.StatusOK && (hasLoad && load.Slots > 0)
+	adopt := isNew && usable && t.mayAdopt(id)
 	if adopt {
 		t.id, t.service, t.slots, t.startedMs, t.sequence, t.foundByHealth = id, t.ownService(), load.Slots, 0, 0, true
 		t.leaving = leaving || t.hasLeft()
--- a/node/sidecar/target.go
+++ b/node/sidecar/target.go
@@ -41,6 +41,8 @@
 	foundByHealth bool
 	// shown is the last health answer that named a target, whatever its status.
 	shown healthAnswer
+	// newcomer is the first health answer of a target that is to replace the present one.
+	newcomer healthAnswer
 	// unconfirmed is the last announcement that was not applied since the health answers
 	// show another target, or none of them that it drains. Its ID is empty if there is none.
 	unconfirmed Announcement
