--- a/node/upstream/conn.go
+++ b/node/upstream/conn.go
@@ -207,13 +207,13 @@
 		return io.ErrUnexpectedEOF
 	}
 	if n, err := io.ReadFull(body, make([]byte, 1)); n > 0 || err != io.EOF {
-		return errors.Join(errBodyTooLong, err)
+		return errors.Join(errBodyEnd, err)
 	}
 	return nil
 }
 
-// errBodyTooLong reports a request with more bytes than it states.
-var errBodyTooLong = errors.New("the body of the request does not end where it states")
+// errBodyEnd reports a body that goes on, or breaks off, after its stated length.
+var errBodyEnd = errors.New("the body of the request does not end after its stated length")
 
 func writeChunk(w *bytes.Buffer, chunk []byte) {
 	if len(chunk) == 0 {
