Say what the parts of an attempt do

Comments of attempt.prepare, begin and requestBody, and of hop's body state; applyAnswer no longer returns what nobody reads. No behaviour changes: the tests of node/hop and those of uploads, late answers and starts pass.

--- a/node/hop/hop.go
+++ b/node/hop/hop.go
@@ -89,8 +89,9 @@
 	body       io.Reader
 	once       sync.Once
 	// complete is true once the answer was read to its end.
-	complete    bool
-	requestBody atomic.Int32 // a bodyState
+	complete bool
+	// requestBody is a bodyState.
+	requestBody atomic.Int32
 }
 
 // bodyState tells how much of the body of a request has been sent.
--- a/node/sidecar/execute.go
+++ b/node/sidecar/execute.go
@@ -195,8 +195,8 @@
 }
 
 // prepare gets the body and repeats the checks whose results may have changed while the call
-// waited. It returns the part of the body that has not arrived, if any. What can be checked
-// before the body is asked for is, since the entry may be unable to send it again.
+// waited. It returns the part of the body that has not arrived, if any. The checks also come
+// before the body is asked for, so that a call that they refuse can go to another owner.
 func (a *attempt) prepare(ctx context.Context) (io.Reader, *problem.Error) {
 	if a.job.request.Inline {
 		return nil, a.begin(ctx)
@@ -218,17 +218,19 @@
 	return rest, a.begin(ctx)
 }
 
+// requestBody asks the entry for the body.
 func (a *attempt) requestBody() error {
 	a.bodyTaken = true
 	return a.job.requestBody()
 }
 
+// entryLeft returns the problem of a call whose body did not arrive whole.
 func entryLeft() *problem.Error {
 	return problem.New(problem.Canceled, model.RunNo, "the entry left before the call was sent")
 }
 
-// begin repeats the checks and counts the start. A call whose body may not be sent again
-// waits for a proof for a while.
+// begin repeats the checks and counts the start. A call whose body the entry may be unable to
+// send again waits for a proof as long as proof.BodyWait allows.
 func (a *attempt) begin(ctx context.Context) *problem.Error {
 	end := time.Now().Add(proof.BodyWait(time.Until(a.deadline)))
 	for {
--- a/node/sidecar/statement.go
+++ b/node/sidecar/statement.go
@@ -40,15 +40,13 @@
 func (t *target) isCurrentLocked(pool *upstream.Pool) bool { return pool == t.pool || pool == t.health }
 
 // applyAnswer applies what an answer to a request of the pool says to the owner, unless
-// another process has taken the place of the one that answered. It reports whether it did.
-func (t *target) applyAnswer(pool *upstream.Pool, event func(d *dispatch.Owner, now time.Time) []dispatch.Decision) bool {
+// another process has taken the place of the one that answered.
+func (t *target) applyAnswer(pool *upstream.Pool, event func(d *dispatch.Owner, now time.Time) []dispatch.Decision) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if !t.isCurrentLocked(pool) {
-		return false
+	if t.isCurrentLocked(pool) {
+		t.node.owner.apply(event)
 	}
-	t.node.owner.apply(event)
-	return true
 }
 
 // recordStatement applies what an answer to a request of the pool states about the
