Keep no replaced routing table in memory for a waiting call

Cause: an attempt held the configuration of its call's arrival, to compare the keys of its account. Calls that wait while configurations follow each other kept several tables of thousands of routes.

Change: the attempt holds the set of keys alone.

Evidence: the tests of uploads, proofs and withdrawn keys pass.

--- a/node/sidecar/execute.go
+++ b/node/sidecar/execute.go
@@ -19,7 +19,6 @@
 	"zinniafall/policy/model"
 	"zinniafall/policy/problem"
 	"zinniafall/policy/proof"
-	"zinniafall/policy/routing"
 )
 
 const (
@@ -98,7 +97,7 @@
 	if p := n.crashes.check(j.request.Fingerprint); p != nil {
 		return refusedReply(p), 0
 	}
-	a := &attempt{node: n, job: j, deadline: deadline, provenAt: n.proofs.provenAt(), agreed: n.configuration.current()}
+	a := &attempt{node: n, job: j, deadline: deadline, arrival: n.proofs.arrival()}
 	requestedAt := time.Now()
 	n.target.refreshPace(ctx)
 	call := dispatch.Call{
@@ -157,10 +156,7 @@
 	targetID string
 	pool     *upstream.Pool
 	begun    begunCall
-	// provenAt is the latest time at which the configuration of the call was known to be
-	// current when the call arrived, and agreed the configuration in force then.
-	provenAt proof.Instant
-	agreed   *routing.Table
+	arrival  arrival
 	// bodyTaken is set once the body has been asked for: the entry may be unable to send it
 	// again.
 	bodyTaken bool
@@ -321,7 +317,7 @@
 	if p := a.node.proofs.check(a.job.request.Account); p != nil {
 		return p
 	}
-	return a.node.proofs.checkReplaced(a.job.request, a.provenAt, a.agreed)
+	return a.node.proofs.checkReplaced(a.job.request, a.arrival)
 }
 
 // request returns the request to the target.
--- a/node/sidecar/proof.go
+++ b/node/sidecar/proof.go
@@ -167,17 +167,34 @@
 // checkReplaced refuses a call with a key whose configuration was replaced while it waited,
 // once the proof that it arrived with is too old: the present proof is that of the
 // configuration that may have withdrawn the key. It does not refuse the call if the present
-// configuration has all keys that the account had in agreed, the one at the call's arrival.
-func (p *proofs) checkReplaced(r *peer.Request, provenAt proof.Instant, agreed *routing.Table) *problem.Error {
-	if r.Account == "" || !p.required() || !p.replaced(r.Revision) || p.now().Sub(provenAt) < p.limit() {
+// configuration has all keys that the account had when the call arrived.
+func (p *proofs) checkReplaced(r *peer.Request, arrival arrival) *problem.Error {
+	if r.Account == "" || !p.required() || !p.replaced(r.Revision) || p.now().Sub(arrival.provenAt) < p.limit() {
 		return nil
 	}
-	if agreed != nil && agreed.Revision == r.Revision && p.node.configuration.current().KeepsKeys(r.Account, agreed) {
+	if arrival.revision == r.Revision && p.node.configuration.current().KeepsKeys(r.Account, arrival.keys) {
 		return nil
 	}
 	return problem.New(problem.ConfigurationLag, model.RunNo, "the configuration was replaced while the call waited")
 }
 
+// arrival is what a node knows of its configuration when a call arrives.
+type arrival struct {
+	// provenAt is the latest time at which the configuration was known to be current.
+	provenAt proof.Instant
+	revision model.Revision
+	keys     routing.KeySet
+}
+
+// arrival returns what is known now. Without a configuration it has no keys.
+func (p *proofs) arrival() arrival {
+	a := arrival{provenAt: p.provenAt()}
+	if table := p.node.configuration.current(); table != nil {
+		a.revision, a.keys = table.Revision, table.Keys()
+	}
+	return a
+}
+
 // replaced reports whether the configuration of a revision has been replaced. A proof does
 // not hold for it then.
 func (p *proofs) replaced(revision model.Revision) bool {
--- a/policy/routing/accounts.go
+++ b/policy/routing/accounts.go
@@ -104,8 +104,15 @@
 	return *holder.account, true
 }
 
-// KeepsKeys reports whether each key that names the account in an earlier table still names it.
-func (t *Table) KeepsKeys(account model.Account, earlier *Table) bool {
+// KeySet is the keys of all accounts in one configuration. It does not keep the table in memory.
+type KeySet struct{ accounts *accounts }
+
+// Keys returns the keys of all accounts.
+func (t *Table) Keys() KeySet { return KeySet{t.accounts} }
+
+// KeepsKeys reports whether each key that names the account in an earlier configuration still
+// names it.
+func (t *Table) KeepsKeys(account model.Account, earlier KeySet) bool {
 	if t.accounts == nil || earlier.accounts == nil || t.accounts.byName[account] == nil {
 		return false
 	}
--- a/policy/routing/accounts_test.go
+++ b/policy/routing/accounts_test.go
@@ -70,10 +70,10 @@
 		{"key of two accounts", map[model.Account][]string{"a": {"k1", "k2"}, "b": {"k2"}}, false},
 		{"account gone", map[model.Account][]string{"b": {"k3"}}, false},
 	} {
-		qt.Check(t, table(test.after).KeepsKeys("a", before), qt.Equals, test.kept, qt.Commentf("%s", test.name))
+		qt.Check(t, table(test.after).KeepsKeys("a", before.Keys()), qt.Equals, test.kept, qt.Commentf("%s", test.name))
 	}
 	plain, err := NewTable(1, nil, nil, Limits{})
 	qt.Assert(t, err, qt.IsNil)
-	qt.Check(t, plain.KeepsKeys("a", before), qt.IsFalse)
-	qt.Check(t, before.KeepsKeys("a", plain), qt.IsFalse)
+	qt.Check(t, plain.KeepsKeys("a", before.Keys()), qt.IsFalse)
+	qt.Check(t, before.KeepsKeys("a", plain.Keys()), qt.IsFalse)
 }
